--- a/cmake/limpetwood.cmake
+++ b/cmake/limpetwood.cmake
@@ -1,7 +1,9 @@
 # Build rules shared by all packages.
 find_package(Threads REQUIRED)
-find_package(GTest REQUIRED)
-find_package(benchmark REQUIRED)
+if(NOT LIMPETWOOD_DAEMON_ONLY)
+  find_package(GTest REQUIRED)
+  find_package(benchmark REQUIRED)
+endif()
 find_package(nlohmann_json 3.11 REQUIRED)
 set_target_properties(nlohmann_json::nlohmann_json PROPERTIES IMPORTED_GLOBAL
   TRUE)
@@ -41,6 +43,9 @@
 # lw_test(NAME SRCS x_test.cc DEPS lib ... [LABELS l] [TIMEOUT s])
 # One CTest case for each test binary.
 function(lw_test name)
+  if(LIMPETWOOD_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "TIMEOUT" "SRCS;DEPS;LABELS" ${ARGN})
   add_executable(${name} ${ARG_SRCS})
   target_link_libraries(${name} PRIVATE
@@ -55,6 +60,9 @@
 
 # lw_benchmark(NAME SRCS x_benchmark.cc DEPS lib ...)
 function(lw_benchmark name)
+  if(LIMPETWOOD_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SRCS;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SRCS})
   target_link_libraries(${name} PRIVATE
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/process.h"
 #include "model/settings.h"
+#include "platform/run.h"
 
 #include <boost/program_options.hpp>
 
@@ -17,10 +18,11 @@
 Run(int aCount, char** aArguments)
 {
   options::options_description description(
-    "limpetwoodd --settings FILE [--check-settings]");
+    "limpetwoodd --settings FILE [--check-settings] | --platform");
   auto add = description.add_options();
   add("settings", options::value<std::string>(), "settings file (JSON)");
   add("check-settings", "check the settings and exit with 0 or 2");
+  add("platform", "run in the role that the platform's settings give");
   add("version", "print the version");
   add("help", "print this text");
   options::variables_map given;
@@ -35,6 +37,9 @@
     std::cout << "limpetwoodd 0.1.0\n";
     return daemon::kExitOk;
   }
+  if (given.contains("platform")) {
+    return platform::Run();
+  }
   if (!given.contains("settings")) {
     std::cerr << "limpetwoodd: --settings is required\n" << description;
     return daemon::kExitBadSettings;
--- /dev/null
+++ b/packages/fleet/dispatcher.cc
@@ -0,0 +1,690 @@
+#include "fleet/dispatcher.h"
+
+#include <algorithm>
+
+namespace limpetwood::fleet {
+
+namespace {
+
+// Pause before an order that got no answer is repeated.
+constexpr Millis kRetryPause(400);
+// A worker that was not heard for this many report intervals takes no tasks.
+constexpr int64_t kSilentReports = 3;
+// A worker without runs that was silent this long is forgotten.
+constexpr Millis kForgetAfter = Seconds(20);
+// How long an unhealthy worker is left alone.
+constexpr Millis kUnhealthyPause = Seconds(2);
+// A run whose progress stands still this long has stalled: several times the
+// longest pause between two percent of the longest task, and of a restore.
+constexpr Millis kStallTime(2500);
+// Plans are made at least this often while units wait.
+constexpr Millis kPlanInterval(250);
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions aOptions,
+                       const FleetState& aState,
+                       FencingToken aToken,
+                       Millis aNow)
+  : mOptions(aOptions)
+  , mState(aState)
+  , mToken(aToken)
+  , mPlanner(aOptions.planner)
+  , mHealth(aOptions.health)
+  , mNextPlan(aNow)
+  , mNextTick(aNow)
+{
+  for (const auto& [id, worker] : aState.Workers()) {
+    LinkOf(worker, aNow);
+  }
+}
+
+WorkerLink&
+Dispatcher::LinkOf(const Worker& aWorker, Millis aNow)
+{
+  const WorkerReport& report = aWorker.report;
+  auto it = mLinks.find(report.id);
+  if (it != mLinks.end() &&
+      it->second.CurrentIncarnation() == report.incarnation) {
+    return it->second;
+  }
+  WorkerLink fresh(report.incarnation, aNow, mOptions.lease);
+  fresh.draining = report.draining;
+  fresh.sequence = report.sequence;
+  for (const RunRef& run : aWorker.active) {
+    bool underway = it != mLinks.end() && it->second.runs.contains(run) &&
+                    it->second.runs[run].phase != RunView::Phase::kConfirmed;
+    // What earlier leaders started, or an earlier incarnation ran, is resolved
+    // by the first renewal; a start that is still underway, by a stop.
+    fresh.runs[run] =
+      underway ? RunView{ .phase = RunView::Phase::kUnresolved,
+                          .stopWanted = true }
+               : RunView{ .phase = RunView::Phase::kConfirmed,
+                          .resolvedAt = aNow };
+  }
+  mHealth.Forget(report.id);
+  return mLinks.insert_or_assign(report.id, std::move(fresh)).first->second;
+}
+
+Order
+Dispatcher::MakeOrder(Order::Kind aKind,
+                      const Worker& aWorker,
+                      Millis aNow) const
+{
+  Order out;
+  out.kind = aKind;
+  out.worker = aWorker.report.id;
+  out.incarnation = aWorker.report.incarnation;
+  out.address = aWorker.report.address;
+  out.token = mToken;
+  out.sentAt = aNow;
+  return out;
+}
+
+bool
+Dispatcher::OnReport(const WorkerReport& aReport, Millis aNow)
+{
+  const Worker* known = mState.FindWorker(aReport.id);
+  bool same =
+    known != nullptr && known->report.incarnation == aReport.incarnation;
+  if (known != nullptr && !same &&
+      aReport.incarnation < known->report.incarnation) {
+    return false;
+  }
+  if (same) {
+    WorkerLink& link = LinkOf(*known, aNow);
+    if (aReport.sequence < link.sequence) {
+      return false;
+    }
+    link.sequence = aReport.sequence;
+    link.draining = aReport.draining;
+    link.lastHeard = aNow;
+    link.OnClock(aReport.clock, aNow);
+    mPlanDue = true;
+    WakeAt(aNow);
+    const WorkerReport& held = known->report;
+    if (held.draining == aReport.draining &&
+        held.capacity == aReport.capacity && held.address == aReport.address &&
+        held.service == aReport.service && held.labels == aReport.labels) {
+      return false;
+    }
+  }
+  mCommand.workers.push_back(ToWire(aReport));
+  return true;
+}
+
+bool
+Dispatcher::OnLeave(const WorkerId& aWorker)
+{
+  const Worker* known = mState.FindWorker(aWorker);
+  if (known == nullptr) {
+    return false;
+  }
+  ProposeGone(*known);
+  return true;
+}
+
+void
+Dispatcher::ProposeGone(const Worker& aWorker)
+{
+  if (!mProposedGone.insert(aWorker.report.id).second) {
+    return;
+  }
+  gen::WorkerGone gone;
+  gone.id = aWorker.report.id.Value();
+  gone.incarnation =
+    static_cast<int64_t>(aWorker.report.incarnation.Value());
+  mCommand.gone.push_back(std::move(gone));
+}
+
+bool
+Dispatcher::ProposeEnd(const WorkerId& aWorker,
+                       const RunRef& aRun,
+                       EndKind aKind,
+                       const std::string& aCheckpoint)
+{
+  if (!mState.IsActive(aRun, aWorker) || !mProposedEnds.insert(aRun).second) {
+    return false;
+  }
+  gen::RunEnd end;
+  end.task = ToWire(aRun.task);
+  end.run = static_cast<int32_t>(aRun.run.Value());
+  end.worker = aWorker.Value();
+  end.kind = static_cast<int32_t>(aKind);
+  end.checkpoint = aCheckpoint;
+  mCommand.ends.push_back(std::move(end));
+  return true;
+}
+
+void
+Dispatcher::OnResult(const Order& aOrder,
+                     const OrderResult& aResult,
+                     Millis aNow)
+{
+  const Worker* worker = mState.FindWorker(aOrder.worker);
+  if (worker == nullptr ||
+      worker->report.incarnation != aOrder.incarnation) {
+    return;
+  }
+  WorkerLink& link = LinkOf(*worker, aNow);
+  WakeAt(aNow);
+  if (aOrder.kind == Order::Kind::kRenew) {
+    link.renewInFlight = false;
+  }
+  if (aResult.outcome == OrderResult::Outcome::kOtherIncarnation) {
+    ProposeGone(*worker);
+    return;
+  }
+  bool silent = aResult.outcome == OrderResult::Outcome::kNotSent ||
+                aResult.outcome == OrderResult::Outcome::kNoAnswer;
+  link.reachable = !silent;
+  if (silent) {
+    ++mCounters.unanswered;
+    link.renewDue = std::max(link.renewDue, aNow + kRetryPause);
+  } else {
+    link.lastHeard = aNow;
+    mPlanDue = true;
+  }
+  if (aResult.clock) {
+    link.OnClock(*aResult.clock, aNow);
+  }
+  switch (aOrder.kind) {
+    case Order::Kind::kStart:
+      OnStartResult(aOrder, aResult, link, aNow);
+      break;
+    case Order::Kind::kStop: {
+      auto run = link.runs.find(aOrder.run);
+      if (!silent && run != link.runs.end()) {
+        run->second.phase = RunView::Phase::kConfirmed;
+        run->second.resolvedAt = aNow;
+        link.renewDue = aNow;
+      }
+      if (!silent) {
+        std::erase(link.suspects, aOrder.run);
+      }
+      break;
+    }
+    case Order::Kind::kRenew:
+      if (aResult.outcome == OrderResult::Outcome::kAnswered) {
+        OnRenewResult(aOrder, aResult, *worker, link, aNow);
+      }
+      break;
+  }
+}
+
+void
+Dispatcher::CountRefusal(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::kFenced:
+      ++mCounters.refusedFenced;
+      break;
+    case Refusal::kSuperseded:
+      ++mCounters.refusedSuperseded;
+      break;
+    case Refusal::kLate:
+      ++mCounters.refusedLate;
+      break;
+    case Refusal::kNoRoom:
+      ++mCounters.refusedNoRoom;
+      break;
+    case Refusal::kUnhealthy:
+      ++mCounters.refusedUnhealthy;
+      break;
+    case Refusal::kNone:
+    case Refusal::kNoTicket:
+    case Refusal::kMalformed:
+      ++mCounters.refusedOther;
+      break;
+  }
+}
+
+void
+Dispatcher::OnStartResult(const Order& aOrder,
+                          const OrderResult& aResult,
+                          WorkerLink& aLink,
+                          Millis aNow)
+{
+  auto it = aLink.runs.find(aOrder.run);
+  if (it == aLink.runs.end()) {
+    return;
+  }
+  RunView& run = it->second;
+  switch (aResult.outcome) {
+    case OrderResult::Outcome::kAnswered:
+      if (run.phase == RunView::Phase::kStarting) {
+        run.phase = RunView::Phase::kConfirmed;
+        run.resolvedAt = aNow;
+      }
+      break;
+    case OrderResult::Outcome::kRefused:
+      CountRefusal(aResult.refusal);
+      if (aResult.refusal == Refusal::kUnhealthy) {
+        aLink.unhealthyUntil = aNow + kUnhealthyPause;
+      }
+      [[fallthrough]];
+    case OrderResult::Outcome::kNotSent:
+      ProposeEnd(aOrder.worker, aOrder.run, EndKind::kRejected, {});
+      break;
+    case OrderResult::Outcome::kNoAnswer:
+      run.phase = RunView::Phase::kUnresolved;
+      run.stopWanted = true;
+      break;
+    case OrderResult::Outcome::kOtherIncarnation:
+      break;
+  }
+}
+
+void
+Dispatcher::NoteRunning(const OrderResult& aResult,
+                        WorkerLink& aLink,
+                        Millis aNow)
+{
+  for (const RunningRun& it : aResult.running) {
+    auto found = aLink.runs.find(it.run);
+    if (found == aLink.runs.end()) {
+      continue;
+    }
+    RunView& run = found->second;
+    if (run.phase != RunView::Phase::kUnresolved) {
+      run.phase = RunView::Phase::kConfirmed;
+    }
+    run.resolvedAt = std::min(run.resolvedAt, aNow);
+    if (!run.startedAt) {
+      run.startedAt = aNow;
+      run.progressAt = aNow;
+    }
+    if (it.percent > run.percent) {
+      run.percent = it.percent;
+      run.progressAt = aNow;
+    }
+    if (!it.checkpoint.empty()) {
+      run.checkpoint = it.checkpoint;
+    }
+  }
+}
+
+void
+Dispatcher::OnRenewResult(const Order& aOrder,
+                          const OrderResult& aResult,
+                          const Worker& aWorker,
+                          WorkerLink& aLink,
+                          Millis aNow)
+{
+  aLink.fenced = true;
+  aLink.endsAcknowledged =
+    std::max(aLink.endsAcknowledged, aOrder.acknowledgedEnds);
+  NoteRunning(aResult, aLink, aNow);
+  std::set<RunRef> listed;
+  for (const EndedRun& it : aResult.ended) {
+    listed.insert(it.run);
+    if (it.number > aLink.endsProposed) {
+      aLink.endsProposed = it.number;
+      if (ProposeEnd(aOrder.worker, it.run, it.kind, it.checkpoint)) {
+        aLink.openEnds.insert(it.run);
+      }
+    }
+  }
+  for (const RunningRun& it : aResult.running) {
+    listed.insert(it.run);
+    if (!aWorker.active.contains(it.run)) {
+      SendStop(aWorker, it.run, aNow);
+    }
+  }
+  for (const RunRef& it : aWorker.active) {
+    auto run = aLink.runs.find(it);
+    if (!listed.contains(it) && run != aLink.runs.end() &&
+        run->second.resolvedAt <= aOrder.sentAt) {
+      ProposeEnd(aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
+    }
+  }
+  // Ends that change nothing need no commit before they are acknowledged.
+  if (aLink.openEnds.empty()) {
+    aLink.endsCommitted = aLink.endsProposed;
+  }
+  aLink.renewDue = aNow;
+}
+
+void
+Dispatcher::SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow)
+{
+  Order stop = MakeOrder(Order::Kind::kStop, aWorker, aNow);
+  stop.run = aRun;
+  mOrders.push_back(std::move(stop));
+  ++mCounters.stops;
+}
+
+void
+Dispatcher::OnCommitted(const gen::Command& aCommand, Millis aNow)
+{
+  for (const gen::RunEnd& it : aCommand.ends) {
+    RunRef run{ .task = FromWire(it.task),
+                .run = Attempt(static_cast<uint32_t>(it.run)) };
+    mProposedEnds.erase(run);
+    WorkerId worker(it.worker);
+    auto kind = static_cast<EndKind>(it.kind);
+    ++mCounters.ends[static_cast<size_t>(kind)];
+    if (kind == EndKind::kDone) {
+      mHealth.OnDone(worker);
+    } else if (kind == EndKind::kFailed) {
+      mHealth.OnFailed(worker, run.task.job, aNow);
+    }
+    auto link = mLinks.find(worker);
+    if (link == mLinks.end()) {
+      continue;
+    }
+    link->second.runs.erase(run);
+    link->second.openEnds.erase(run);
+    if (link->second.openEnds.empty()) {
+      link->second.endsCommitted = link->second.endsProposed;
+    }
+  }
+  for (const gen::WorkerGone& it : aCommand.gone) {
+    mProposedGone.erase(WorkerId(it.id));
+    if (mState.FindWorker(WorkerId(it.id)) == nullptr) {
+      mLinks.erase(WorkerId(it.id));
+    }
+  }
+  for (const gen::WorkerReport& it : aCommand.workers) {
+    if (const Worker* worker = mState.FindWorker(WorkerId(it.id))) {
+      LinkOf(*worker, aNow).OnClock(Millis(it.clockMs), aNow);
+    }
+  }
+  SendStarts(aCommand, aNow);
+  mPlanDue = true;
+  WakeAt(aNow);
+}
+
+void
+Dispatcher::SendStarts(const gen::Command& aCommand, Millis aNow)
+{
+  if (aCommand.starts.empty()) {
+    return;
+  }
+  mStartsProposed = false;
+  for (const gen::RunStart& it : aCommand.starts) {
+    RunRef run{ .task = FromWire(it.task),
+                .run = Attempt(static_cast<uint32_t>(it.run)) };
+    WorkerId id(it.worker);
+    if (!mState.IsActive(run, id)) {
+      continue;
+    }
+    const Worker& worker = *mState.FindWorker(id);
+    const Job& job = *mState.FindJob(run.task.job);
+    WorkerLink& link = LinkOf(worker, aNow);
+    link.runs[run] = {};
+    Order start = MakeOrder(Order::Kind::kStart, worker, aNow);
+    start.run = run;
+    start.payload = job.spec.payload;
+    start.checkpoint = mState.FindTask(run.task)->checkpoint;
+    start.leaseUntil = link.GrantUntil(aNow, mOptions.lease);
+    mOrders.push_back(std::move(start));
+    link.renewDue = std::min(link.renewDue, aNow);
+    ++mCounters.starts;
+  }
+}
+
+void
+Dispatcher::Tick(Millis aNow, Millis aWallNow)
+{
+  mNextTick = aNow + mOptions.heartbeat;
+  for (const auto& [id, worker] : mState.Workers()) {
+    TickWorker(worker, LinkOf(worker, aNow), aNow);
+  }
+  if (!mStartsProposed && (mPlanDue || aNow >= mNextPlan)) {
+    RunPlan(aNow, aWallNow);
+  }
+  WakeAt(mNextPlan);
+}
+
+void
+Dispatcher::TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
+{
+  // Runs that were started and lost with their incarnation.
+  std::erase_if(aLink.runs, [&](const auto& aEntry) {
+    return !aWorker.active.contains(aEntry.first);
+  });
+  EndLeases(aWorker, aLink, aNow);
+  StopRuns(aWorker, aLink, aNow);
+  RenewWorker(aWorker, aLink, aNow);
+  if (aWorker.active.empty() && aNow - aLink.lastHeard > kForgetAfter) {
+    ProposeGone(aWorker);
+  }
+}
+
+void
+Dispatcher::EndLeases(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
+{
+  if (aWorker.active.empty() || aLink.reachable || !aLink.LeaseOver(aNow)) {
+    return;
+  }
+  for (const RunRef& it : aWorker.active) {
+    auto run = aLink.runs.find(it);
+    bool unresolved = run != aLink.runs.end() &&
+                      run->second.phase == RunView::Phase::kUnresolved;
+    if (unresolved && !mProposedEnds.contains(it)) {
+      aLink.suspects.push_back(it);
+    }
+    ProposeEnd(aWorker.report.id,
+               it,
+               EndKind::kLost,
+               run == aLink.runs.end() ? std::string()
+                                       : run->second.checkpoint);
+  }
+}
+
+bool
+Dispatcher::HasStalled(const RunRef& aRun,
+                       const RunView& aView,
+                       const WorkerLink& aLink,
+                       Millis aNow) const
+{
+  const Job* job = mState.FindJob(aRun.task.job);
+  return job != nullptr && !job->spec.steps[aRun.task.step].lasting &&
+         aView.startedAt && !aView.stopWanted && aLink.reachable &&
+         aNow - aView.progressAt > kStallTime &&
+         aNow - aLink.lastHeard < mOptions.renewWait;
+}
+
+bool
+Dispatcher::MustStop(const RunRef& aRun, const RunView& aView) const
+{
+  if (aView.stopWanted) {
+    return true;
+  }
+  const Job* job = mState.FindJob(aRun.task.job);
+  if (job == nullptr ||
+      (job->Ended() && job->status != JobStatus::kCompleted)) {
+    return true;
+  }
+  const StepSpec& spec = job->spec.steps[aRun.task.step];
+  if (!spec.gang) {
+    return false;
+  }
+  // A gang that lost a member cannot go on.
+  const Step& step =
+    job->occurrences[aRun.task.occurrence].steps[aRun.task.step];
+  return !step.gangDone && step.active < spec.tasks;
+}
+
+void
+Dispatcher::StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
+{
+  for (auto& [run, view] : aLink.runs) {
+    if (HasStalled(run, view, aLink, aNow)) {
+      view.stopWanted = true;
+      ++mCounters.stalledRuns;
+      mHealth.OnStalled(aWorker.report.id, aNow);
+    }
+    if (!MustStop(run, view) || mProposedEnds.contains(run)) {
+      continue;
+    }
+    // A stop that was answered needs no repetition until it should be over.
+    bool answered = view.resolvedAt > view.stopSentAt &&
+                    view.resolvedAt != Millis::Max();
+    Millis pause = answered ? mOptions.stopTime * 2 : kRetryPause;
+    if (aNow - view.stopSentAt >= pause) {
+      view.stopSentAt = aNow;
+      SendStop(aWorker, run, aNow);
+    }
+    WakeAt(view.stopSentAt + pause);
+  }
+  for (const RunRef& it : aLink.suspects) {
+    if (aLink.reachable) {
+      SendStop(aWorker, it, aNow);
+    }
+  }
+}
+
+void
+Dispatcher::RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
+{
+  bool pendingEnds = aLink.endsCommitted > aLink.endsAcknowledged;
+  bool wanted = !aLink.fenced || !aLink.reachable || pendingEnds ||
+                !aWorker.active.empty() || !aLink.suspects.empty();
+  if (!wanted || aLink.renewInFlight) {
+    return;
+  }
+  if (aNow < aLink.renewDue) {
+    WakeAt(aLink.renewDue);
+    return;
+  }
+  // Ends that are on their way to the log would be listed again.
+  if (aLink.endsProposed > aLink.endsCommitted) {
+    return;
+  }
+  Order renew = MakeOrder(Order::Kind::kRenew, aWorker, aNow);
+  renew.acknowledgedEnds = aLink.endsCommitted;
+  bool mayWait = aLink.fenced && aLink.reachable && !aWorker.active.empty();
+  renew.wait = mayWait ? mOptions.renewWait : Millis(0);
+  if (aLink.ClockFloor(aNow) && aLink.suspects.empty()) {
+    renew.leaseUntil = aLink.GrantUntil(aNow, mOptions.lease);
+  }
+  aLink.renewInFlight = true;
+  ++mCounters.renewals;
+  mOrders.push_back(std::move(renew));
+}
+
+bool
+Dispatcher::IsUsable(const WorkerId& aWorker, Millis aNow) const
+{
+  auto it = mLinks.find(aWorker);
+  if (it == mLinks.end()) {
+    return false;
+  }
+  const WorkerLink& link = it->second;
+  return link.fenced && link.reachable && !link.draining &&
+         link.suspects.empty() && aNow >= link.unhealthyUntil &&
+         aNow - link.lastHeard < mOptions.heartbeat * kSilentReports &&
+         link.ClockFloor(aNow).has_value();
+}
+
+std::vector<Candidate>
+Dispatcher::Candidates(Millis aNow) const
+{
+  std::vector<Candidate> out;
+  for (const auto& [id, worker] : mState.Workers()) {
+    bool usable = IsUsable(id, aNow) && !worker.report.draining &&
+                  !mProposedGone.contains(id) && !mHealth.IsExcluded(id, aNow);
+    if (usable) {
+      out.push_back({ .id = id,
+                      .service = worker.report.service,
+                      .rack = worker.report.rack,
+                      .report = &worker.report,
+                      .room = worker.report.capacity - worker.used,
+                      .suspicion = mHealth.SuspicionOf(id, aNow) });
+    }
+  }
+  return out;
+}
+
+RunCost
+Dispatcher::CostOf(const WorkerId& aWorker,
+                   const RunRef& aRun,
+                   Millis aNow) const
+{
+  auto link = mLinks.find(aWorker);
+  if (link == mLinks.end()) {
+    return {};
+  }
+  auto it = link->second.runs.find(aRun);
+  if (it == link->second.runs.end()) {
+    return {};
+  }
+  const RunView& view = it->second;
+  const Job& job = *mState.FindJob(aRun.task.job);
+  RunCost out;
+  out.stopping = MustStop(aRun, view);
+  bool saves = job.spec.steps[aRun.task.step].savesCheckpoints;
+  if (view.startedAt && !saves) {
+    out.lost = aNow - *view.startedAt;
+  }
+  return out;
+}
+
+void
+Dispatcher::RunPlan(Millis aNow, Millis aWallNow)
+{
+  ++mCounters.passes;
+  mPlanDue = false;
+  FleetView view{ .state = &mState,
+                  .candidates = Candidates(aNow),
+                  .costOf =
+                    [&](const WorkerId& aWorker, const RunRef& aRun) {
+                      return CostOf(aWorker, aRun, aNow);
+                    },
+                  .now = aNow,
+                  .wallNow = aWallNow };
+  Plan plan = mPlanner.Decide(std::move(view));
+  mBlocked = plan.blocked;
+  mNextPlan = aNow + (plan.blocked > 0 ? kPlanInterval : Seconds(1));
+  if (plan.nextDue != Millis::Max()) {
+    mNextPlan = std::min(mNextPlan, aNow + (plan.nextDue - aWallNow));
+  }
+  for (const PlannedStart& it : plan.starts) {
+    gen::RunStart start;
+    start.task = ToWire(it.run.task);
+    start.run = static_cast<int32_t>(it.run.run.Value());
+    start.worker = it.worker.Value();
+    start.incarnation = static_cast<int64_t>(it.incarnation.Value());
+    mCommand.starts.push_back(std::move(start));
+  }
+  mStartsProposed = !plan.starts.empty();
+  for (const auto& [worker, run] : plan.victims) {
+    auto link = mLinks.find(worker);
+    if (link == mLinks.end()) {
+      continue;
+    }
+    auto it = link->second.runs.find(run);
+    if (it != link->second.runs.end() && !it->second.stopWanted) {
+      it->second.stopWanted = true;
+      ++mCounters.preemptions;
+    }
+  }
+  if (!plan.victims.empty()) {
+    for (const auto& [id, worker] : mState.Workers()) {
+      StopRuns(worker, LinkOf(worker, aNow), aNow);
+    }
+  }
+}
+
+bool
+Dispatcher::HasCommand() const
+{
+  return !mCommand.workers.empty() || !mCommand.gone.empty() ||
+         !mCommand.ends.empty() || !mCommand.starts.empty();
+}
+
+gen::Command
+Dispatcher::TakeCommand()
+{
+  return std::exchange(mCommand, {});
+}
+
+std::vector<Order>
+Dispatcher::TakeOrders()
+{
+  return std::exchange(mOrders, {});
+}
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/dispatcher.h
@@ -0,0 +1,160 @@
+// The leader's work with the workers: leases, starts, stops, ends.
+//
+//   Dispatcher dispatcher(options, state, token, now);
+//   dispatcher.OnReport(report, now);
+//   dispatcher.Tick(now, wallNow);
+//   // propose dispatcher.TakeCommand(); send dispatcher.TakeOrders()
+//   dispatcher.OnCommitted(command, now);
+//   dispatcher.OnResult(order, result, now);
+//
+// A start is sent only after it is committed, so a later leader knows of every
+// run that may exist. A run counts as over only when the worker has listed its
+// end, when a renewal that was sent after the start was resolved does not list
+// it, or when its lease is over for certain.
+//
+// Created when leadership is gained and dropped when it is lost. Pure: no
+// socket, clock, file or thread.
+
+#pragma once
+
+#include "fleet/health.h"
+#include "fleet/order.h"
+#include "fleet/planner.h"
+#include "fleet/state.h"
+#include "fleet/worker_link.h"
+
+#include <array>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace limpetwood::fleet {
+
+struct DispatcherOptions
+{
+  // Length of a lease; the longest that workers accept.
+  Millis lease = Seconds(10);
+  // How long a worker may delay the answer to a renewal.
+  Millis renewWait = Millis(1500);
+  // Interval at which workers report.
+  Millis heartbeat = Millis(1500);
+  // Longest time that a stop may take.
+  Millis stopTime = Millis(900);
+  PlannerOptions planner{};
+  HealthOptions health{};
+};
+
+struct DispatcherCounters
+{
+  std::array<uint64_t, kEndKinds> ends{};
+  uint64_t starts = 0;
+  uint64_t stops = 0;
+  uint64_t renewals = 0;
+  uint64_t preemptions = 0;
+  uint64_t stalledRuns = 0;
+  uint64_t unanswered = 0;
+  uint64_t refusedFenced = 0;
+  uint64_t refusedSuperseded = 0;
+  uint64_t refusedLate = 0;
+  uint64_t refusedNoRoom = 0;
+  uint64_t refusedUnhealthy = 0;
+  uint64_t refusedOther = 0;
+  uint64_t passes = 0;
+};
+
+class Dispatcher
+{
+public:
+  Dispatcher(DispatcherOptions aOptions,
+             const FleetState& aState,
+             FencingToken aToken,
+             Millis aNow);
+
+  // True if the report changes the replicated state; it may be acknowledged
+  // once the queued command is committed.
+  bool OnReport(const WorkerReport& aReport, Millis aNow);
+  // True if the worker is known; acknowledged like a report.
+  bool OnLeave(const WorkerId& aWorker);
+
+  void OnResult(const Order& aOrder, const OrderResult& aResult, Millis aNow);
+  // A command that came from `TakeCommand` is in the state.
+  void OnCommitted(const gen::Command& aCommand, Millis aNow);
+  // The state changed in another way.
+  void OnChanged() { mPlanDue = true; }
+
+  void Tick(Millis aNow, Millis aWallNow);
+  Millis NextTick() const { return mNextTick; }
+
+  bool HasCommand() const;
+  gen::Command TakeCommand();
+  std::vector<Order> TakeOrders();
+
+  const DispatcherCounters& Counters() const { return mCounters; }
+  // Units without room at the last pass.
+  size_t Blocked() const { return mBlocked; }
+  // Whether a worker takes new tasks.
+  bool IsUsable(const WorkerId& aWorker, Millis aNow) const;
+
+private:
+  WorkerLink& LinkOf(const Worker& aWorker, Millis aNow);
+  Order MakeOrder(Order::Kind aKind, const Worker& aWorker, Millis aNow) const;
+
+  void OnStartResult(const Order& aOrder,
+                     const OrderResult& aResult,
+                     WorkerLink& aLink,
+                     Millis aNow);
+  void OnRenewResult(const Order& aOrder,
+                     const OrderResult& aResult,
+                     const Worker& aWorker,
+                     WorkerLink& aLink,
+                     Millis aNow);
+  void CountRefusal(Refusal aRefusal);
+  void NoteRunning(const OrderResult& aResult, WorkerLink& aLink, Millis aNow);
+  void SendStarts(const gen::Command& aCommand, Millis aNow);
+  void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
+  // False if the run is not active or its end is proposed already.
+  bool ProposeEnd(const WorkerId& aWorker,
+                  const RunRef& aRun,
+                  EndKind aKind,
+                  const std::string& aCheckpoint);
+  void ProposeGone(const Worker& aWorker);
+
+  void TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  void RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  void StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  bool HasStalled(const RunRef& aRun,
+                  const RunView& aView,
+                  const WorkerLink& aLink,
+                  Millis aNow) const;
+  bool MustStop(const RunRef& aRun, const RunView& aView) const;
+  void EndLeases(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  void RunPlan(Millis aNow, Millis aWallNow);
+  std::vector<Candidate> Candidates(Millis aNow) const;
+  RunCost CostOf(const WorkerId& aWorker,
+                 const RunRef& aRun,
+                 Millis aNow) const;
+  void WakeAt(Millis aTime) { mNextTick = std::min(mNextTick, aTime); }
+
+  const DispatcherOptions mOptions;
+  const FleetState& mState;
+  const FencingToken mToken;
+  Planner mPlanner;
+  Health mHealth;
+  // One for each worker of the state, with its incarnation.
+  std::map<WorkerId, WorkerLink> mLinks;
+  gen::Command mCommand;
+  // Ends in `mCommand` or on their way to the log.
+  std::set<RunRef> mProposedEnds;
+  std::set<WorkerId> mProposedGone;
+  std::vector<Order> mOrders;
+  // Starts are in `mCommand` or on their way to the log; the next plan waits
+  // for them, so that room is never given twice.
+  bool mStartsProposed = false;
+  bool mPlanDue = true;
+  Millis mNextPlan;
+  size_t mBlocked = 0;
+  Millis mNextTick;
+  DispatcherCounters mCounters;
+};
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/fleet.thrift
@@ -0,0 +1,201 @@
+// Commands and snapshots of the replicated fleet state, and the requests that
+// instances relay to the leader.
+//
+// Generate with: thrift --gen cpp:no_skeleton,moveable_types -out gen-cpp fleet.thrift
+
+namespace cpp limpetwood.fleet.gen
+
+struct Resources {
+  // Thousandths of a core.
+  1: i64 cpu
+  2: i64 memoryMb
+  3: i64 accelerators
+}
+
+struct Step {
+  1: i32 tasks
+  2: Resources need
+  3: i64 estimateMs
+  4: list<i32> after
+  // Bits of limpetwood::fleet::StepFlag.
+  5: i32 flags
+  6: string label
+  7: string rack
+  8: i32 perWorkerLimit
+  9: string image
+  10: i64 latencyTargetMs
+  11: i32 mayMiss
+}
+
+struct JobSpec {
+  1: string payload
+  2: list<Step> steps
+  3: i64 firstRunAtMs
+  4: i64 intervalMs
+  5: i32 occurrences
+}
+
+struct Queue {
+  1: string name
+  2: string host
+  3: string prefix
+  4: string serviceId
+  5: i32 priority
+  6: i32 maxAttempts
+  7: double stretch
+  8: i64 targetLatencyMs
+  9: i64 timeoutMs
+  10: bool isPublic
+  11: bool needsAdvice
+}
+
+struct Workspace {
+  1: string name
+  2: list<string> keys
+  3: i64 guaranteedAccelerators
+}
+
+struct Limits {
+  1: i64 headerBytes
+  2: i64 bodyBytes
+  3: i64 headerMs
+  4: i64 idleMs
+}
+
+struct Configuration {
+  1: i64 version
+  // As the operator sent it, to be read back.
+  2: string text
+  3: list<Queue> queues
+  4: list<Workspace> workspaces
+  5: Limits limits
+}
+
+struct SubmitJob {
+  1: string id
+  2: string queue
+  3: string workspace
+  4: string serviceId
+  5: JobSpec spec
+  6: i64 acceptedAtMs
+  7: i32 priority
+  8: i32 maxAttempts
+  9: double stretch
+  10: i64 targetLatencyMs
+}
+
+struct WorkerReport {
+  1: string id
+  2: i64 incarnation
+  3: string address
+  4: string serviceId
+  5: string zone
+  6: Resources capacity
+  7: list<string> labels
+  8: string rack
+  9: bool draining
+  10: i64 sequence
+  11: i64 clockMs
+  12: string machine
+}
+
+struct WorkerGone {
+  1: string id
+  2: i64 incarnation
+}
+
+struct TaskRef {
+  1: string job
+  2: i32 occurrence
+  3: i32 step
+  4: i32 index
+}
+
+struct RunStart {
+  1: TaskRef task
+  2: i32 run
+  3: string worker
+  4: i64 incarnation
+}
+
+struct RunEnd {
+  1: TaskRef task
+  2: i32 run
+  3: string worker
+  4: i64 incarnation
+  // Value of limpetwood::fleet::EndKind.
+  5: i32 kind
+  6: string checkpoint
+}
+
+struct Command {
+  1: optional Configuration configuration
+  2: list<SubmitJob> jobs
+  3: list<string> cancelled
+  4: list<WorkerReport> workers
+  5: list<WorkerGone> gone
+  6: list<RunEnd> ends
+  7: list<RunStart> starts
+  8: list<string> forgotten
+  // Clock of the proposer; ages ended jobs.
+  9: i64 atMs
+}
+
+struct TaskSnapshot {
+  1: i32 phase
+  2: i32 run
+  3: i32 failures
+  4: string worker
+  5: string checkpoint
+}
+
+struct StepSnapshot {
+  1: list<TaskSnapshot> tasks
+  2: i32 gangFailures
+  3: i32 lastFailedRun
+  4: i32 lastRun
+}
+
+struct OccurrenceSnapshot {
+  1: list<StepSnapshot> steps
+}
+
+struct JobSnapshot {
+  1: SubmitJob job
+  2: i32 status
+  3: bool started
+  4: i64 endedAtMs
+  5: list<OccurrenceSnapshot> occurrences
+}
+
+struct StateSnapshot {
+  1: optional Configuration configuration
+  2: list<JobSnapshot> jobs
+  3: list<WorkerReport> workers
+}
+
+struct Request {
+  // Value of limpetwood::fleet::RequestKind.
+  1: i32 kind
+  2: string host
+  3: string path
+  4: string key
+  5: optional JobSpec job
+  6: optional WorkerReport worker
+  7: optional Configuration configuration
+}
+
+struct Reply {
+  // Value of limpetwood::fleet::Outcome.
+  1: i32 outcome
+  2: i64 retryAfterMs
+  // Instance that leads, if known.
+  3: string leader
+  4: string text
+  5: i64 count
+  // Instances that hold the state.
+  6: list<string> members
+  7: i32 jobStatus
+  8: i64 version
+  9: optional Limits limits
+}
--- /dev/null
+++ b/packages/fleet/node.cc
@@ -0,0 +1,651 @@
+#include "fleet/node.h"
+
+#include "base/error.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace limpetwood::fleet {
+
+namespace {
+
+using replication::ProposeOutcome;
+
+// How often the leader looks for duties that no event announces.
+constexpr Millis kDutiesInterval(200);
+// A replica that was not heard for this long is taken for lost.
+constexpr Millis kReplicaLost(2000);
+// More voters slow down every commit without adding to what may be lost.
+constexpr size_t kMostVoters = 7;
+constexpr size_t kJobIdLength = 16;
+
+bool
+IsJobId(std::string_view aText)
+{
+  return aText.size() == kJobIdLength &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char it) {
+           return std::isxdigit(it) != 0;
+         });
+}
+
+std::string
+Field(std::string_view aName, std::string_view aValue)
+{
+  return " " + std::string(aName) + "=" + std::string(aValue);
+}
+
+std::string
+NameOf(const RunRef& aRun)
+{
+  return aRun.task.job.Value() + "." + std::to_string(aRun.task.occurrence) +
+         "." + std::to_string(aRun.task.step) + "." +
+         std::to_string(aRun.task.index) + "#" +
+         std::to_string(aRun.run.Value());
+}
+
+std::string_view
+StatusName(JobStatus aStatus)
+{
+  switch (aStatus) {
+    case JobStatus::kQueued:
+      return "queued";
+    case JobStatus::kRunning:
+      return "running";
+    case JobStatus::kCompleted:
+      return "completed";
+    case JobStatus::kFailed:
+      return "failed";
+    case JobStatus::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+std::string_view
+EndName(EndKind aKind)
+{
+  switch (aKind) {
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLapsed:
+      return "lapsed";
+    case EndKind::kBroken:
+      return "broken";
+    case EndKind::kAlone:
+      return "alone";
+    case EndKind::kRejected:
+      return "rejected";
+    case EndKind::kLost:
+      break;
+  }
+  return "lost";
+}
+
+} // namespace
+
+Node::Node(NodeOptions aOptions, NodeEnvironment& aEnvironment)
+  : mOptions(std::move(aOptions))
+  , mEnvironment(aEnvironment)
+{
+}
+
+Result<std::unique_ptr<Node>>
+Node::Open(NodeOptions aOptions, NodeEnvironment& aEnvironment)
+{
+  std::unique_ptr<Node> node(new Node(std::move(aOptions), aEnvironment));
+  auto send = [&aEnvironment](const InstanceId& aTo, std::string aBytes) {
+    aEnvironment.SendReplication(aTo, std::move(aBytes));
+  };
+  auto opened = replication::Group::Open(node->mOptions.group, *node, send);
+  if (!opened) {
+    return opened.Error();
+  }
+  node->mGroup = std::move(opened).Value();
+  return node;
+}
+
+std::string
+Node::Apply(uint64_t /*aIndex*/, std::string_view aCommand)
+{
+  auto command = Decode<gen::Command>(aCommand);
+  if (!command) {
+    // Every replica refuses the same bytes, so the states stay equal.
+    mEnvironment.Log("command_unreadable" +
+                     Field("error", command.Error().message()));
+    return {};
+  }
+  mState.Apply(command.Value());
+  return {};
+}
+
+void
+Node::OnReplication(const InstanceId& aFrom,
+                    std::string_view aBytes,
+                    Millis aNow)
+{
+  mGroup->Receive(aFrom, aBytes, aNow);
+}
+
+gen::Reply
+Node::MakeReply(Outcome aOutcome) const
+{
+  gen::Reply reply;
+  reply.outcome = static_cast<int32_t>(aOutcome);
+  return reply;
+}
+
+void
+Node::Answer(const ReplyCallback& aDone, gen::Reply aReply)
+{
+  ++mCounters.outcomes[static_cast<size_t>(aReply.outcome)];
+  aDone(std::move(aReply));
+}
+
+void
+Node::Answer(const ReplyCallback& aDone, Outcome aOutcome)
+{
+  Answer(aDone, MakeReply(aOutcome));
+}
+
+void
+Node::AnswerAfterCommit(ReplyCallback aDone)
+{
+  mBatch.waiting.emplace_back(
+    [this, done = std::move(aDone)](Verdict aVerdict) {
+      Outcome outcome = Outcome::kMayHaveRun;
+      if (aVerdict == Verdict::kAnswered) {
+        outcome = Outcome::kOk;
+      } else if (aVerdict == Verdict::kNotRun) {
+        outcome = Outcome::kNotLeader;
+      }
+      Answer(done, outcome);
+    });
+}
+
+void
+Node::Handle(const gen::Request& aRequest, Millis aNow, ReplyCallback aDone)
+{
+  mNow = aNow;
+  auto kind = static_cast<RequestKind>(aRequest.kind);
+  bool leading = mDispatcher != nullptr && mGroup->IsLeader(aNow);
+  if (!leading || kind == RequestKind::kPing) {
+    gen::Reply reply =
+      MakeReply(leading ? Outcome::kOk : Outcome::kNotLeader);
+    if (auto leader = mGroup->Leader()) {
+      reply.leader = leader->Value();
+    }
+    for (const auto& it : mGroup->Status().membership.voters) {
+      reply.members.push_back(it.instance.Value());
+    }
+    reply.version = static_cast<int64_t>(mState.Version().Value());
+    if (mState.Config()) {
+      reply.__set_limits(ToWire(mState.Config()->limits));
+    }
+    Answer(aDone, std::move(reply));
+    return;
+  }
+  switch (kind) {
+    case RequestKind::kPing:
+      break;
+    case RequestKind::kSubmit:
+      OnSubmit(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kRead:
+      OnRead(aRequest, aDone);
+      break;
+    case RequestKind::kCancel:
+      OnCancel(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kReport:
+    case RequestKind::kLeave:
+      OnReport(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kPutConfiguration:
+      OnPutConfiguration(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kGetConfiguration:
+      OnGetConfiguration(aDone);
+      break;
+    default:
+      Answer(aDone, Outcome::kInvalid);
+      break;
+  }
+}
+
+Node::Target
+Node::FindTarget(const gen::Request& aRequest) const
+{
+  Target out;
+  if (!mState.Config()) {
+    out.outcome = Outcome::kUnavailable;
+    return out;
+  }
+  out.queue = mState.FindQueue(aRequest.host, aRequest.path);
+  if (out.queue == nullptr) {
+    out.outcome = Outcome::kUnknownQueue;
+    return out;
+  }
+  out.workspace = mState.FindWorkspaceByKey(aRequest.key);
+  if (!out.queue->isPublic && out.workspace == nullptr) {
+    out.outcome = Outcome::kUnauthorized;
+    return out;
+  }
+  out.job = JobId(
+    std::string_view(aRequest.path).substr(out.queue->prefix.size()));
+  if (!out.job.empty() && !IsJobId(out.job.Value())) {
+    out.outcome = Outcome::kUnknownQueue;
+  }
+  return out;
+}
+
+void
+Node::OnSubmit(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  Target target = FindTarget(aRequest);
+  if (target.outcome != Outcome::kOk) {
+    Answer(aDone, target.outcome);
+    return;
+  }
+  if (target.job.empty() || !aRequest.__isset.job) {
+    Answer(aDone, Outcome::kInvalid);
+    return;
+  }
+  if (mState.FindJob(target.job) != nullptr) {
+    Answer(aDone, Outcome::kOk);
+    return;
+  }
+  gen::SubmitJob job;
+  job.id = target.job.Value();
+  job.queue = target.queue->name.Value();
+  if (target.workspace != nullptr) {
+    job.workspace = target.workspace->name.Value();
+  }
+  job.serviceId = target.queue->service.Value();
+  job.spec = aRequest.job;
+  job.acceptedAtMs = mWallNow.Count();
+  job.priority = target.queue->priority;
+  job.maxAttempts = static_cast<int32_t>(target.queue->maxAttempts);
+  job.stretch = target.queue->stretch;
+  job.targetLatencyMs = target.queue->targetLatency.Count();
+  mBatch.command.jobs.push_back(std::move(job));
+  AnswerAfterCommit(std::move(aDone));
+}
+
+void
+Node::OnRead(const gen::Request& aRequest, const ReplyCallback& aDone)
+{
+  Target target = FindTarget(aRequest);
+  if (target.outcome != Outcome::kOk) {
+    Answer(aDone, target.outcome);
+    return;
+  }
+  gen::Reply reply = MakeReply(Outcome::kOk);
+  if (target.job.empty()) {
+    for (const JobId& it : mState.LiveJobs()) {
+      const Job& job = *mState.FindJob(it);
+      reply.count += job.queue == target.queue->name &&
+                         job.status == JobStatus::kQueued
+                       ? 1
+                       : 0;
+    }
+    reply.jobStatus = -1;
+    Answer(aDone, std::move(reply));
+    return;
+  }
+  const Job* job = mState.FindJob(target.job);
+  if (job == nullptr) {
+    Answer(aDone, Outcome::kNoSuchJob);
+    return;
+  }
+  reply.jobStatus = static_cast<int32_t>(job->status);
+  Answer(aDone, std::move(reply));
+}
+
+void
+Node::OnCancel(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  Target target = FindTarget(aRequest);
+  if (target.outcome != Outcome::kOk) {
+    Answer(aDone, target.outcome);
+    return;
+  }
+  const Job* job = mState.FindJob(target.job);
+  if (job == nullptr) {
+    Answer(aDone, Outcome::kNoSuchJob);
+    return;
+  }
+  if (job->Ended()) {
+    Answer(aDone, Outcome::kOk);
+    return;
+  }
+  mBatch.command.cancelled.push_back(target.job.Value());
+  AnswerAfterCommit(std::move(aDone));
+}
+
+void
+Node::OnReport(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  if (!aRequest.__isset.worker) {
+    Answer(aDone, Outcome::kInvalid);
+    return;
+  }
+  WorkerReport report = FromWire(aRequest.worker);
+  bool leave = static_cast<RequestKind>(aRequest.kind) == RequestKind::kLeave;
+  bool changes = leave ? mDispatcher->OnLeave(report.id)
+                       : mDispatcher->OnReport(report, mNow);
+  if (changes) {
+    AnswerAfterCommit(std::move(aDone));
+  } else {
+    Answer(aDone, Outcome::kOk);
+  }
+}
+
+void
+Node::OnPutConfiguration(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  if (!aRequest.__isset.configuration) {
+    Answer(aDone, Outcome::kInvalid);
+    return;
+  }
+  auto version = static_cast<uint64_t>(aRequest.configuration.version);
+  if (version <= mState.Version().Value()) {
+    Answer(aDone, Outcome::kOk);
+    return;
+  }
+  // A batch holds one configuration; the highest version wins in any order.
+  bool newest = !mBatch.command.__isset.configuration ||
+                mBatch.command.configuration.version <
+                  aRequest.configuration.version;
+  if (newest) {
+    mBatch.command.__set_configuration(aRequest.configuration);
+  }
+  AnswerAfterCommit(std::move(aDone));
+}
+
+void
+Node::OnGetConfiguration(const ReplyCallback& aDone)
+{
+  if (!mState.Config()) {
+    Answer(aDone, Outcome::kUnavailable);
+    return;
+  }
+  gen::Reply reply = MakeReply(Outcome::kOk);
+  reply.text = mState.Config()->text;
+  reply.version = static_cast<int64_t>(mState.Version().Value());
+  Answer(aDone, std::move(reply));
+}
+
+void
+Node::OnOrderResult(const Order& aOrder,
+                    const OrderResult& aResult,
+                    Millis aNow)
+{
+  if (mDispatcher && aOrder.token.Value() == mGroup->Term()) {
+    mDispatcher->OnResult(aOrder, aResult, aNow);
+  }
+}
+
+void
+Node::UpdateLeadership(Millis aNow)
+{
+  bool leads = mGroup->IsLeader(aNow);
+  if (!leads) {
+    LoseLeadership();
+    return;
+  }
+  if (mDispatcher || mConfirming) {
+    return;
+  }
+  // The state is the newest once a read of this term has succeeded.
+  mConfirming = true;
+  uint64_t generation = ++mGeneration;
+  mGroup->Read(aNow, [this, generation](std::error_code ec) {
+    if (generation != mGeneration) {
+      return;
+    }
+    mConfirming = false;
+    if (ec) {
+      return;
+    }
+    ++mCounters.leaderships;
+    mState.TakeChanges();
+    mDispatcher = std::make_unique<Dispatcher>(
+      mOptions.dispatcher, mState, FencingToken(mGroup->Term()), mNow);
+    mEnvironment.Log("leading" + Field("term", std::to_string(mGroup->Term())) +
+                     Field("jobs", std::to_string(mState.LiveJobs().size())) +
+                     Field("workers", std::to_string(mState.Workers().size())));
+  });
+}
+
+void
+Node::LoseLeadership()
+{
+  mConfirming = false;
+  ++mGeneration;
+  if (!mDispatcher) {
+    return;
+  }
+  mDispatcher.reset();
+  mEnvironment.Log("leadership_lost" +
+                   Field("term", std::to_string(mGroup->Term())));
+  Batch unsent = std::exchange(mBatch, {});
+  for (auto& it : unsent.waiting) {
+    it(Verdict::kNotRun);
+  }
+}
+
+void
+Node::Propose(Millis aNow)
+{
+  if (mDispatcher->HasCommand()) {
+    gen::Command orders = mDispatcher->TakeCommand();
+    gen::Command& into = mBatch.command;
+    into.workers = std::move(orders.workers);
+    into.gone = std::move(orders.gone);
+    into.ends = std::move(orders.ends);
+    into.starts = std::move(orders.starts);
+  }
+  gen::Command& command = mBatch.command;
+  bool idle = !command.__isset.configuration && command.jobs.empty() &&
+              command.cancelled.empty() && command.workers.empty() &&
+              command.gone.empty() && command.ends.empty() &&
+              command.starts.empty() && command.forgotten.empty();
+  if (idle) {
+    // Whoever waits asked for something that was in an earlier batch.
+    for (auto& it : std::exchange(mBatch.waiting, {})) {
+      it(Verdict::kMayHaveRun);
+    }
+    return;
+  }
+  command.atMs = mWallNow.Count();
+  ++mCounters.proposals;
+  std::string bytes = Encode(command);
+  auto batch = std::make_shared<Batch>(std::exchange(mBatch, {}));
+  mGroup->Propose(
+    std::move(bytes),
+    aNow,
+    [this, batch, generation = mGeneration](ProposeOutcome aOutcome) {
+      if (aOutcome.verdict == Verdict::kAnswered && mDispatcher &&
+          generation == mGeneration) {
+        mDispatcher->OnCommitted(batch->command, mNow);
+      }
+      for (auto& it : batch->waiting) {
+        it(aOutcome.verdict);
+      }
+    });
+}
+
+void
+Node::Tick(Millis aNow, Millis aWallNow)
+{
+  mNow = aNow;
+  mWallNow = aWallNow;
+  UpdateLeadership(aNow);
+  if (mDispatcher) {
+    mDispatcher->Tick(aNow, aWallNow);
+    Propose(aNow);
+  }
+  mGroup->Tick(aNow);
+  UpdateLeadership(aNow);
+  if (!mDispatcher) {
+    mState.TakeChanges();
+    return;
+  }
+  for (Order& it : mDispatcher->TakeOrders()) {
+    mEnvironment.SendOrder(std::move(it));
+  }
+  LogChanges();
+  if (aNow >= mNextDuties) {
+    mNextDuties = aNow + kDutiesInterval;
+    RepairMembership(aNow);
+    ForgetJobs(aWallNow);
+  }
+}
+
+Millis
+Node::NextTick() const
+{
+  Millis next = mGroup->NextTick();
+  if (mDispatcher) {
+    next = std::min({ next, mDispatcher->NextTick(), mNextDuties });
+    if (mDispatcher->HasCommand() || !mBatch.waiting.empty()) {
+      next = mNow;
+    }
+  }
+  return next;
+}
+
+void
+Node::LogChanges()
+{
+  std::vector<Change> changes = mState.TakeChanges();
+  if (!changes.empty()) {
+    mDispatcher->OnChanged();
+  }
+  for (const Change& it : changes) {
+    switch (it.kind) {
+      case Change::Kind::kConfiguration:
+        mEnvironment.Log(
+          "configuration_in_force" +
+          Field("version", std::to_string(mState.Version().Value())));
+        break;
+      case Change::Kind::kJobAccepted:
+        ++mCounters.jobsAccepted;
+        if (const Job* job = mState.FindJob(it.run.task.job)) {
+          mEnvironment.Log("job_accepted" + Field("job", job->id.Value()) +
+                           Field("queue", job->queue.Value()) +
+                           Field("workspace", job->workspace.Value()));
+        }
+        break;
+      case Change::Kind::kJobEnded:
+        if (const Job* job = mState.FindJob(it.run.task.job)) {
+          mCounters.jobsCompleted += job->status == JobStatus::kCompleted;
+          mCounters.jobsFailed += job->status == JobStatus::kFailed;
+          mCounters.jobsCancelled += job->status == JobStatus::kCancelled;
+          mEnvironment.Log(
+            "job_ended" + Field("job", job->id.Value()) +
+            Field("status", StatusName(job->status)) +
+            Field("age_ms",
+                  std::to_string((job->endedAt - job->acceptedAt).Count())));
+        }
+        break;
+      case Change::Kind::kRunEnded:
+        if (it.end != EndKind::kDone) {
+          mEnvironment.Log("run_ended" + Field("run", NameOf(it.run)) +
+                           Field("how", EndName(it.end)) +
+                           Field("worker", it.worker.Value()));
+        }
+        break;
+      case Change::Kind::kWorkerJoined:
+      case Change::Kind::kWorkerDraining:
+      case Change::Kind::kWorkerGone:
+        mEnvironment.Log(
+          (it.kind == Change::Kind::kWorkerJoined ? "worker_joined"
+           : it.kind == Change::Kind::kWorkerGone ? "worker_gone"
+                                                  : "worker_draining") +
+          Field("worker", it.worker.Value()));
+        break;
+    }
+  }
+}
+
+void
+Node::ForgetJobs(Millis aWallNow)
+{
+  for (const auto& [id, job] : mState.Jobs()) {
+    if (job.Ended() && job.activeRuns == 0 &&
+        aWallNow - job.endedAt > mOptions.keepEnded) {
+      mBatch.command.forgotten.push_back(id.Value());
+    }
+  }
+}
+
+void
+Node::RepairMembership(Millis aNow)
+{
+  if (mMembershipInFlight) {
+    return;
+  }
+  replication::GroupStatus status = mGroup->Status();
+  auto done = [this](ProposeOutcome) { mMembershipInFlight = false; };
+  size_t voters = status.membership.voters.size();
+  size_t needed = mOptions.tolerated * 2 + 1;
+  auto replaced = [&](const replication::Member& aMember) {
+    return std::any_of(status.peers.begin(),
+                       status.peers.end(),
+                       [&](const replication::PeerStatus& aPeer) {
+                         return aPeer.member != aMember &&
+                                aPeer.member.instance == aMember.instance;
+                       });
+  };
+  const replication::PeerStatus* lost = nullptr;
+  const replication::PeerStatus* ready = nullptr;
+  for (const replication::PeerStatus& it : status.peers) {
+    bool silent = aNow - it.lastHeard > kReplicaLost;
+    // An instance that came back with another disk is lost as it was.
+    if (silent || replaced(it.member)) {
+      bool spare = it.voter ? voters > needed : silent;
+      if (spare && (lost == nullptr || it.voter)) {
+        lost = &it;
+      }
+    }
+    if (!it.voter && !silent && !it.repairing && it.match > 0) {
+      ready = &it;
+    }
+  }
+  auto begin = [&](std::string_view aWhat, const replication::Member& aWho) {
+    mMembershipInFlight = true;
+    ++mCounters.membershipChanges;
+    mEnvironment.Log("membership_change" + Field("change", aWhat) +
+                     Field("instance", aWho.instance.Value()) +
+                     Field("voters", std::to_string(voters)));
+  };
+  if (lost != nullptr) {
+    begin("remove", lost->member);
+    mGroup->Remove(lost->member, aNow, done);
+  } else if (ready != nullptr && voters < kMostVoters) {
+    begin("promote", ready->member);
+    mGroup->Promote(ready->member, aNow, done);
+  } else if (!status.applicants.empty()) {
+    begin("admit", status.applicants.front());
+    mGroup->AddLearner(status.applicants.front(), aNow, done);
+  }
+}
+
+void
+Node::PrepareShutdown(Millis aNow)
+{
+  replication::GroupStatus status = mGroup->Status();
+  for (const replication::PeerStatus& it : status.peers) {
+    if (it.voter && it.match == status.lastIndex &&
+        !mGroup->Transfer(it.member, aNow)) {
+      return;
+    }
+  }
+}
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/node.h
@@ -0,0 +1,166 @@
+// One replica of the fleet state and, while it leads, the fleet's scheduler.
+//
+//   auto node = Node::Open(options, environment);
+//   node.Value()->Handle(request, now, [](gen::Reply aReply) {});
+//   node.Value()->Tick(now, wallNow);
+//
+// Requests are answered by the leader alone, from state that is committed: a
+// job is accepted once a quorum has it on disk, and nothing is told that a
+// later leader could not know. All work that arrives between two ticks shares
+// one entry of the log.
+//
+// Single-threaded and driven from outside; `Tick` waits for the disk.
+
+#pragma once
+
+#include "base/result.h"
+#include "fleet/dispatcher.h"
+#include "fleet/request.h"
+#include "fleet/state.h"
+#include "replication/group.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace limpetwood::fleet {
+
+struct NodeOptions
+{
+  replication::GroupOptions group{};
+  DispatcherOptions dispatcher{};
+  // Instances that may be lost at once.
+  size_t tolerated = 1;
+  // Answers are kept this long after a job has ended.
+  Millis keepEnded = Seconds(120);
+};
+
+// What a node needs from its process.
+class NodeEnvironment
+{
+public:
+  virtual ~NodeEnvironment() = default;
+
+  virtual void SendReplication(const InstanceId& aTo, std::string aBytes) = 0;
+  // The result comes back through `Node::OnOrderResult`.
+  virtual void SendOrder(Order aOrder) = 0;
+  // One line for a decision or a change of state.
+  virtual void Log(const std::string& aLine) = 0;
+};
+
+struct NodeCounters
+{
+  std::array<uint64_t, kOutcomes> outcomes{};
+  uint64_t jobsAccepted = 0;
+  uint64_t jobsCompleted = 0;
+  uint64_t jobsFailed = 0;
+  uint64_t jobsCancelled = 0;
+  uint64_t proposals = 0;
+  uint64_t leaderships = 0;
+  uint64_t membershipChanges = 0;
+};
+
+using ReplyCallback = std::function<void(gen::Reply)>;
+
+class Node : private replication::StateMachine
+{
+public:
+  static Result<std::unique_ptr<Node>> Open(NodeOptions aOptions,
+                                            NodeEnvironment& aEnvironment);
+
+  void OnReplication(const InstanceId& aFrom,
+                     std::string_view aBytes,
+                     Millis aNow);
+  // Calls `aDone` exactly once, now or from a later `Tick`.
+  void Handle(const gen::Request& aRequest, Millis aNow, ReplyCallback aDone);
+  void OnOrderResult(const Order& aOrder,
+                     const OrderResult& aResult,
+                     Millis aNow);
+
+  void Tick(Millis aNow, Millis aWallNow);
+  Millis NextTick() const;
+
+  void SetContacts(std::vector<InstanceId> aContacts)
+  {
+    mGroup->SetContacts(std::move(aContacts));
+  }
+  // Hands leadership to another replica if this one leads.
+  void PrepareShutdown(Millis aNow);
+
+  bool IsLeading() const { return mDispatcher != nullptr; }
+  std::optional<InstanceId> Leader() const { return mGroup->Leader(); }
+  replication::GroupStatus Status() const { return mGroup->Status(); }
+  const FleetState& State() const { return mState; }
+  const NodeCounters& Counters() const { return mCounters; }
+  // Of this term; null while another replica leads.
+  const Dispatcher* Dispatch() const { return mDispatcher.get(); }
+
+private:
+  // Records that share one log entry, and who waits for it.
+  struct Batch
+  {
+    gen::Command command;
+    std::vector<std::function<void(Verdict)>> waiting;
+  };
+
+  Node(NodeOptions aOptions, NodeEnvironment& aEnvironment);
+
+  // replication::StateMachine
+  std::string Apply(uint64_t aIndex, std::string_view aCommand) override;
+  std::string TakeSnapshot() const override { return mState.TakeSnapshot(); }
+  bool Restore(std::string_view aSnapshot) override
+  {
+    return mState.Restore(aSnapshot);
+  }
+
+  void OnSubmit(const gen::Request& aRequest, ReplyCallback aDone);
+  void OnRead(const gen::Request& aRequest, const ReplyCallback& aDone);
+  void OnCancel(const gen::Request& aRequest, ReplyCallback aDone);
+  void OnReport(const gen::Request& aRequest, ReplyCallback aDone);
+  void OnPutConfiguration(const gen::Request& aRequest, ReplyCallback aDone);
+  void OnGetConfiguration(const ReplyCallback& aDone);
+
+  // The queue and the job that a path names, after the checks that every
+  // caller's request passes.
+  struct Target
+  {
+    Outcome outcome = Outcome::kOk;
+    const Queue* queue = nullptr;
+    const Workspace* workspace = nullptr;
+    JobId job;
+  };
+  Target FindTarget(const gen::Request& aRequest) const;
+
+  gen::Reply MakeReply(Outcome aOutcome) const;
+  void Answer(const ReplyCallback& aDone, gen::Reply aReply);
+  void Answer(const ReplyCallback& aDone, Outcome aOutcome);
+  // Answers once the current batch is committed.
+  void AnswerAfterCommit(ReplyCallback aDone);
+
+  void UpdateLeadership(Millis aNow);
+  void LoseLeadership();
+  void Propose(Millis aNow);
+  void LogChanges();
+  void ForgetJobs(Millis aWallNow);
+  void RepairMembership(Millis aNow);
+
+  const NodeOptions mOptions;
+  NodeEnvironment& mEnvironment;
+  FleetState mState;
+  std::unique_ptr<replication::Group> mGroup;
+
+  Millis mNow;
+  Millis mWallNow;
+  // Set while this replica leads and its state is known to be the newest.
+  std::unique_ptr<Dispatcher> mDispatcher;
+  // Counts leaderships; callbacks of earlier ones do nothing.
+  uint64_t mGeneration = 0;
+  bool mConfirming = false;
+  Batch mBatch;
+  bool mMembershipInFlight = false;
+  Millis mNextDuties;
+  NodeCounters mCounters;
+};
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/placement.cc
@@ -0,0 +1,162 @@
+#include "fleet/placement.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace limpetwood::fleet {
+
+namespace {
+
+// A candidate that fits at least one task.
+struct Fit
+{
+  size_t candidate = 0;
+  uint32_t tasks = 0;
+};
+
+std::vector<Fit>
+FindFits(const PlacementRequest& aRequest,
+         const std::vector<Candidate>& aCandidates)
+{
+  std::vector<Fit> out;
+  const StepSpec& step = *aRequest.step;
+  for (size_t n = 0; n < aCandidates.size(); ++n) {
+    const Candidate& it = aCandidates[n];
+    if (!MayRun(step, *aRequest.service, *it.report)) {
+      continue;
+    }
+    uint32_t limit = aRequest.tasks;
+    if (step.perWorkerLimit > 0) {
+      uint32_t placed = aRequest.placed ? aRequest.placed(it.id) : 0;
+      limit = std::min(limit,
+                       step.perWorkerLimit - std::min(step.perWorkerLimit, placed));
+    }
+    uint32_t tasks = TasksThatFit(step, it.room, limit);
+    if (tasks > 0) {
+      out.push_back({ .candidate = n, .tasks = tasks });
+    }
+  }
+  return out;
+}
+
+// Fullest workers first, so that empty ones stay whole.
+void
+SortFullestFirst(std::vector<Fit>& aFits,
+                 const std::vector<Candidate>& aCandidates)
+{
+  auto key = [&](const Fit& aFit) {
+    const Candidate& it = aCandidates[aFit.candidate];
+    return std::make_tuple(
+      it.suspicion, it.room.accelerators, it.room.cpu, aFit.candidate);
+  };
+  std::sort(aFits.begin(), aFits.end(), [&](const Fit& x, const Fit& y) {
+    return key(x) < key(y);
+  });
+}
+
+std::vector<size_t>
+Fill(const std::vector<Fit>& aFits, uint32_t aTasks)
+{
+  std::vector<size_t> out;
+  for (const Fit& it : aFits) {
+    for (uint32_t n = 0; n < it.tasks && out.size() < aTasks; ++n) {
+      out.push_back(it.candidate);
+    }
+  }
+  return out;
+}
+
+// The rack that fits all tasks and is left with the least room.
+std::vector<size_t>
+PlaceInOneRack(const PlacementRequest& aRequest,
+               const std::vector<Candidate>& aCandidates,
+               const std::vector<Fit>& aFits)
+{
+  std::map<RackId, std::vector<Fit>> racks;
+  for (const Fit& it : aFits) {
+    racks[aCandidates[it.candidate].rack].push_back(it);
+  }
+  std::vector<size_t> best;
+  std::tuple<bool, int, int64_t> bestKey;
+  for (auto& [rack, fits] : racks) {
+    SortFullestFirst(fits, aCandidates);
+    std::vector<size_t> chosen = Fill(fits, aRequest.tasks);
+    if (chosen.size() < aRequest.tasks) {
+      continue;
+    }
+    int suspicion = 0;
+    for (size_t it : chosen) {
+      suspicion += aCandidates[it].suspicion;
+    }
+    int64_t room = 0;
+    for (const Fit& it : fits) {
+      room += aCandidates[it.candidate].room.accelerators;
+    }
+    bool away = !aRequest.step->rack.empty() && rack != aRequest.step->rack;
+    auto key = std::make_tuple(away, suspicion, room);
+    if (best.empty() || key < bestKey) {
+      best = std::move(chosen);
+      bestKey = key;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+bool
+MayRun(const StepSpec& aStep,
+       const ServiceId& aService,
+       const WorkerReport& aWorker)
+{
+  return aWorker.service == aService &&
+         (aStep.label.empty() ||
+          std::find(aWorker.labels.begin(),
+                    aWorker.labels.end(),
+                    aStep.label) != aWorker.labels.end());
+}
+
+uint32_t
+TasksThatFit(const StepSpec& aStep, Resources aRoom, uint32_t aLimit)
+{
+  Resources need = aStep.Counted();
+  auto bound = [&](int64_t aNeed, int64_t aHave, uint32_t aBest) {
+    if (aNeed <= 0) {
+      return aBest;
+    }
+    int64_t n = std::max<int64_t>(aHave, 0) / aNeed;
+    return static_cast<uint32_t>(std::min<int64_t>(n, aBest));
+  };
+  uint32_t out = aLimit;
+  out = bound(need.cpu, aRoom.cpu, out);
+  out = bound(need.memoryMb, aRoom.memoryMb, out);
+  return bound(need.accelerators, aRoom.accelerators, out);
+}
+
+std::vector<size_t>
+Place(const PlacementRequest& aRequest,
+      const std::vector<Candidate>& aCandidates)
+{
+  std::vector<Fit> fits = FindFits(aRequest, aCandidates);
+  const StepSpec& step = *aRequest.step;
+  if (step.rackSensitive && aRequest.tasks > 1) {
+    std::vector<size_t> out = PlaceInOneRack(aRequest, aCandidates, fits);
+    if (!out.empty() || !aRequest.maySpread) {
+      return out;
+    }
+  }
+  SortFullestFirst(fits, aCandidates);
+  if (!step.rack.empty()) {
+    std::stable_partition(fits.begin(), fits.end(), [&](const Fit& it) {
+      return aCandidates[it.candidate].rack == step.rack;
+    });
+  }
+  std::vector<size_t> out = Fill(fits, aRequest.tasks);
+  if (step.gang && out.size() < aRequest.tasks) {
+    out.clear();
+  }
+  return out;
+}
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/planner.h
@@ -0,0 +1,111 @@
+// Decides which waiting tasks start where, and which runs make room for them.
+//
+//   Plan plan = planner.Decide(view);
+//
+// Answers the load in which urgent gangs arrive while less urgent work fills
+// the workers: units of work are ranked, each is placed whole or not at all,
+// and an urgent unit that has no room takes it from the runs that lose least.
+//
+// Pure: it sees a view of the fleet and remembers only since when units wait
+// and for whom room is being made.
+
+#pragma once
+
+#include "fleet/placement.h"
+#include "fleet/state.h"
+
+#include <map>
+#include <vector>
+
+namespace limpetwood::fleet {
+
+struct PlannerOptions
+{
+  // How long a reclaim may take before another one is tried: the longest stop
+  // with time for its answer.
+  Millis reclaimPatience = Millis(1500);
+  // Runs of the same unit that may be stopped for one reclaim.
+  size_t maxVictims = 128;
+};
+
+// What a run would lose if it were stopped now.
+struct RunCost
+{
+  // Work since the last checkpoint.
+  Millis lost{};
+  // It is being stopped already.
+  bool stopping = false;
+};
+
+struct FleetView
+{
+  const FleetState* state = nullptr;
+  std::vector<Candidate> candidates{};
+  std::function<RunCost(const WorkerId&, const RunRef&)> costOf;
+  Millis now{};
+  Millis wallNow{};
+};
+
+struct PlannedStart
+{
+  RunRef run{};
+  WorkerId worker{};
+  Incarnation incarnation{};
+};
+
+struct Plan
+{
+  std::vector<PlannedStart> starts{};
+  // Runs to stop so that a more urgent unit gets their room.
+  std::vector<std::pair<WorkerId, RunRef>> victims{};
+  // Units that wait for room.
+  size_t blocked = 0;
+  // The earliest due time of an occurrence (wall clock); `Millis::Max()` if
+  // there is none.
+  Millis nextDue = Millis::Max();
+};
+
+// Waiting tasks of one step of one occurrence.
+struct Unit
+{
+  const Job* job = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  std::vector<uint32_t> tasks{};
+  // When the occurrence became due (wall clock).
+  Millis due{};
+
+  const StepSpec& Spec() const { return job->spec.steps[step]; }
+};
+
+class Planner
+{
+public:
+  explicit Planner(PlannerOptions aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  Plan Decide(FleetView aView);
+
+private:
+  // Room that is being made for a job's unit.
+  struct Reclaim
+  {
+    std::vector<WorkerId> workers;
+    Millis until;
+  };
+
+  std::vector<Unit> CollectUnits(const FleetView& aView, Plan& aPlan) const;
+  bool PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+  void ReclaimFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+
+  PlannerOptions mOptions;
+  std::map<JobId, Reclaim> mReclaims;
+};
+
+// Estimated run time of the longest chain of steps.
+Millis
+LongestChain(const JobSpec& aSpec);
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/reclaim.cc
@@ -0,0 +1,160 @@
+#include "fleet/reclaim.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace limpetwood::fleet {
+
+namespace {
+
+// Weight of an accelerator against a core, as the platform prices work.
+constexpr double kCoresPerAccelerator = 8;
+
+struct Victim
+{
+  RunRef run;
+  Resources need;
+  double cost = 0;
+  // Its room is coming without another stop.
+  bool stopping = false;
+};
+
+double
+WeightOf(const Resources& aNeed)
+{
+  return static_cast<double>(aNeed.accelerators) * kCoresPerAccelerator +
+         static_cast<double>(aNeed.cpu) / 1000;
+}
+
+// Runs on one worker that may be stopped, cheapest first.
+std::vector<Victim>
+VictimsOn(const WorkerId& aWorker, int32_t aPriority, const FleetView& aView)
+{
+  std::vector<Victim> out;
+  for (const RunRef& it : aView.state->FindWorker(aWorker)->active) {
+    const Job& job = *aView.state->FindJob(it.task.job);
+    RunCost cost = aView.costOf(aWorker, it);
+    if (!cost.stopping && job.priority <= aPriority) {
+      continue;
+    }
+    const StepSpec& step = job.spec.steps[it.task.step];
+    // Stopping one member ends the whole gang.
+    double members = step.gang ? step.tasks : 1;
+    out.push_back({ .run = it,
+                    .need = step.Counted(),
+                    .cost = cost.stopping
+                              ? 0
+                              : WeightOf(step.need) * members *
+                                  static_cast<double>(cost.lost.Count()),
+                    .stopping = cost.stopping });
+  }
+  std::sort(out.begin(), out.end(), [](const Victim& x, const Victim& y) {
+    return x.cost < y.cost;
+  });
+  return out;
+}
+
+// The cheapest way to fit one task on one worker.
+struct Offer
+{
+  WorkerId worker;
+  std::vector<Victim> victims{};
+  uint32_t tasks = 0;
+  double cost = 0;
+};
+
+std::optional<Offer>
+OfferOf(const ReclaimRequest& aRequest,
+        const Candidate& aCandidate,
+        const FleetView& aView)
+{
+  Offer out{ .worker = aCandidate.id };
+  Resources room = aCandidate.room;
+  uint32_t limit = aRequest.tasks;
+  if (aRequest.step->perWorkerLimit > 0) {
+    limit = std::min(limit, aRequest.step->perWorkerLimit);
+  }
+  out.tasks = TasksThatFit(*aRequest.step, room, limit);
+  if (out.tasks > 0) {
+    return out;
+  }
+  for (const Victim& it :
+       VictimsOn(aCandidate.id, aRequest.priority, aView)) {
+    room += it.need;
+    out.victims.push_back(it);
+    out.cost += it.cost;
+    out.tasks = TasksThatFit(*aRequest.step, room, limit);
+    if (out.tasks > 0) {
+      break;
+    }
+  }
+  if (out.tasks == 0) {
+    return std::nullopt;
+  }
+  // Later victims may have made earlier ones needless.
+  for (size_t n = out.victims.size(); n-- > 0;) {
+    Resources without = room - out.victims[n].need;
+    if (TasksThatFit(*aRequest.step, without, limit) > 0) {
+      room = without;
+      out.cost -= out.victims[n].cost;
+      out.victims.erase(out.victims.begin() + static_cast<ptrdiff_t>(n));
+    }
+  }
+  return out;
+}
+
+std::optional<ReclaimChoice>
+Combine(std::vector<Offer> aOffers, uint32_t aTasks)
+{
+  std::sort(aOffers.begin(), aOffers.end(), [](const Offer& x, const Offer& y) {
+    return x.cost / x.tasks < y.cost / y.tasks;
+  });
+  ReclaimChoice out;
+  uint32_t placed = 0;
+  for (const Offer& it : aOffers) {
+    if (placed >= aTasks) {
+      break;
+    }
+    placed += it.tasks;
+    out.cost += it.cost;
+    out.workers.push_back(it.worker);
+    for (const Victim& victim : it.victims) {
+      if (!victim.stopping) {
+        out.victims.emplace_back(it.worker, victim.run);
+      }
+    }
+  }
+  if (placed < aTasks) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+} // namespace
+
+std::optional<ReclaimChoice>
+ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
+{
+  bool oneRack = aRequest.step->rackSensitive && aRequest.tasks > 1;
+  std::map<RackId, std::vector<Offer>> groups;
+  for (const Candidate& it : aView.candidates) {
+    if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
+      continue;
+    }
+    if (auto offer = OfferOf(aRequest, it, aView)) {
+      groups[oneRack ? it.rack : RackId()].push_back(std::move(*offer));
+    }
+  }
+  std::optional<ReclaimChoice> best;
+  for (auto& [rack, offers] : groups) {
+    auto choice = Combine(std::move(offers), aRequest.tasks);
+    if (choice && (!best || choice->cost < best->cost)) {
+      best = std::move(choice);
+    }
+  }
+  return best;
+}
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/state.cc
@@ -0,0 +1,440 @@
+#include "fleet/state.h"
+
+#include <algorithm>
+
+namespace limpetwood::fleet {
+
+namespace {
+
+// Changes kept for a reader that does not take them, as on followers.
+constexpr size_t kMaxChanges = 4096;
+
+RunRef
+RunOf(const gen::TaskRef& aTask, int32_t aRun)
+{
+  return { .task = FromWire(aTask),
+           .run = Attempt(static_cast<uint32_t>(aRun)) };
+}
+
+} // namespace
+
+bool
+Job::StepDone(uint32_t aOccurrence, uint32_t aStep) const
+{
+  if (aOccurrence >= occurrences.size()) {
+    return false;
+  }
+  const Step& step = occurrences[aOccurrence].steps[aStep];
+  return step.gangDone || step.done == step.tasks.size();
+}
+
+void
+FleetState::Apply(const gen::Command& aCommand)
+{
+  Millis at(aCommand.atMs);
+  if (aCommand.__isset.configuration) {
+    ApplyConfiguration(aCommand.configuration);
+  }
+  for (const gen::WorkerReport& it : aCommand.workers) {
+    ApplyWorker(it);
+  }
+  for (const gen::WorkerGone& it : aCommand.gone) {
+    ApplyGone(it, at);
+  }
+  for (const gen::RunEnd& it : aCommand.ends) {
+    ApplyEnd(RunOf(it.task, it.run),
+             WorkerId(it.worker),
+             static_cast<EndKind>(it.kind),
+             it.checkpoint,
+             at);
+  }
+  for (const gen::SubmitJob& it : aCommand.jobs) {
+    ApplyJob(it);
+  }
+  for (const std::string& it : aCommand.cancelled) {
+    ApplyCancel(JobId(it), at);
+  }
+  for (const gen::RunStart& it : aCommand.starts) {
+    ApplyStart(it);
+  }
+  for (const std::string& it : aCommand.forgotten) {
+    ApplyForget(JobId(it));
+  }
+  if (mChanges.size() > kMaxChanges) {
+    mChanges.clear();
+  }
+}
+
+void
+FleetState::ApplyConfiguration(const gen::Configuration& aConfiguration)
+{
+  if (static_cast<uint64_t>(aConfiguration.version) <= Version().Value()) {
+    return;
+  }
+  mConfiguration = FromWire(aConfiguration);
+  Rebuild();
+  Note({ .kind = Change::Kind::kConfiguration });
+}
+
+void
+FleetState::Rebuild()
+{
+  mKeys.clear();
+  if (!mConfiguration) {
+    return;
+  }
+  for (size_t n = 0; n < mConfiguration->workspaces.size(); ++n) {
+    for (const std::string& it : mConfiguration->workspaces[n].keys) {
+      mKeys[it] = n;
+    }
+  }
+}
+
+void
+FleetState::ApplyJob(const gen::SubmitJob& aJob)
+{
+  JobId id(aJob.id);
+  auto [it, inserted] = mJobs.try_emplace(id);
+  if (!inserted) {
+    return;
+  }
+  Job& job = it->second;
+  job.id = id;
+  job.queue = QueueId(aJob.queue);
+  job.workspace = WorkspaceId(aJob.workspace);
+  job.service = ServiceId(aJob.serviceId);
+  job.spec = FromWire(aJob.spec);
+  job.acceptedAt = Millis(aJob.acceptedAtMs);
+  job.priority = aJob.priority;
+  job.maxAttempts = static_cast<uint32_t>(aJob.maxAttempts);
+  job.stretch = aJob.stretch;
+  job.targetLatency = Millis(aJob.targetLatencyMs);
+  UpdateLive(job);
+  Note({ .kind = Change::Kind::kJobAccepted, .run = { { id }, {} } });
+}
+
+void
+FleetState::ApplyCancel(const JobId& aId, Millis aAt)
+{
+  auto it = mJobs.find(aId);
+  if (it != mJobs.end() && !it->second.Ended()) {
+    EndJob(it->second, JobStatus::kCancelled, {}, aAt);
+  }
+}
+
+void
+FleetState::ApplyWorker(const gen::WorkerReport& aReport)
+{
+  WorkerReport report = FromWire(aReport);
+  auto it = mWorkers.find(report.id);
+  if (it == mWorkers.end()) {
+    Note({ .kind = Change::Kind::kWorkerJoined, .worker = report.id });
+    mWorkers[report.id].report = std::move(report);
+    return;
+  }
+  WorkerReport& held = it->second.report;
+  if (report.incarnation < held.incarnation ||
+      (report.incarnation == held.incarnation &&
+       report.sequence < held.sequence)) {
+    return;
+  }
+  // Runs stay active over a new incarnation until the leader has asked it,
+  // because a start that was on its way may have reached the new one.
+  if (report.incarnation != held.incarnation) {
+    Note({ .kind = Change::Kind::kWorkerJoined, .worker = report.id });
+  }
+  if (report.draining && !held.draining) {
+    Note({ .kind = Change::Kind::kWorkerDraining, .worker = report.id });
+  }
+  held = std::move(report);
+}
+
+void
+FleetState::ApplyGone(const gen::WorkerGone& aGone, Millis aAt)
+{
+  WorkerId id(aGone.id);
+  auto it = mWorkers.find(id);
+  if (it == mWorkers.end() ||
+      it->second.report.incarnation.Value() !=
+        static_cast<uint64_t>(aGone.incarnation)) {
+    return;
+  }
+  LoseRuns(id, aAt);
+  mWorkers.erase(id);
+  Note({ .kind = Change::Kind::kWorkerGone, .worker = id });
+}
+
+void
+FleetState::LoseRuns(const WorkerId& aId, Millis aAt)
+{
+  std::set<RunRef> lost = mWorkers[aId].active;
+  for (const RunRef& it : lost) {
+    ApplyEnd(it, aId, EndKind::kLost, {}, aAt);
+  }
+}
+
+Occurrence&
+FleetState::OccurrenceOf(Job& aJob, uint32_t aOccurrence)
+{
+  while (aJob.occurrences.size() <= aOccurrence) {
+    Occurrence& added = aJob.occurrences.emplace_back();
+    for (const StepSpec& it : aJob.spec.steps) {
+      added.steps.emplace_back().tasks.resize(it.tasks);
+    }
+  }
+  return aJob.occurrences[aOccurrence];
+}
+
+Task*
+FleetState::MutableTask(const TaskRef& aTask, Job*& aJob, Step*& aStep)
+{
+  auto it = mJobs.find(aTask.job);
+  if (it == mJobs.end() || aTask.step >= it->second.spec.steps.size() ||
+      aTask.occurrence >= it->second.spec.OccurrenceCount() ||
+      aTask.index >= it->second.spec.steps[aTask.step].tasks) {
+    return nullptr;
+  }
+  aJob = &it->second;
+  aStep = &OccurrenceOf(*aJob, aTask.occurrence).steps[aTask.step];
+  return &aStep->tasks[aTask.index];
+}
+
+void
+FleetState::ApplyStart(const gen::RunStart& aStart)
+{
+  RunRef run = RunOf(aStart.task, aStart.run);
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = MutableTask(run.task, job, step);
+  auto worker = mWorkers.find(WorkerId(aStart.worker));
+  bool fits = task != nullptr && worker != mWorkers.end() && !job->Ended() &&
+              task->phase == Task::Phase::kWaiting && !step->gangDone &&
+              run.run > task->run &&
+              worker->second.report.incarnation.Value() ==
+                static_cast<uint64_t>(aStart.incarnation);
+  if (!fits) {
+    return;
+  }
+  task->phase = Task::Phase::kActive;
+  task->run = run.run;
+  task->worker = worker->first;
+  step->lastRun = std::max(step->lastRun, run.run);
+  ++step->active;
+  ++job->activeRuns;
+  worker->second.used += job->spec.steps[run.task.step].Counted();
+  worker->second.active.insert(run);
+  if (job->status == JobStatus::kQueued) {
+    job->status = JobStatus::kRunning;
+  }
+}
+
+void
+FleetState::ApplyEnd(const RunRef& aRun,
+                     const WorkerId& aWorker,
+                     EndKind aKind,
+                     const std::string& aCheckpoint,
+                     Millis aAt)
+{
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = MutableTask(aRun.task, job, step);
+  if (task == nullptr || task->phase != Task::Phase::kActive ||
+      task->run != aRun.run || task->worker != aWorker) {
+    return;
+  }
+  const StepSpec& spec = job->spec.steps[aRun.task.step];
+  auto worker = mWorkers.find(aWorker);
+  if (worker != mWorkers.end() && worker->second.active.erase(aRun) > 0) {
+    worker->second.used -= spec.Counted();
+  }
+  task->phase = Task::Phase::kWaiting;
+  task->worker = WorkerId();
+  --step->active;
+  --job->activeRuns;
+  if (!aCheckpoint.empty()) {
+    for (Task& it : step->tasks) {
+      if (spec.gang || &it == task) {
+        it.checkpoint = aCheckpoint;
+      }
+    }
+  }
+  Note({ .kind = Change::Kind::kRunEnded,
+         .run = aRun,
+         .worker = aWorker,
+         .end = aKind });
+  CountEnd(*job, *step, *task, spec, aRun, aKind, aAt);
+  UpdateLive(*job);
+}
+
+void
+FleetState::CountEnd(Job& aJob,
+                     Step& aStep,
+                     Task& aTask,
+                     const StepSpec& aSpec,
+                     const RunRef& aRun,
+                     EndKind aKind,
+                     Millis aAt)
+{
+  if (aKind == EndKind::kDone && !aSpec.lasting) {
+    aTask.phase = Task::Phase::kDone;
+    ++aStep.done;
+    aStep.gangDone = aStep.gangDone || aSpec.gang;
+    CheckCompletion(aJob, aRun.task.occurrence, aAt);
+    return;
+  }
+  if (aKind != EndKind::kFailed || aSpec.lasting) {
+    return;
+  }
+  ++aTask.failures;
+  uint32_t failures = aTask.failures;
+  if (aSpec.gang) {
+    if (aRun.run > aStep.lastFailedRun) {
+      aStep.lastFailedRun = aRun.run;
+      ++aStep.gangFailures;
+    }
+    failures = aStep.gangFailures;
+  }
+  if (failures >= aJob.maxAttempts && !aJob.Ended()) {
+    EndJob(aJob, JobStatus::kFailed, "attempts exhausted", aAt);
+  }
+}
+
+void
+FleetState::CheckCompletion(Job& aJob, uint32_t aOccurrence, Millis aAt)
+{
+  for (uint32_t n = 0; n < aJob.spec.steps.size(); ++n) {
+    if (!aJob.StepDone(aOccurrence, n)) {
+      return;
+    }
+  }
+  // A gang's later members end in an occurrence that was counted before.
+  uint32_t done = 0;
+  for (uint32_t n = 0; n < aJob.occurrences.size(); ++n) {
+    bool all = true;
+    for (uint32_t step = 0; step < aJob.spec.steps.size(); ++step) {
+      all = all && aJob.StepDone(n, step);
+    }
+    done += all ? 1 : 0;
+  }
+  aJob.occurrencesDone = done;
+  if (done == aJob.spec.OccurrenceCount() && !aJob.Ended()) {
+    EndJob(aJob, JobStatus::kCompleted, {}, aAt);
+  }
+}
+
+void
+FleetState::EndJob(Job& aJob,
+                   JobStatus aStatus,
+                   std::string aReason,
+                   Millis aAt)
+{
+  aJob.status = aStatus;
+  aJob.reason = std::move(aReason);
+  aJob.endedAt = aAt;
+  UpdateLive(aJob);
+  Note({ .kind = Change::Kind::kJobEnded, .run = { { aJob.id }, {} } });
+}
+
+void
+FleetState::ApplyForget(const JobId& aId)
+{
+  auto it = mJobs.find(aId);
+  if (it != mJobs.end() && it->second.Ended() && it->second.activeRuns == 0) {
+    mLive.erase(aId);
+    mJobs.erase(it);
+  }
+}
+
+void
+FleetState::UpdateLive(const Job& aJob)
+{
+  if (aJob.Ended() && aJob.activeRuns == 0) {
+    mLive.erase(aJob.id);
+  } else {
+    mLive.insert(aJob.id);
+  }
+}
+
+ConfigVersion
+FleetState::Version() const
+{
+  return mConfiguration ? mConfiguration->version : ConfigVersion();
+}
+
+const Queue*
+FleetState::FindQueue(std::string_view aHost, std::string_view aPath) const
+{
+  const Queue* best = nullptr;
+  if (mConfiguration) {
+    for (const Queue& it : mConfiguration->queues) {
+      if (it.host == aHost && aPath.starts_with(it.prefix) &&
+          (best == nullptr || it.prefix.size() > best->prefix.size())) {
+        best = &it;
+      }
+    }
+  }
+  return best;
+}
+
+const Workspace*
+FleetState::FindWorkspaceByKey(std::string_view aKey) const
+{
+  auto it = mKeys.find(aKey);
+  return it == mKeys.end() ? nullptr
+                           : &mConfiguration->workspaces[it->second];
+}
+
+const Workspace*
+FleetState::FindWorkspace(const WorkspaceId& aName) const
+{
+  if (mConfiguration) {
+    for (const Workspace& it : mConfiguration->workspaces) {
+      if (it.name == aName) {
+        return &it;
+      }
+    }
+  }
+  return nullptr;
+}
+
+const Job*
+FleetState::FindJob(const JobId& aId) const
+{
+  auto it = mJobs.find(aId);
+  return it == mJobs.end() ? nullptr : &it->second;
+}
+
+const Worker*
+FleetState::FindWorker(const WorkerId& aId) const
+{
+  auto it = mWorkers.find(aId);
+  return it == mWorkers.end() ? nullptr : &it->second;
+}
+
+const Task*
+FleetState::FindTask(const TaskRef& aTask) const
+{
+  const Job* job = FindJob(aTask.job);
+  if (job == nullptr || aTask.occurrence >= job->occurrences.size() ||
+      aTask.step >= job->spec.steps.size()) {
+    return nullptr;
+  }
+  const Step& step = job->occurrences[aTask.occurrence].steps[aTask.step];
+  return aTask.index < step.tasks.size() ? &step.tasks[aTask.index] : nullptr;
+}
+
+bool
+FleetState::IsActive(const RunRef& aRun, const WorkerId& aWorker) const
+{
+  const Task* task = FindTask(aRun.task);
+  return task != nullptr && task->phase == Task::Phase::kActive &&
+         task->run == aRun.run && task->worker == aWorker;
+}
+
+std::vector<Change>
+FleetState::TakeChanges()
+{
+  return std::exchange(mChanges, {});
+}
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/state.h
@@ -0,0 +1,212 @@
+// The replicated state of the fleet: configuration, workers, jobs and their
+// runs.
+//
+//   FleetState state;
+//   state.Apply(command);
+//   const Job* job = state.FindJob(id);
+//
+// Every replica applies the same commands in the same order and reaches the
+// same state, so nothing here depends on clocks or chance. A command that does
+// not fit the state (a start on a worker that is gone, an end of a run that was
+// replaced) changes nothing.
+
+#pragma once
+
+#include "fleet/codec.h"
+#include "fleet/types.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetwood::fleet {
+
+enum class JobStatus
+{
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+
+struct Task
+{
+  enum class Phase : uint8_t
+  {
+    kWaiting,
+    // Started, and its end is not known yet.
+    kActive,
+    kDone,
+  };
+
+  Phase phase = Phase::kWaiting;
+  // The last run; 0 before the first. Never decreases.
+  Attempt run{};
+  // Runs that ended as failed.
+  uint32_t failures = 0;
+  // Set while active.
+  WorkerId worker{};
+  // The newest checkpoint that an ended run left; empty if there is none.
+  std::string checkpoint{};
+};
+
+struct Step
+{
+  std::vector<Task> tasks{};
+  // Tasks that are done or, in a gang, that ended with a run that is done.
+  uint32_t done = 0;
+  uint32_t active = 0;
+  // Of gangs: runs that ended as failed, and the last of them.
+  uint32_t gangFailures = 0;
+  Attempt lastFailedRun{};
+  // The highest run of any task.
+  Attempt lastRun{};
+  // Of gangs: one member has ended as done, which holds for all.
+  bool gangDone = false;
+};
+
+struct Occurrence
+{
+  std::vector<Step> steps{};
+};
+
+struct Job
+{
+  JobId id{};
+  QueueId queue{};
+  WorkspaceId workspace{};
+  ServiceId service{};
+  JobSpec spec{};
+  // Wall clock of the leader that accepted it.
+  Millis acceptedAt{};
+  // As the queue had them when the job was accepted.
+  int32_t priority = 0;
+  uint32_t maxAttempts = 1;
+  double stretch = 1;
+  Millis targetLatency{};
+
+  JobStatus status = JobStatus::kQueued;
+  // Why the job failed; empty otherwise.
+  std::string reason{};
+  Millis endedAt{};
+  // Created when first started; never more than the specification asks for.
+  std::vector<Occurrence> occurrences{};
+  uint32_t occurrencesDone = 0;
+  // Runs whose end is not known yet; may be above 0 after the job has ended.
+  uint32_t activeRuns = 0;
+
+  bool Ended() const { return status >= JobStatus::kCompleted; }
+
+  // Whether all tasks of a step of one occurrence are done.
+  bool StepDone(uint32_t aOccurrence, uint32_t aStep) const;
+};
+
+struct Worker
+{
+  WorkerReport report{};
+  // Needs of all active runs; at most the capacity.
+  Resources used{};
+  // Runs whose end is not known yet.
+  std::set<RunRef> active{};
+};
+
+// What a command changed, for logs and counters.
+struct Change
+{
+  enum class Kind
+  {
+    kConfiguration,
+    kJobAccepted,
+    kJobEnded,
+    kRunEnded,
+    kWorkerJoined,
+    kWorkerDraining,
+    kWorkerGone,
+  };
+
+  Kind kind = Kind::kConfiguration;
+  RunRef run{};
+  WorkerId worker{};
+  EndKind end = EndKind::kDone;
+};
+
+class FleetState
+{
+public:
+  void Apply(const gen::Command& aCommand);
+
+  std::string TakeSnapshot() const;
+  // False, with the state unchanged, if the bytes are no snapshot.
+  bool Restore(std::string_view aSnapshot);
+
+  const std::optional<Configuration>& Config() const { return mConfiguration; }
+  ConfigVersion Version() const;
+
+  // The queue with the longest matching prefix; null if there is none.
+  const Queue* FindQueue(std::string_view aHost, std::string_view aPath) const;
+  const Workspace* FindWorkspaceByKey(std::string_view aKey) const;
+  const Workspace* FindWorkspace(const WorkspaceId& aName) const;
+
+  const Job* FindJob(const JobId& aId) const;
+  const Worker* FindWorker(const WorkerId& aId) const;
+  const std::map<JobId, Job>& Jobs() const { return mJobs; }
+  // Jobs that have not ended, or that still have active runs.
+  const std::set<JobId>& LiveJobs() const { return mLive; }
+  const std::map<WorkerId, Worker>& Workers() const { return mWorkers; }
+
+  const Task* FindTask(const TaskRef& aTask) const;
+  // Whether `aRun` is the active run of its task, on `aWorker`.
+  bool IsActive(const RunRef& aRun, const WorkerId& aWorker) const;
+
+  // Changes since the last call, oldest first.
+  std::vector<Change> TakeChanges();
+
+private:
+  void ApplyConfiguration(const gen::Configuration& aConfiguration);
+  void ApplyJob(const gen::SubmitJob& aJob);
+  void ApplyCancel(const JobId& aId, Millis aAt);
+  void ApplyWorker(const gen::WorkerReport& aReport);
+  void ApplyGone(const gen::WorkerGone& aGone, Millis aAt);
+  void ApplyStart(const gen::RunStart& aStart);
+  void ApplyEnd(const RunRef& aRun,
+                const WorkerId& aWorker,
+                EndKind aKind,
+                const std::string& aCheckpoint,
+                Millis aAt);
+  void ApplyForget(const JobId& aId);
+
+  // Ends all runs on a worker that is gone.
+  void LoseRuns(const WorkerId& aId, Millis aAt);
+  void CountEnd(Job& aJob,
+                Step& aStep,
+                Task& aTask,
+                const StepSpec& aSpec,
+                const RunRef& aRun,
+                EndKind aKind,
+                Millis aAt);
+  void CheckCompletion(Job& aJob, uint32_t aOccurrence, Millis aAt);
+  void EndJob(Job& aJob, JobStatus aStatus, std::string aReason, Millis aAt);
+  Task* MutableTask(const TaskRef& aTask, Job*& aJob, Step*& aStep);
+  static Occurrence& OccurrenceOf(Job& aJob, uint32_t aOccurrence);
+  void UpdateLive(const Job& aJob);
+  void Note(Change aChange) { mChanges.push_back(std::move(aChange)); }
+  void Rebuild();
+
+  friend gen::StateSnapshot WriteState(const FleetState& aState);
+  friend void ReadState(const gen::StateSnapshot& aSnapshot,
+                        FleetState& aState);
+
+  std::optional<Configuration> mConfiguration;
+  // Key to index in the configuration's workspaces.
+  std::map<std::string, size_t, std::less<>> mKeys;
+  std::map<JobId, Job> mJobs;
+  std::set<JobId> mLive;
+  std::map<WorkerId, Worker> mWorkers;
+  std::vector<Change> mChanges;
+};
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/state_snapshot.cc
@@ -0,0 +1,161 @@
+// Snapshots of the fleet state.
+
+#include "fleet/state.h"
+
+namespace limpetwood::fleet {
+
+namespace {
+
+gen::SubmitJob
+SubmissionOf(const Job& aJob)
+{
+  gen::SubmitJob out;
+  out.id = aJob.id.Value();
+  out.queue = aJob.queue.Value();
+  out.workspace = aJob.workspace.Value();
+  out.serviceId = aJob.service.Value();
+  out.spec = ToWire(aJob.spec);
+  out.acceptedAtMs = aJob.acceptedAt.Count();
+  out.priority = aJob.priority;
+  out.maxAttempts = static_cast<int32_t>(aJob.maxAttempts);
+  out.stretch = aJob.stretch;
+  out.targetLatencyMs = aJob.targetLatency.Count();
+  return out;
+}
+
+gen::StepSnapshot
+WriteStep(const Step& aStep)
+{
+  gen::StepSnapshot out;
+  for (const Task& it : aStep.tasks) {
+    gen::TaskSnapshot task;
+    task.phase = static_cast<int32_t>(it.phase);
+    task.run = static_cast<int32_t>(it.run.Value());
+    task.failures = static_cast<int32_t>(it.failures);
+    task.worker = it.worker.Value();
+    task.checkpoint = it.checkpoint;
+    out.tasks.push_back(std::move(task));
+  }
+  out.gangFailures = static_cast<int32_t>(aStep.gangFailures);
+  out.lastFailedRun = static_cast<int32_t>(aStep.lastFailedRun.Value());
+  out.lastRun = static_cast<int32_t>(aStep.lastRun.Value());
+  return out;
+}
+
+Step
+ReadStep(const gen::StepSnapshot& aStep, const StepSpec& aSpec)
+{
+  Step out;
+  for (const gen::TaskSnapshot& it : aStep.tasks) {
+    Task& task = out.tasks.emplace_back();
+    task.phase = static_cast<Task::Phase>(it.phase);
+    task.run = Attempt(static_cast<uint32_t>(it.run));
+    task.failures = static_cast<uint32_t>(it.failures);
+    task.worker = WorkerId(it.worker);
+    task.checkpoint = it.checkpoint;
+    out.done += task.phase == Task::Phase::kDone ? 1 : 0;
+    out.active += task.phase == Task::Phase::kActive ? 1 : 0;
+  }
+  out.gangFailures = static_cast<uint32_t>(aStep.gangFailures);
+  out.lastFailedRun = Attempt(static_cast<uint32_t>(aStep.lastFailedRun));
+  out.lastRun = Attempt(static_cast<uint32_t>(aStep.lastRun));
+  out.gangDone = aSpec.gang && out.done > 0;
+  return out;
+}
+
+} // namespace
+
+gen::StateSnapshot
+WriteState(const FleetState& aState)
+{
+  gen::StateSnapshot out;
+  if (aState.mConfiguration) {
+    out.__set_configuration(ToWire(*aState.mConfiguration));
+  }
+  for (const auto& [id, job] : aState.mJobs) {
+    gen::JobSnapshot& added = out.jobs.emplace_back();
+    added.job = SubmissionOf(job);
+    added.status = static_cast<int32_t>(job.status);
+    added.endedAtMs = job.endedAt.Count();
+    for (const Occurrence& occurrence : job.occurrences) {
+      gen::OccurrenceSnapshot& written = added.occurrences.emplace_back();
+      for (const Step& step : occurrence.steps) {
+        written.steps.push_back(WriteStep(step));
+      }
+    }
+  }
+  for (const auto& [id, worker] : aState.mWorkers) {
+    out.workers.push_back(ToWire(worker.report));
+  }
+  return out;
+}
+
+void
+ReadState(const gen::StateSnapshot& aSnapshot, FleetState& aState)
+{
+  gen::Command base;
+  base.workers = aSnapshot.workers;
+  if (aSnapshot.__isset.configuration) {
+    base.__set_configuration(aSnapshot.configuration);
+  }
+  for (const gen::JobSnapshot& it : aSnapshot.jobs) {
+    base.jobs.push_back(it.job);
+  }
+  aState.Apply(base);
+  for (const gen::JobSnapshot& it : aSnapshot.jobs) {
+    Job& job = aState.mJobs[JobId(it.job.id)];
+    job.status = static_cast<JobStatus>(it.status);
+    job.endedAt = Millis(it.endedAtMs);
+    uint32_t number = 0;
+    for (const gen::OccurrenceSnapshot& occurrence : it.occurrences) {
+      Occurrence& read = job.occurrences.emplace_back();
+      uint32_t index = 0;
+      for (const gen::StepSnapshot& step : occurrence.steps) {
+        const StepSpec& spec = job.spec.steps[index];
+        read.steps.push_back(ReadStep(step, spec));
+        const Step& added = read.steps.back();
+        job.activeRuns += added.active;
+        for (uint32_t n = 0; n < added.tasks.size(); ++n) {
+          const Task& task = added.tasks[n];
+          auto worker = aState.mWorkers.find(task.worker);
+          if (task.phase == Task::Phase::kActive &&
+              worker != aState.mWorkers.end()) {
+            worker->second.active.insert(
+              { { job.id, number, index, n }, task.run });
+            worker->second.used += spec.Counted();
+          }
+        }
+        ++index;
+      }
+      bool done = true;
+      for (uint32_t n = 0; n < job.spec.steps.size(); ++n) {
+        done = done && job.StepDone(number, n);
+      }
+      job.occurrencesDone += done ? 1 : 0;
+      ++number;
+    }
+    aState.UpdateLive(job);
+  }
+  aState.mChanges.clear();
+}
+
+std::string
+FleetState::TakeSnapshot() const
+{
+  return Encode(WriteState(*this));
+}
+
+bool
+FleetState::Restore(std::string_view aSnapshot)
+{
+  auto decoded = Decode<gen::StateSnapshot>(aSnapshot);
+  if (!decoded) {
+    return false;
+  }
+  FleetState read;
+  ReadState(decoded.Value(), read);
+  *this = std::move(read);
+  return true;
+}
+
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleetd/control_process.h
@@ -0,0 +1,87 @@
+// Runs a fleet node as a process: transport, disk, request server, clock.
+//
+//   ControlProcess process(ioc, settings, sendOrder, log);
+//   if (auto ec = process.Start()) { ... }
+//   process.Handle(request, deadline, [](gen::Reply aReply) {});
+//
+// Requests that arrive at a replica that does not lead are relayed.
+//
+// All calls and callbacks happen on the thread that runs the io_context.
+
+#pragma once
+
+#include "fleet/node.h"
+#include "fleetd/relay.h"
+#include "fleetd/settings.h"
+#include "http/server.h"
+#include "peer/transport.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace limpetwood::fleetd {
+
+using OrderCallback = std::function<void(fleet::OrderResult)>;
+using SendOrderFunction = std::function<void(fleet::Order, OrderCallback)>;
+using LogFunction = std::function<void(const std::string&)>;
+
+// Ports within an instance's internal range.
+constexpr uint16_t kReplicationPortOffset = 0;
+constexpr uint16_t kRequestPortOffset = 1;
+
+RelayOptions
+RelayOptionsFor(const Settings& aSettings);
+
+class ControlProcess : private fleet::NodeEnvironment
+{
+public:
+  ControlProcess(boost::asio::io_context& aContext,
+                 const Settings& aSettings,
+                 SendOrderFunction aSendOrder,
+                 LogFunction aLog);
+  ~ControlProcess() override;
+
+  std::error_code Start();
+  // Hands over leadership and stops to answer.
+  void PrepareShutdown();
+
+  // Calls `aDone` once, at `aDeadline` at the latest.
+  void Handle(const fleet::gen::Request& aRequest,
+              Millis aDeadline,
+              RelayCallback aDone);
+
+  void SetSeeds(const std::vector<std::string>& aSeeds);
+
+  const fleet::Node& Node() const { return *mNode; }
+  const RelayCounters& Relayed() const { return mRelay.Counters(); }
+  // Address of the instance that leads, if known.
+  std::string LeaderAddress() const;
+
+private:
+  // fleet::NodeEnvironment
+  void SendReplication(const InstanceId& aTo, std::string aBytes) override;
+  void SendOrder(fleet::Order aOrder) override;
+  void Log(const std::string& aLine) override { mLog(aLine); }
+
+  // Runs the node's tick when it is due.
+  void Schedule();
+  void Tick();
+  void ServeRequests();
+
+  boost::asio::io_context& mContext;
+  const Settings mSettings;
+  SendOrderFunction mSendOrder;
+  LogFunction mLog;
+  peer::Transport mTransport;
+  http::Server mServer;
+  Relay mRelay;
+  std::unique_ptr<fleet::Node> mNode;
+  boost::asio::steady_timer mTimer;
+  Millis mTimerAt = Millis::Max();
+  bool mTicking = false;
+  bool mStopped = false;
+};
+
+} // namespace limpetwood::fleetd
--- a/packages/peer/transport.cc
+++ b/packages/peer/transport.cc
@@ -60,6 +60,8 @@
   }
 
   void Accept();
+  // The connection to a peer; null if the peer is not known.
+  Outbound* OutboundTo(const InstanceId& aPeer);
 
   asio::io_context& context;
   tcp::acceptor acceptor;
@@ -76,9 +78,13 @@
 class Outbound : public std::enable_shared_from_this<Outbound>
 {
 public:
-  Outbound(std::shared_ptr<TransportImpl> aOwner, http::Endpoint aEndpoint)
+  Outbound(std::shared_ptr<TransportImpl> aOwner,
+           http::Endpoint aEndpoint,
+           std::optional<InstanceId> aUndeclared)
     : mOwner(std::move(aOwner))
     , mEndpoint(std::move(aEndpoint))
+    , mUndeclared(std::move(aUndeclared))
+    , mLastUsed(MonotonicNow())
     , mSocket(mOwner->context)
     , mTimer(mOwner->context)
   {
@@ -107,6 +113,7 @@
   void Send(Channel aChannel, std::string_view aPayload)
   {
     TransportCounters& counters = mOwner->counters;
+    mLastUsed = MonotonicNow();
     if (!mConnected) {
       ++counters.droppedUnreachable;
       return;
@@ -170,6 +177,18 @@
                             });
   }
 
+  // Forgets an undeclared peer that is not in use.
+  bool LetGo()
+  {
+    if (!mUndeclared ||
+        MonotonicNow() - mLastUsed < mOwner->options.undeclaredIdle) {
+      return false;
+    }
+    auto self = shared_from_this();
+    mOwner->outbound.erase(*mUndeclared);
+    return true;
+  }
+
   void Probe()
   {
     if (mUnansweredProbes >= mOwner->options.probesUnanswered) {
@@ -247,7 +266,7 @@
     mQueue.clear();
     mInWrite.clear();
     mQueuedBytes = 0;
-    if (mOwner->closed) {
+    if (mOwner->closed || LetGo()) {
       return;
     }
     Millis wait = mOwner->random.Between(mBackoff / 2, mBackoff);
@@ -262,6 +281,9 @@
 
   std::shared_ptr<TransportImpl> mOwner;
   http::Endpoint mEndpoint;
+  // Set if the peer is not one of the declared ones.
+  std::optional<InstanceId> mUndeclared;
+  Millis mLastUsed;
   tcp::socket mSocket;
   asio::steady_timer mTimer;
   Millis mBackoff = kFirstBackoff;
@@ -352,7 +374,8 @@
       return false;
     }
     mFrom = InstanceId(aFrame.payload.substr(kHelloPrefix.size()));
-    return mOwner->options.peers.contains(mFrom);
+    return mOwner->options.undeclaredPort ||
+           mOwner->options.peers.contains(mFrom);
   }
 
   std::shared_ptr<TransportImpl> mOwner;
@@ -379,6 +402,25 @@
     });
 }
 
+Outbound*
+TransportImpl::OutboundTo(const InstanceId& aPeer)
+{
+  auto it = outbound.find(aPeer);
+  if (it != outbound.end()) {
+    return it->second.get();
+  }
+  if (closed || !options.undeclaredPort) {
+    return nullptr;
+  }
+  auto added = std::make_shared<Outbound>(
+    shared_from_this(),
+    http::Endpoint{ aPeer.Value(), *options.undeclaredPort },
+    aPeer);
+  outbound.emplace(aPeer, added);
+  added->Dial();
+  return added.get();
+}
+
 Transport::Transport(asio::io_context& aContext,
                      TransportOptions aOptions,
                      ReceiveFunction aReceive)
@@ -415,7 +457,8 @@
   }
   mImpl->Accept();
   for (const auto& [id, endpoint] : mImpl->options.peers) {
-    auto outbound = std::make_shared<Outbound>(mImpl, endpoint);
+    auto outbound =
+      std::make_shared<Outbound>(mImpl, endpoint, std::nullopt);
     mImpl->outbound.emplace(id, outbound);
     outbound->Dial();
   }
@@ -435,12 +478,12 @@
                });
     return;
   }
-  auto it = mImpl->outbound.find(aTo);
-  if (it == mImpl->outbound.end()) {
+  Outbound* outbound = mImpl->OutboundTo(aTo);
+  if (outbound == nullptr) {
     ++mImpl->counters.droppedUnreachable;
     return;
   }
-  it->second->Send(aChannel, aPayload);
+  outbound->Send(aChannel, aPayload);
 }
 
 bool
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace limpetwood::peer {
@@ -34,6 +35,11 @@
   http::Endpoint listen;
   // Peer addresses of all other instances.
   std::map<InstanceId, http::Endpoint> peers;
+  // If set, instances are named by their IP address, and those that are not
+  // listed above are dialled at this port when something is sent to them.
+  std::optional<uint16_t> undeclaredPort;
+  // An undeclared peer to which nothing was sent for this long is let go.
+  Millis undeclaredIdle = Seconds(10);
   Millis connectTimeout = Seconds(1);
   // Longest time that sent bytes may stay unacknowledged.
   Millis unacknowledgedTimeout = Seconds(3);
--- a/packages/replication/group.h
+++ b/packages/replication/group.h
@@ -75,6 +75,9 @@
   // changes come from the log. A replica that is not listed applies for
   // membership at these instances.
   std::vector<InstanceId> voters{};
+  // False on a later start: the replica may rejoin or apply, but never proposes
+  // a new group.
+  bool mayForm = true;
   Timing timing{};
   // Seeds election timeouts and, with other entropy, the disk id.
   uint64_t seed = 0;
@@ -182,6 +185,9 @@
   // Proposals are refused until it ends, at most one election timeout later.
   virtual std::error_code Transfer(const Member& aTo, Millis aNow) = 0;
 
+  // Instances that a replica without a leader asks besides the known ones.
+  virtual void SetContacts(std::vector<InstanceId> aContacts) = 0;
+
   // Whether this replica leads and holds the leader lease, as of `aNow` or of
   // the last time handed in. While true, no other replica can be leader.
   virtual bool IsLeader(Millis aNow) const = 0;
--- a/packages/replication/internal/formation.cc
+++ b/packages/replication/internal/formation.cc
@@ -11,9 +11,11 @@
 
 Formation::Formation(Member aSelf,
                      std::vector<InstanceId> aVoters,
+                     bool aMayForm,
                      uint64_t aSeed)
   : mSelf(std::move(aSelf))
   , mVoters(std::move(aVoters))
+  , mMayForm(aMayForm)
   , mRandom(aSeed)
 {
 }
@@ -27,7 +29,7 @@
 bool
 Formation::IsCoordinator() const
 {
-  return !mVoters.empty() &&
+  return mMayForm && !mVoters.empty() &&
          *std::min_element(mVoters.begin(), mVoters.end()) == mSelf.instance;
 }
 
@@ -76,6 +78,7 @@
 Formation::Contacts(const OwnStatus& aOwn) const
 {
   std::set<InstanceId> out(mVoters.begin(), mVoters.end());
+  out.insert(mContacts.begin(), mContacts.end());
   for (const Member& it : aOwn.members.voters) {
     out.insert(it.instance);
   }
--- a/packages/replication/internal/formation.h
+++ b/packages/replication/internal/formation.h
@@ -48,7 +48,17 @@
 class Formation
 {
 public:
-  Formation(Member aSelf, std::vector<InstanceId> aVoters, uint64_t aSeed);
+  // Without `aMayForm` this replica never proposes a group.
+  Formation(Member aSelf,
+            std::vector<InstanceId> aVoters,
+            bool aMayForm,
+            uint64_t aSeed);
+
+  // Further instances to apply to.
+  void SetContacts(std::vector<InstanceId> aContacts)
+  {
+    mContacts = std::move(aContacts);
+  }
 
   // What a step decided.
   struct Outcome
@@ -82,6 +92,8 @@
 
   const Member mSelf;
   const std::vector<InstanceId> mVoters;
+  const bool mMayForm;
+  std::vector<InstanceId> mContacts;
   Random mRandom;
   // `Millis::Max()` while no answers are needed.
   Millis mNext;
--- a/packages/replication/internal/group_impl.cc
+++ b/packages/replication/internal/group_impl.cc
@@ -62,7 +62,8 @@
   mStore = std::move(store).Value();
   mState = loaded.state;
   mSelf = { mOptions.self, mState.disk };
-  mFormation.emplace(mSelf, mOptions.voters, random());
+  mFormation.emplace(
+    mSelf, mOptions.voters, mOptions.mayForm, random());
   if (loaded.snapshot.index > 0 && !mMachine.Restore(*loaded.snapshot.data)) {
     return Errc::kCorrupt;
   }
@@ -483,6 +484,12 @@
   return mRaft->Transfer(aTo, aNow);
 }
 
+void
+GroupImpl::SetContacts(std::vector<InstanceId> aContacts)
+{
+  mFormation->SetContacts(std::move(aContacts));
+}
+
 bool
 GroupImpl::IsLeader(Millis aNow) const
 {
