Keep looking for the leader while a ping is underway

Cause: a ping that was still waiting when the next one was due ended the chain of timers, so entries never found the leader after an outage that was longer than one ping.

--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -149,10 +149,10 @@
 void
 Relay::Impl::Ping()
 {
-  if (stopped || pinging) {
+  if (stopped) {
     return;
   }
-  std::string target = NextTarget();
+  std::string target = pinging ? std::string() : NextTarget();
   if (!target.empty()) {
     pinging = true;
     gen::Request request;
