--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -514,6 +514,11 @@
     if (HasStalled(run, view, aLink, aNow)) {
       view.stopWanted = true;
       ++mCounters.stalledRuns;
+      NoteRun("run_stalled",
+              aWorker.report.id,
+              run,
+              "percent=" + std::to_string(view.percent) + " still_ms=" +
+                std::to_string((aNow - view.progressAt).Count()));
       mHealth.OnStalled(aWorker.report.id, aNow);
     }
     if (!MustStop(run, view) || mProposedEnds.contains(run)) {
@@ -650,6 +655,7 @@
     mCommand.starts.push_back(std::move(start));
   }
   mStartsProposed = !plan.starts.empty();
+  NoteStarts(plan);
   for (const auto& [worker, run] : plan.victims) {
     auto link = mLinks.find(worker);
     if (link == mLinks.end()) {
@@ -659,6 +665,10 @@
     if (it != link->second.runs.end() && !it->second.stopWanted) {
       it->second.stopWanted = true;
       ++mCounters.preemptions;
+      NoteRun("run_preempted",
+              worker,
+              run,
+              "percent=" + std::to_string(it->second.percent));
     }
   }
   if (!plan.victims.empty()) {
@@ -668,6 +678,38 @@
   }
 }
 
+void
+Dispatcher::NoteStarts(const Plan& aPlan)
+{
+  // One line for the tasks of a step that start together.
+  for (size_t n = 0; n < aPlan.starts.size();) {
+    const RunRef& first = aPlan.starts[n].run;
+    std::string workers;
+    size_t count = 0;
+    while (n < aPlan.starts.size() &&
+           aPlan.starts[n].run.task.job == first.task.job &&
+           aPlan.starts[n].run.task.step == first.task.step &&
+           aPlan.starts[n].run.task.occurrence == first.task.occurrence) {
+      workers += (count == 0 ? "" : ",") + aPlan.starts[n].worker.Value();
+      ++count;
+      ++n;
+    }
+    mNotes.push_back("runs_started first=" + NameOf(first) +
+                     " tasks=" + std::to_string(count) +
+                     " workers=" + workers);
+  }
+}
+
+void
+Dispatcher::NoteRun(std::string_view aWhat,
+                    const WorkerId& aWorker,
+                    const RunRef& aRun,
+                    std::string aDetail)
+{
+  mNotes.push_back(std::string(aWhat) + " run=" + NameOf(aRun) +
+                   " worker=" + aWorker.Value() + " " + std::move(aDetail));
+}
+
 bool
 Dispatcher::HasCommand() const
 {
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -26,6 +26,9 @@
 #include <array>
 #include <map>
 #include <set>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -89,6 +92,9 @@
   gen::Command TakeCommand();
   std::vector<Order> TakeOrders();
 
+  // Lines for the log on what was decided since the last call.
+  std::vector<std::string> TakeNotes() { return std::exchange(mNotes, {}); }
+
   const DispatcherCounters& Counters() const { return mCounters; }
   // Units without room at the last pass.
   size_t Blocked() const { return mBlocked; }
@@ -133,6 +139,11 @@
   RunCost CostOf(const WorkerId& aWorker,
                  const RunRef& aRun,
                  Millis aNow) const;
+  void NoteStarts(const Plan& aPlan);
+  void NoteRun(std::string_view aWhat,
+               const WorkerId& aWorker,
+               const RunRef& aRun,
+               std::string aDetail);
   void WakeAt(Millis aTime) { mNextTick = std::min(mNextTick, aTime); }
 
   const DispatcherOptions mOptions;
@@ -147,6 +158,7 @@
   std::set<RunRef> mProposedEnds;
   std::set<WorkerId> mProposedGone;
   std::vector<Order> mOrders;
+  std::vector<std::string> mNotes;
   // Starts are in `mCommand` or on their way to the log; the next plan waits
   // for them, so that room is never given twice.
   bool mStartsProposed = false;
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -34,15 +34,6 @@
   return " " + std::string(aName) + "=" + std::string(aValue);
 }
 
-std::string
-NameOf(const RunRef& aRun)
-{
-  return aRun.task.job.Value() + "." + std::to_string(aRun.task.occurrence) +
-         "." + std::to_string(aRun.task.step) + "." +
-         std::to_string(aRun.task.index) + "#" +
-         std::to_string(aRun.run.Value());
-}
-
 std::string_view
 StatusName(JobStatus aStatus)
 {
@@ -61,30 +52,6 @@
   return "cancelled";
 }
 
-std::string_view
-EndName(EndKind aKind)
-{
-  switch (aKind) {
-    case EndKind::kDone:
-      return "done";
-    case EndKind::kFailed:
-      return "failed";
-    case EndKind::kStopped:
-      return "stopped";
-    case EndKind::kLapsed:
-      return "lapsed";
-    case EndKind::kBroken:
-      return "broken";
-    case EndKind::kAlone:
-      return "alone";
-    case EndKind::kRejected:
-      return "rejected";
-    case EndKind::kLost:
-      break;
-  }
-  return "lost";
-}
-
 } // namespace
 
 Node::Node(NodeOptions aOptions, NodeEnvironment& aEnvironment)
@@ -498,6 +465,9 @@
   for (Order& it : mDispatcher->TakeOrders()) {
     mEnvironment.SendOrder(std::move(it));
   }
+  for (const std::string& it : mDispatcher->TakeNotes()) {
+    mEnvironment.Log(it);
+  }
   LogChanges();
   if (aNow >= mNextDuties) {
     mNextDuties = aNow + kDutiesInterval;
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -154,6 +154,13 @@
     const Job* job = aView.state->FindJob(aEntry.first);
     return aEntry.second.until <= aView.now || job == nullptr || job->Ended();
   });
+  std::map<UnitKey, Millis> waiting;
+  for (const Unit& it : units) {
+    auto since = mWaitingSince.find(KeyOf(it));
+    waiting[KeyOf(it)] =
+      since == mWaitingSince.end() ? aView.now : since->second;
+  }
+  mWaitingSince = std::move(waiting);
   for (const Unit& it : units) {
     if (PlaceUnit(it, aView, plan)) {
       mReclaims.erase(it.job->id);
@@ -176,6 +183,39 @@
   return plan;
 }
 
+Planner::UnitKey
+Planner::KeyOf(const Unit& aUnit)
+{
+  return { aUnit.job->id, aUnit.occurrence, aUnit.step };
+}
+
+bool
+Planner::MaySpread(const Unit& aUnit, const FleetView& aView) const
+{
+  const StepSpec& step = aUnit.Spec();
+  if (!step.rackSensitive || aUnit.tasks.size() < 2) {
+    return false;
+  }
+  auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
+  std::map<RackId, uint32_t> fit;
+  int64_t idle = 0;
+  int64_t all = 0;
+  for (const Candidate& it : aView.candidates) {
+    if (!MayRun(step, aUnit.job->service, *it.report)) {
+      continue;
+    }
+    fit[it.rack] += TasksThatFit(step, it.report->capacity, tasks);
+    idle += it.room.accelerators;
+    all += it.report->capacity.accelerators;
+  }
+  bool neverFits = std::all_of(
+    fit.begin(), fit.end(), [&](const auto& it) { return it.second < tasks; });
+  auto since = mWaitingSince.find(KeyOf(aUnit));
+  bool waited = since != mWaitingSince.end() &&
+                aView.now - since->second >= mOptions.spreadAfter;
+  return neverFits || (waited && idle * 2 > all);
+}
+
 bool
 Planner::PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan)
 {
@@ -186,6 +226,7 @@
     .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
     .placed =
       [&](const WorkerId& aWorker) { return TasksOn(aUnit, aWorker); },
+    .maySpread = MaySpread(aUnit, aView),
   };
   std::vector<size_t> chosen = Place(request, aView.candidates);
   for (size_t n = 0; n < chosen.size(); ++n) {
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -15,6 +15,7 @@
 #include "fleet/state.h"
 
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -26,6 +27,9 @@
   Millis reclaimPatience = Millis(1500);
   // Runs of the same unit that may be stopped for one reclaim.
   size_t maxVictims = 128;
+  // Tasks that are slower across racks are spread after this time if most of
+  // the fleet is idle; a rack of their own is then unlikely to come.
+  Millis spreadAfter = Millis(1500);
 };
 
 // What a run would lose if it were stopped now.
@@ -100,8 +104,17 @@
   bool PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   void ReclaimFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
 
+  // Names a unit between two plans.
+  using UnitKey = std::tuple<JobId, uint32_t, uint32_t>;
+  static UnitKey KeyOf(const Unit& aUnit);
+
+  // Whether a unit that prefers one rack may run on several.
+  bool MaySpread(const Unit& aUnit, const FleetView& aView) const;
+
   PlannerOptions mOptions;
   std::map<JobId, Reclaim> mReclaims;
+  // Since when units that could start have waited.
+  std::map<UnitKey, Millis> mWaitingSince;
 };
 
 // Estimated run time of the longest chain of steps.
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -9,6 +9,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -173,6 +174,10 @@
   auto operator<=>(const RunRef&) const = default;
 };
 
+// "JOB.OCCURRENCE.STEP.INDEX#RUN", for logs.
+std::string
+NameOf(const RunRef& aRun);
+
 // How a run ended.
 enum class EndKind
 {
@@ -193,6 +198,9 @@
 
 inline constexpr int kEndKinds = 8;
 
+std::string_view
+EndName(EndKind aKind);
+
 // What a worker says of itself.
 struct WorkerReport
 {
