Resolve an unanswered start by the first answered stop

Ruled out: a stuck order lane (stops were answered), a lost end. Adds the dispatcher's tests in virtual time; the first one fails without this.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -8,6 +8,8 @@
 
 // Pause before an order that got no answer is repeated.
 constexpr Millis kRetryPause(400);
+// Shortest time between two renewals of one worker.
+constexpr Millis kRenewPause(100);
 // A worker that was not heard for this many report intervals takes no tasks.
 constexpr int64_t kSilentReports = 3;
 // A worker without runs that was silent this long is forgotten.
@@ -195,8 +197,12 @@
     case Order::Kind::kStop: {
       auto run = link.runs.find(aOrder.run);
       if (!silent && run != link.runs.end()) {
-        run->second.phase = RunView::Phase::kConfirmed;
-        run->second.resolvedAt = aNow;
+        RunView& view = run->second;
+        view.phase = RunView::Phase::kConfirmed;
+        view.stopAnswered = true;
+        // The first answer counts: a renewal that is sent from then on does
+        // not list the run if it never came.
+        view.resolvedAt = std::min(view.resolvedAt, aNow);
         link.renewDue = aNow;
       }
       if (!silent) {
@@ -264,9 +270,15 @@
       }
       [[fallthrough]];
     case OrderResult::Outcome::kNotSent:
+      NoteRun("start_refused",
+              aOrder.worker,
+              aOrder.run,
+              "refusal=" +
+                std::to_string(static_cast<int>(aResult.refusal)));
       ProposeEnd(aOrder.worker, aOrder.run, EndKind::kRejected, {});
       break;
     case OrderResult::Outcome::kNoAnswer:
+      NoteRun("start_unanswered", aOrder.worker, aOrder.run, "");
       run.phase = RunView::Phase::kUnresolved;
       run.stopWanted = true;
       break;
@@ -342,7 +354,8 @@
   if (aLink.openEnds.empty()) {
     aLink.endsCommitted = aLink.endsProposed;
   }
-  aLink.renewDue = aNow;
+  // Answers without a wait are asked for at a bounded rate.
+  aLink.renewDue = std::max(aNow, aOrder.sentAt + kRenewPause);
 }
 
 void
@@ -525,9 +538,7 @@
       continue;
     }
     // A stop that was answered needs no repetition until it should be over.
-    bool answered = view.resolvedAt > view.stopSentAt &&
-                    view.resolvedAt != Millis::Max();
-    Millis pause = answered ? mOptions.stopTime * 2 : kRetryPause;
+    Millis pause = view.stopAnswered ? mOptions.stopTime * 2 : kRetryPause;
     if (aNow - view.stopSentAt >= pause) {
       view.stopSentAt = aNow;
       SendStop(aWorker, run, aNow);
@@ -560,7 +571,12 @@
   }
   Order renew = MakeOrder(Order::Kind::kRenew, aWorker, aNow);
   renew.acknowledgedEnds = aLink.endsCommitted;
-  bool mayWait = aLink.fenced && aLink.reachable && !aWorker.active.empty();
+  bool resolving =
+    std::any_of(aLink.runs.begin(), aLink.runs.end(), [](const auto& aEntry) {
+      return aEntry.second.stopWanted;
+    });
+  bool mayWait = aLink.fenced && aLink.reachable && !aWorker.active.empty() &&
+                 !resolving;
   renew.wait = mayWait ? mOptions.renewWait : Millis(0);
   if (aLink.ClockFloor(aNow) && aLink.suspects.empty()) {
     renew.leaseUntil = aLink.GrantUntil(aNow, mOptions.lease);
--- /dev/null
+++ b/packages/fleet/dispatcher_test.cc
@@ -0,0 +1,146 @@
+#include "fleet/dispatcher.h"
+
+#include "fleet/testing/fleet_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace limpetwood::fleet {
+namespace {
+
+using testing::FleetFixture;
+
+// Guards against a gang that hangs for ever because one member's start got no
+// answer: every repeated stop used to postpone the proof that the run is over.
+TEST(Dispatcher, UnansweredStartIsResolvedThoughStopsAreRepeated)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  // The worker answers stops at once and renewals after their whole wait.
+  for (int n = 0; n < 40 && fleet.IsActive(start); ++n) {
+    fleet.Advance(Millis(100));
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
+      fleet.Answer(it, OrderResult::Outcome::kAnswered);
+    }
+    fleet.AnswerDueRenewals();
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+}
+
+// Guards against a second run while the first may still be started: without an
+// answer to its stop, only the end of the lease frees the task.
+TEST(Dispatcher, UnansweredStartHoldsItsTaskUntilTheLeaseIsOver)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  Millis lease = fleet.Options().lease;
+  for (Millis at; at < lease - Millis(200); at += Millis(100)) {
+    fleet.Advance(Millis(100));
+    fleet.DropOrders();
+    ASSERT_TRUE(fleet.IsActive(start)) << "after " << at.Count() << " ms";
+  }
+  for (Millis at; at < Millis(1000); at += Millis(100)) {
+    fleet.Advance(Millis(100));
+    fleet.DropOrders();
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+}
+
+// Guards against losing an end: a worker forgets what was acknowledged, so the
+// end must be in the replicated state first.
+TEST(Dispatcher, EndsAreAcknowledgedOnlyAfterTheirCommit)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.HoldCommits(true);
+  OrderResult result = fleet.RenewAnswer();
+  result.ended.push_back(
+    { .number = 1, .run = start.run, .kind = EndKind::kDone });
+  fleet.AnswerRenewal("w1", result);
+  fleet.Advance(Millis(50));
+  for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+    EXPECT_EQ(it.acknowledgedEnds, 0U);
+  }
+  fleet.HoldCommits(false);
+  fleet.Advance(Millis(50));
+  std::vector<Order> renewals = fleet.TakeOrders(Order::Kind::kRenew);
+  ASSERT_FALSE(renewals.empty());
+  EXPECT_EQ(renewals.back().acknowledgedEnds, 1U);
+  EXPECT_EQ(fleet.State().FindJob(JobId("00000000000000a1"))->status,
+            JobStatus::kCompleted);
+}
+
+// Guards against starts of an earlier leader that arrive late: a worker gets
+// work only after it has seen this term's token.
+TEST(Dispatcher, NoStartBeforeTheWorkerHasSeenTheToken)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1", FleetFixture::Fencing::kUnanswered);
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  fleet.Advance(Millis(500));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+}
+
+// Guards against a gang that runs with some of its members only.
+TEST(Dispatcher, RefusedMemberStopsTheOthers)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(2));
+  std::vector<Order> starts = fleet.TakeOrders(Order::Kind::kStart);
+  ASSERT_EQ(starts.size(), 2U);
+  fleet.Answer(starts[0], OrderResult::Outcome::kAnswered);
+  fleet.Refuse(starts[1], Refusal::kNoRoom);
+  fleet.Advance(Millis(50));
+  std::vector<Order> stops = fleet.TakeOrders(Order::Kind::kStop);
+  ASSERT_EQ(stops.size(), 1U);
+  EXPECT_EQ(stops[0].run, starts[0].run);
+}
+
+// Guards against a run that stands still on a worker that looks healthy.
+TEST(Dispatcher, StalledRunIsStopped)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  bool stopped = false;
+  for (int n = 0; n < 60 && !stopped; ++n) {
+    fleet.Advance(Millis(100));
+    OrderResult result = fleet.RenewAnswer();
+    result.running.push_back({ .run = start.run, .percent = 10 });
+    fleet.AnswerRenewal("w1", result);
+    stopped = !fleet.TakeOrders(Order::Kind::kStop).empty();
+  }
+  EXPECT_TRUE(stopped);
+}
+
+// Guards against stopping work that goes on: progress resets the stall.
+TEST(Dispatcher, RunWithProgressIsNotStopped)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  for (int n = 0; n < 60; ++n) {
+    fleet.Advance(Millis(100));
+    OrderResult result = fleet.RenewAnswer();
+    result.running.push_back({ .run = start.run, .percent = n });
+    fleet.AnswerRenewal("w1", result);
+    ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStop).empty());
+  }
+}
+
+} // namespace
+} // namespace limpetwood::fleet
--- /dev/null
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -0,0 +1,192 @@
+#include "fleet/testing/fleet_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace limpetwood::fleet::testing {
+
+namespace {
+
+constexpr FencingToken kToken(7);
+const ServiceId kService("service");
+
+} // namespace
+
+FleetFixture::FleetFixture()
+  : mDispatcher(mOptions, mState, kToken, mNow)
+{
+}
+
+void
+FleetFixture::Settle()
+{
+  for (int n = 0; n < 10; ++n) {
+    mDispatcher.Tick(mNow, mNow);
+    for (Order& it : mDispatcher.TakeOrders()) {
+      mOrders.push_back(std::move(it));
+    }
+    if (mHold || !mDispatcher.HasCommand()) {
+      return;
+    }
+    gen::Command command = mDispatcher.TakeCommand();
+    command.atMs = mNow.Count();
+    mState.Apply(command);
+    mDispatcher.OnCommitted(command, mNow);
+  }
+}
+
+void
+FleetFixture::Advance(Millis aTime)
+{
+  mNow += aTime;
+  Settle();
+}
+
+void
+FleetFixture::AddWorker(const std::string& aId,
+                        Fencing aFencing,
+                        const std::string& aRack)
+{
+  WorkerReport report;
+  report.id = WorkerId(aId);
+  report.incarnation = Incarnation(1);
+  report.address = "127.0.0.1:1";
+  report.service = kService;
+  report.rack = RackId(aRack);
+  report.labels = { "a", aRack };
+  report.capacity = { .cpu = 64'000, .memoryMb = 256'000, .accelerators = 8 };
+  report.sequence = 1;
+  report.clock = ClockOf();
+  mDispatcher.OnReport(report, mNow);
+  Settle();
+  if (aFencing == Fencing::kAnswered) {
+    AnswerRenewal(aId, RenewAnswer());
+  }
+}
+
+StepSpec
+FleetFixture::GangOf(uint32_t aTasks)
+{
+  StepSpec step;
+  step.tasks = aTasks;
+  step.need = { .cpu = 8000, .memoryMb = 1000, .accelerators = 8 };
+  step.estimate = Millis(5000);
+  step.gang = true;
+  return step;
+}
+
+void
+FleetFixture::Submit(const std::string& aId,
+                     const StepSpec& aStep,
+                     int32_t aPriority)
+{
+  JobSpec spec;
+  spec.payload = "payload";
+  spec.steps = { aStep };
+  gen::SubmitJob job;
+  job.id = aId;
+  job.queue = "queue";
+  job.serviceId = kService.Value();
+  job.spec = ToWire(spec);
+  job.acceptedAtMs = mNow.Count();
+  job.priority = aPriority;
+  job.maxAttempts = 3;
+  job.stretch = 2;
+  gen::Command command;
+  command.jobs.push_back(std::move(job));
+  mState.Apply(command);
+  mDispatcher.OnChanged();
+  Settle();
+}
+
+std::vector<Order>
+FleetFixture::TakeOrders(Order::Kind aKind)
+{
+  std::vector<Order> out;
+  auto other = std::stable_partition(
+    mOrders.begin(), mOrders.end(), [&](const Order& aOrder) {
+      return aOrder.kind != aKind;
+    });
+  std::move(other, mOrders.end(), std::back_inserter(out));
+  mOrders.erase(other, mOrders.end());
+  return out;
+}
+
+Order
+FleetFixture::ExpectOrder(Order::Kind aKind)
+{
+  std::vector<Order> orders = TakeOrders(aKind);
+  EXPECT_EQ(orders.size(), 1U);
+  return orders.empty() ? Order() : orders.front();
+}
+
+void
+FleetFixture::Answer(const Order& aOrder, OrderResult::Outcome aOutcome)
+{
+  OrderResult result;
+  result.outcome = aOutcome;
+  if (aOutcome == OrderResult::Outcome::kAnswered) {
+    result.clock = ClockOf();
+  }
+  mDispatcher.OnResult(aOrder, result, mNow);
+  Settle();
+}
+
+void
+FleetFixture::Refuse(const Order& aOrder, Refusal aRefusal)
+{
+  OrderResult result;
+  result.outcome = OrderResult::Outcome::kRefused;
+  result.refusal = aRefusal;
+  mDispatcher.OnResult(aOrder, result, mNow);
+  Settle();
+}
+
+OrderResult
+FleetFixture::RenewAnswer() const
+{
+  OrderResult result;
+  result.outcome = OrderResult::Outcome::kAnswered;
+  result.clock = ClockOf();
+  return result;
+}
+
+void
+FleetFixture::AnswerRenewal(const std::string& aWorker, OrderResult aResult)
+{
+  auto it = std::find_if(
+    mOrders.begin(), mOrders.end(), [&](const Order& aOrder) {
+      return aOrder.kind == Order::Kind::kRenew &&
+             aOrder.worker.Value() == aWorker;
+    });
+  if (it == mOrders.end()) {
+    return;
+  }
+  Order order = *it;
+  mOrders.erase(it);
+  mDispatcher.OnResult(order, aResult, mNow);
+  Settle();
+}
+
+void
+FleetFixture::AnswerDueRenewals()
+{
+  std::vector<std::string> due;
+  for (const Order& it : mOrders) {
+    if (it.kind == Order::Kind::kRenew && it.sentAt + it.wait <= mNow) {
+      due.push_back(it.worker.Value());
+    }
+  }
+  for (const std::string& it : due) {
+    AnswerRenewal(it, RenewAnswer());
+  }
+}
+
+bool
+FleetFixture::IsActive(const Order& aStart) const
+{
+  return mState.IsActive(aStart.run, aStart.worker);
+}
+
+} // namespace limpetwood::fleet::testing
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -34,6 +34,7 @@
   // A renewal sent from here on tells for certain whether the run exists.
   Millis resolvedAt = Millis::Max();
   bool stopWanted = false;
+  bool stopAnswered = false;
   Millis stopSentAt{ -1'000'000 };
   // When the worker first listed the run.
   std::optional<Millis> startedAt{};
