Do not take a gang member that is through for a stalled run

Cause: members of a gang stay at 100 percent until the slowest one is through; after 2.5 s they were stopped, and the gang with them.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -19,6 +19,8 @@
 // A run whose progress stands still this long has stalled: several times the
 // longest pause between two percent of the longest task, and of a restore.
 constexpr Millis kStallTime(2500);
+// A member of a gang that is through waits for the others at this progress.
+constexpr int32_t kAllDone = 100;
 // Plans are made at least this often while units wait.
 constexpr Millis kPlanInterval(250);
 
@@ -495,6 +497,7 @@
   const Job* job = mState.FindJob(aRun.task.job);
   return job != nullptr && !job->spec.steps[aRun.task.step].lasting &&
          aView.startedAt && !aView.stopWanted && aLink.reachable &&
+         aView.percent < kAllDone &&
          aNow - aView.progressAt > kStallTime &&
          aNow - aLink.lastHeard < mOptions.renewWait;
 }
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -125,6 +125,23 @@
   EXPECT_TRUE(stopped);
 }
 
+// Guards against stopping a gang whose faster members wait for the last one.
+TEST(Dispatcher, MemberThatIsThroughIsNotStalled)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  for (int n = 0; n < 60; ++n) {
+    fleet.Advance(Millis(100));
+    OrderResult result = fleet.RenewAnswer();
+    result.running.push_back({ .run = start.run, .percent = 100 });
+    fleet.AnswerRenewal("w1", result);
+    ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStop).empty());
+  }
+}
+
 // Guards against stopping work that goes on: progress resets the stall.
 TEST(Dispatcher, RunWithProgressIsNotStopped)
 {
