Reserve room for gangs, learn run times, rank by what a start still earns

Room is now kept where the runs in the way end first, for at most 0.4 of the fleet; an urgent gang whose room comes in time on its own stops nobody; late work comes after work that is in time. Estimates are replaced by the mean of what a queue's tasks took.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -381,6 +381,7 @@
     ++mCounters.ends[static_cast<size_t>(kind)];
     if (kind == EndKind::kDone) {
       mHealth.OnDone(worker);
+      LearnFrom(worker, run, aNow);
     } else if (kind == EndKind::kFailed) {
       mHealth.OnFailed(worker, run.task.job, aNow);
     }
@@ -410,6 +411,23 @@
   WakeAt(aNow);
 }
 
+void
+Dispatcher::LearnFrom(const WorkerId& aWorker, const RunRef& aRun, Millis aNow)
+{
+  const Job* job = mState.FindJob(aRun.task.job);
+  auto link = mLinks.find(aWorker);
+  if (job == nullptr || link == mLinks.end()) {
+    return;
+  }
+  auto run = link->second.runs.find(aRun);
+  // A run that resumed from a checkpoint was shorter than its task.
+  bool whole = run != link->second.runs.end() && run->second.startSentAt &&
+               mState.FindTask(aRun.task)->checkpoint.empty();
+  if (whole) {
+    mForecast.OnDone(job->queue, aNow - *run->second.startSentAt);
+  }
+}
+
 void
 Dispatcher::SendStarts(const gen::Command& aCommand, Millis aNow)
 {
@@ -428,6 +446,7 @@
     const Job& job = *mState.FindJob(run.task.job);
     WorkerLink& link = LinkOf(worker, aNow);
     link.runs[run] = {};
+    link.runs[run].startSentAt = aNow;
     Order start = MakeOrder(Order::Kind::kStart, worker, aNow);
     start.run = run;
     start.payload = job.spec.payload;
@@ -646,6 +665,31 @@
   return out;
 }
 
+Millis
+Dispatcher::RestOf(const WorkerId& aWorker,
+                   const RunRef& aRun,
+                   Millis aNow) const
+{
+  const Job& job = *mState.FindJob(aRun.task.job);
+  Millis estimate = job.spec.steps[aRun.task.step].estimate;
+  auto link = mLinks.find(aWorker);
+  if (link == mLinks.end()) {
+    return mForecast.Expect(job.queue, estimate);
+  }
+  auto it = link->second.runs.find(aRun);
+  if (it == link->second.runs.end() || !it->second.startedAt) {
+    return mForecast.Expect(job.queue, estimate);
+  }
+  const RunView& view = it->second;
+  if (MustStop(aRun, view)) {
+    return std::max(view.stopSentAt + mOptions.stopTime - aNow, Millis(0));
+  }
+  // Progress is known as of the last report.
+  Millis seen = view.progressAt - *view.startedAt;
+  Millis rest = mForecast.Rest(job.queue, estimate, seen, view.percent);
+  return std::max(rest - (aNow - view.progressAt), Millis(0));
+}
+
 void
 Dispatcher::RunPlan(Millis aNow, Millis aWallNow)
 {
@@ -657,6 +701,11 @@
                     [&](const WorkerId& aWorker, const RunRef& aRun) {
                       return CostOf(aWorker, aRun, aNow);
                     },
+                  .restOf =
+                    [&](const WorkerId& aWorker, const RunRef& aRun) {
+                      return RestOf(aWorker, aRun, aNow);
+                    },
+                  .forecast = &mForecast,
                   .now = aNow,
                   .wallNow = aWallNow };
   Plan plan = mPlanner.Decide(std::move(view));
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -116,6 +116,7 @@
                      Millis aNow);
   void CountRefusal(Refusal aRefusal);
   void NoteRunning(const OrderResult& aResult, WorkerLink& aLink, Millis aNow);
+  void LearnFrom(const WorkerId& aWorker, const RunRef& aRun, Millis aNow);
   void SendStarts(const gen::Command& aCommand, Millis aNow);
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
   // False if the run is not active or its end is proposed already.
@@ -139,6 +140,9 @@
   RunCost CostOf(const WorkerId& aWorker,
                  const RunRef& aRun,
                  Millis aNow) const;
+  Millis RestOf(const WorkerId& aWorker,
+                const RunRef& aRun,
+                Millis aNow) const;
   void NoteStarts(const Plan& aPlan);
   void NoteRun(std::string_view aWhat,
                const WorkerId& aWorker,
@@ -151,6 +155,7 @@
   const FencingToken mToken;
   Planner mPlanner;
   Health mHealth;
+  Forecast mForecast;
   // One for each worker of the state, with its incarnation.
   std::map<WorkerId, WorkerLink> mLinks;
   gen::Command mCommand;
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -40,15 +40,34 @@
   return out;
 }
 
-// Fullest workers first, so that empty ones stay whole.
+// Free part of the resource that a worker is shortest of, in thousandths.
+int64_t
+FreeShare(const Candidate& aCandidate)
+{
+  const Resources& room = aCandidate.room;
+  const Resources& all = aCandidate.report->capacity;
+  auto share = [](int64_t aRoom, int64_t aAll) {
+    return aAll > 0 ? aRoom * 1000 / aAll : 1000;
+  };
+  return std::min({ share(room.cpu, all.cpu),
+                    share(room.memoryMb, all.memoryMb),
+                    share(room.accelerators, all.accelerators) });
+}
+
+// Fullest workers first and, of equal ones, those in the fullest racks, so that
+// empty workers and racks stay whole.
 void
 SortFullestFirst(std::vector<Fit>& aFits,
                  const std::vector<Candidate>& aCandidates)
 {
+  std::map<RackId, int64_t> racks;
+  for (const Candidate& it : aCandidates) {
+    racks[it.rack] += it.room.accelerators;
+  }
   auto key = [&](const Fit& aFit) {
     const Candidate& it = aCandidates[aFit.candidate];
     return std::make_tuple(
-      it.suspicion, it.room.accelerators, it.room.cpu, aFit.candidate);
+      it.suspicion, FreeShare(it), racks[it.rack], aFit.candidate);
   };
   std::sort(aFits.begin(), aFits.end(), [&](const Fit& x, const Fit& y) {
     return key(x) < key(y);
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -1,6 +1,7 @@
 #include "fleet/planner.h"
 
 #include "fleet/reclaim.h"
+#include "fleet/reservation.h"
 
 #include <algorithm>
 #include <set>
@@ -10,29 +11,6 @@
 
 namespace {
 
-// When the result should be there (wall clock).
-Millis
-ObjectiveOf(const Unit& aUnit)
-{
-  const Job& job = *aUnit.job;
-  auto chain = static_cast<double>(LongestChain(job.spec).Count());
-  return aUnit.due + job.targetLatency +
-         Millis(static_cast<int64_t>(chain * job.stretch));
-}
-
-void
-SortByRank(std::vector<Unit>& aUnits)
-{
-  auto key = [](const Unit& aUnit) {
-    return std::make_tuple(
-      aUnit.job->priority, ObjectiveOf(aUnit), aUnit.job->id.Value());
-  };
-  std::stable_sort(
-    aUnits.begin(), aUnits.end(), [&](const Unit& x, const Unit& y) {
-      return key(x) < key(y);
-    });
-}
-
 // Tasks of one step of an occurrence that may start now.
 std::vector<uint32_t>
 WaitingTasks(const Job& aJob, uint32_t aOccurrence, uint32_t aStep)
@@ -93,16 +71,17 @@
 } // namespace
 
 Millis
-LongestChain(const JobSpec& aSpec)
+LongestChain(const Job& aJob, const Forecast& aForecast)
 {
-  std::vector<Millis> ends(aSpec.steps.size());
+  const std::vector<StepSpec>& steps = aJob.spec.steps;
+  std::vector<Millis> ends(steps.size());
   Millis longest;
-  for (size_t n = 0; n < aSpec.steps.size(); ++n) {
+  for (size_t n = 0; n < steps.size(); ++n) {
     Millis start;
-    for (uint32_t it : aSpec.steps[n].after) {
+    for (uint32_t it : steps[n].after) {
       start = std::max(start, ends[it]);
     }
-    ends[n] = start + aSpec.steps[n].estimate;
+    ends[n] = start + aForecast.Expect(aJob.queue, steps[n].estimate);
     longest = std::max(longest, ends[n]);
   }
   return longest;
@@ -149,7 +128,7 @@
 {
   Plan plan;
   std::vector<Unit> units = CollectUnits(aView, plan);
-  SortByRank(units);
+  SortByRank(units, aView);
   std::erase_if(mReclaims, [&](const auto& aEntry) {
     const Job* job = aView.state->FindJob(aEntry.first);
     return aEntry.second.until <= aView.now || job == nullptr || job->Ended();
@@ -161,28 +140,136 @@
       since == mWaitingSince.end() ? aView.now : since->second;
   }
   mWaitingSince = std::move(waiting);
+  int64_t reserved = 0;
   for (const Unit& it : units) {
     if (PlaceUnit(it, aView, plan)) {
       mReclaims.erase(it.job->id);
       continue;
     }
     ++plan.blocked;
-    if (it.job->priority == 0 && !mReclaims.contains(it.job->id)) {
+    auto held = mReclaims.find(it.job->id);
+    if (it.job->priority == 0 && held == mReclaims.end() &&
+        !EndsInTime(it, aView)) {
       ReclaimFor(it, aView, plan);
+      held = mReclaims.find(it.job->id);
     }
-    // Keeps room that is being made from units of lower rank.
-    auto held = mReclaims.find(it.job->id);
     if (held != mReclaims.end()) {
-      std::erase_if(aView.candidates, [&](const Candidate& aCandidate) {
-        const auto& workers = held->second.workers;
-        return std::find(workers.begin(), workers.end(), aCandidate.id) !=
-               workers.end();
-      });
+      KeepRoom(held->second.workers, aView);
+    } else {
+      Reserve(it, aView, reserved);
     }
   }
   return plan;
 }
 
+void
+Planner::KeepRoom(const std::vector<WorkerId>& aWorkers, FleetView& aView)
+{
+  std::erase_if(aView.candidates, [&](const Candidate& aCandidate) {
+    return std::find(aWorkers.begin(), aWorkers.end(), aCandidate.id) !=
+           aWorkers.end();
+  });
+}
+
+bool
+Planner::EndsInTime(const Unit& aUnit, const FleetView& aView) const
+{
+  auto choice = ChooseReservation(RequestFor(aUnit, aView), aView);
+  return choice &&
+         aView.wallNow + choice->wait <= LatestStart(aUnit, aView);
+}
+
+bool
+Planner::Reserve(const Unit& aUnit,
+                 FleetView& aView,
+                 int64_t& aReserved) const
+{
+  if (!aUnit.Spec().gang) {
+    return false;
+  }
+  int64_t all = 0;
+  for (const auto& [id, worker] : aView.state->Workers()) {
+    all += worker.report.capacity.accelerators;
+  }
+  auto choice = ChooseReservation(RequestFor(aUnit, aView), aView);
+  if (!choice) {
+    return false;
+  }
+  int64_t kept = 0;
+  for (const Candidate& it : aView.candidates) {
+    const auto& workers = choice->workers;
+    if (std::find(workers.begin(), workers.end(), it.id) != workers.end()) {
+      kept += it.report->capacity.accelerators;
+    }
+  }
+  auto limit =
+    static_cast<int64_t>(static_cast<double>(all) * mOptions.reservedShare);
+  if (aReserved + kept > limit) {
+    return false;
+  }
+  aReserved += kept;
+  KeepRoom(choice->workers, aView);
+  return true;
+}
+
+Millis
+Planner::LatestStart(const Unit& aUnit, const FleetView& aView) const
+{
+  const Job& job = *aUnit.job;
+  Millis chain = LongestChain(job, *aView.forecast);
+  Millis task = aView.forecast->Expect(job.queue, aUnit.Spec().estimate);
+  auto allowed = static_cast<int64_t>(
+    static_cast<double>(chain.Count()) * job.stretch);
+  return aUnit.due + job.targetLatency + Millis(allowed) - task;
+}
+
+Planner::Rank
+Planner::RankOf(const Unit& aUnit, const FleetView& aView) const
+{
+  Millis latest = LatestStart(aUnit, aView);
+  Millis task =
+    aView.forecast->Expect(aUnit.job->queue, aUnit.Spec().estimate);
+  Millis objective = latest + task - aUnit.due;
+  Millis worthless = aUnit.due + objective * mOptions.worthlessAfter;
+  bool late = aView.wallNow > latest;
+  bool lost = aView.wallNow + task > worthless;
+  // Late work of the most urgent queues still counts as much as work of others
+  // that is in time.
+  int tier = lost ? 3 : late && aUnit.job->priority > 0 ? 2 : 1;
+  if (aUnit.job->priority == 0) {
+    tier = 0;
+  }
+  return { tier, aUnit.job->priority, latest, aUnit.job->id.Value() };
+}
+
+void
+Planner::SortByRank(std::vector<Unit>& aUnits, const FleetView& aView) const
+{
+  std::vector<std::pair<Rank, size_t>> order;
+  for (size_t n = 0; n < aUnits.size(); ++n) {
+    order.emplace_back(RankOf(aUnits[n], aView), n);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<Unit> sorted;
+  for (const auto& [rank, n] : order) {
+    sorted.push_back(std::move(aUnits[n]));
+  }
+  aUnits = std::move(sorted);
+}
+
+PlacementRequest
+Planner::RequestFor(const Unit& aUnit, const FleetView& aView) const
+{
+  return {
+    .step = &aUnit.Spec(),
+    .service = &aUnit.job->service,
+    .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
+    .placed =
+      [&aUnit](const WorkerId& aWorker) { return TasksOn(aUnit, aWorker); },
+    .maySpread = MaySpread(aUnit, aView),
+  };
+}
+
 Planner::UnitKey
 Planner::KeyOf(const Unit& aUnit)
 {
@@ -220,14 +307,7 @@
 Planner::PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan)
 {
   const StepSpec& step = aUnit.Spec();
-  PlacementRequest request{
-    .step = &step,
-    .service = &aUnit.job->service,
-    .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
-    .placed =
-      [&](const WorkerId& aWorker) { return TasksOn(aUnit, aWorker); },
-    .maySpread = MaySpread(aUnit, aView),
-  };
+  PlacementRequest request = RequestFor(aUnit, aView);
   std::vector<size_t> chosen = Place(request, aView.candidates);
   for (size_t n = 0; n < chosen.size(); ++n) {
     Candidate& it = aView.candidates[chosen[n]];
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -11,10 +11,12 @@
 
 #pragma once
 
+#include "fleet/forecast.h"
 #include "fleet/placement.h"
 #include "fleet/state.h"
 
 #include <map>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -30,6 +32,10 @@
   // Tasks that are slower across racks are spread after this time if most of
   // the fleet is idle; a rack of their own is then unlikely to come.
   Millis spreadAfter = Millis(1500);
+  // Part of the fleet's accelerators that is kept for gangs without room.
+  double reservedShare = 0.4;
+  // A result this many times later than its objective is worth nothing.
+  int64_t worthlessAfter = 3;
 };
 
 // What a run would lose if it were stopped now.
@@ -46,6 +52,9 @@
   const FleetState* state = nullptr;
   std::vector<Candidate> candidates{};
   std::function<RunCost(const WorkerId&, const RunRef&)> costOf;
+  // Expected rest of a run.
+  std::function<Millis(const WorkerId&, const RunRef&)> restOf;
+  const Forecast* forecast = nullptr;
   Millis now{};
   Millis wallNow{};
 };
@@ -108,6 +117,21 @@
   using UnitKey = std::tuple<JobId, uint32_t, uint32_t>;
   static UnitKey KeyOf(const Unit& aUnit);
 
+  // What the rank of a unit depends on, the most important part first.
+  using Rank = std::tuple<int, int32_t, Millis, std::string>;
+  Rank RankOf(const Unit& aUnit, const FleetView& aView) const;
+  void SortByRank(std::vector<Unit>& aUnits, const FleetView& aView) const;
+  PlacementRequest RequestFor(const Unit& aUnit, const FleetView& aView) const;
+  // Latest start for which the result is in time.
+  Millis LatestStart(const Unit& aUnit, const FleetView& aView) const;
+  // Whether a unit will have room in time without stopping anything.
+  bool EndsInTime(const Unit& aUnit, const FleetView& aView) const;
+  // Takes workers out of the view, so that later units do not use them.
+  static void KeepRoom(const std::vector<WorkerId>& aWorkers,
+                       FleetView& aView);
+  // Keeps room for a unit that has none; later units do not use it.
+  bool Reserve(const Unit& aUnit, FleetView& aView, int64_t& aReserved) const;
+
   // Whether a unit that prefers one rack may run on several.
   bool MaySpread(const Unit& aUnit, const FleetView& aView) const;
 
@@ -117,8 +141,8 @@
   std::map<UnitKey, Millis> mWaitingSince;
 };
 
-// Estimated run time of the longest chain of steps.
+// Expected run time of the longest chain of steps.
 Millis
-LongestChain(const JobSpec& aSpec);
+LongestChain(const Job& aJob, const Forecast& aForecast);
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -36,6 +36,8 @@
   bool stopWanted = false;
   bool stopAnswered = false;
   Millis stopSentAt{ -1'000'000 };
+  // Empty for runs that an earlier leader started.
+  std::optional<Millis> startSentAt{};
   // When the worker first listed the run.
   std::optional<Millis> startedAt{};
   int32_t percent = 0;
