Judge the progress of runs against their peers and avoid slow workers

A run that would end sooner elsewhere is stopped; its worker comes last or is left out for a while. The rest of a run is taken from its rate, and estimates of the callers decide nothing.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -21,6 +21,8 @@
 constexpr Millis kStallTime(2500);
 // A member of a gang that is through waits for the others at this progress.
 constexpr int32_t kAllDone = 100;
+// At most one of so many workers is left out for its failures.
+constexpr size_t kMostExcludedPart = 2;
 // Plans are made at least this often while units wait.
 constexpr Millis kPlanInterval(250);
 
@@ -304,20 +306,83 @@
       run.phase = RunView::Phase::kConfirmed;
     }
     run.resolvedAt = std::min(run.resolvedAt, aNow);
-    if (!run.startedAt) {
-      run.startedAt = aNow;
-      run.progressAt = aNow;
-    }
-    if (it.percent > run.percent) {
-      run.percent = it.percent;
-      run.progressAt = aNow;
-    }
+    run.progress.Observe(it.percent, aNow);
     if (!it.checkpoint.empty()) {
       run.checkpoint = it.checkpoint;
     }
   }
 }
 
+void
+Dispatcher::JudgeProgress(const OrderResult& aResult,
+                          const Worker& aWorker,
+                          WorkerLink& aLink,
+                          Millis aNow)
+{
+  for (const RunningRun& it : aResult.running) {
+    auto found = aLink.runs.find(it.run);
+    const Job* job = mState.FindJob(it.run.task.job);
+    if (found == aLink.runs.end() || job == nullptr ||
+        found->second.stopWanted) {
+      continue;
+    }
+    const StepSpec& spec = job->spec.steps[it.run.task.step];
+    if (spec.lasting) {
+      continue;
+    }
+    RunView& view = found->second;
+    PaceInput input{ .own = &view.progress,
+                     .peers = PeersOf(it.run, spec),
+                     .expected = mForecast.Learned(job->queue),
+                     .resumes = !view.checkpoint.empty() };
+    switch (Judge(input)) {
+      case Pace::kUnknown:
+        break;
+      case Pace::kSteady:
+        mHealth.OnSteady(aWorker.report.id);
+        break;
+      case Pace::kHopeless:
+        view.stopWanted = true;
+        ++mCounters.laggingRuns;
+        NoteRun("run_lagging",
+                aWorker.report.id,
+                it.run,
+                "percent=" + std::to_string(it.percent));
+        [[fallthrough]];
+      case Pace::kLagging:
+        mHealth.OnSlow(aWorker.report.id, aNow);
+        break;
+    }
+  }
+}
+
+std::vector<const Progress*>
+Dispatcher::PeersOf(const RunRef& aRun, const StepSpec& aSpec) const
+{
+  std::vector<const Progress*> out;
+  if (!aSpec.gang) {
+    return out;
+  }
+  for (uint32_t n = 0; n < aSpec.tasks; ++n) {
+    RunRef peer = aRun;
+    peer.task.index = n;
+    const Task* task = mState.FindTask(peer.task);
+    if (n == aRun.task.index || task == nullptr ||
+        task->phase != Task::Phase::kActive) {
+      continue;
+    }
+    auto link = mLinks.find(task->worker);
+    if (link == mLinks.end()) {
+      continue;
+    }
+    auto run = link->second.runs.find(peer);
+    if (run != link->second.runs.end()) {
+      out.push_back(&run->second.progress);
+    }
+  }
+  return out;
+}
+
 void
 Dispatcher::OnRenewResult(const Order& aOrder,
                           const OrderResult& aResult,
@@ -352,6 +417,7 @@
       ProposeEnd(aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
     }
   }
+  JudgeProgress(aResult, aWorker, aLink, aNow);
   // Ends that change nothing need no commit before they are acknowledged.
   if (aLink.openEnds.empty()) {
     aLink.endsCommitted = aLink.endsProposed;
@@ -515,9 +581,9 @@
 {
   const Job* job = mState.FindJob(aRun.task.job);
   return job != nullptr && !job->spec.steps[aRun.task.step].lasting &&
-         aView.startedAt && !aView.stopWanted && aLink.reachable &&
-         aView.percent < kAllDone &&
-         aNow - aView.progressAt > kStallTime &&
+         aView.progress.GrewAt() && !aView.stopWanted && aLink.reachable &&
+         aView.progress.Percent() < kAllDone &&
+         aNow - *aView.progress.GrewAt() > kStallTime &&
          aNow - aLink.lastHeard < mOptions.renewWait;
 }
 
@@ -552,8 +618,9 @@
       NoteRun("run_stalled",
               aWorker.report.id,
               run,
-              "percent=" + std::to_string(view.percent) + " still_ms=" +
-                std::to_string((aNow - view.progressAt).Count()));
+              "percent=" + std::to_string(view.progress.Percent()) +
+                " still_ms=" +
+                std::to_string((aNow - *view.progress.GrewAt()).Count()));
       mHealth.OnStalled(aWorker.report.id, aNow);
     }
     if (!MustStop(run, view) || mProposedEnds.contains(run)) {
@@ -597,9 +664,15 @@
     std::any_of(aLink.runs.begin(), aLink.runs.end(), [](const auto& aEntry) {
       return aEntry.second.stopWanted;
     });
+  bool urgent = std::any_of(
+    aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& aRun) {
+      return mState.FindJob(aRun.task.job)->priority == 0;
+    });
   bool mayWait = aLink.fenced && aLink.reachable && !aWorker.active.empty() &&
                  !resolving;
-  renew.wait = mayWait ? mOptions.renewWait : Millis(0);
+  if (mayWait) {
+    renew.wait = urgent ? mOptions.urgentWait : mOptions.renewWait;
+  }
   if (aLink.ClockFloor(aNow) && aLink.suspects.empty()) {
     renew.leaseUntil = aLink.GrantUntil(aNow, mOptions.lease);
   }
@@ -626,17 +699,24 @@
 Dispatcher::Candidates(Millis aNow) const
 {
   std::vector<Candidate> out;
+  std::vector<Candidate> excluded;
   for (const auto& [id, worker] : mState.Workers()) {
     bool usable = IsUsable(id, aNow) && !worker.report.draining &&
-                  !mProposedGone.contains(id) && !mHealth.IsExcluded(id, aNow);
-    if (usable) {
-      out.push_back({ .id = id,
-                      .service = worker.report.service,
-                      .rack = worker.report.rack,
-                      .report = &worker.report,
-                      .room = worker.report.capacity - worker.used,
-                      .suspicion = mHealth.SuspicionOf(id, aNow) });
+                  !mProposedGone.contains(id);
+    if (!usable) {
+      continue;
     }
+    auto& into = mHealth.IsExcluded(id, aNow) ? excluded : out;
+    into.push_back({ .id = id,
+                     .service = worker.report.service,
+                     .rack = worker.report.rack,
+                     .report = &worker.report,
+                     .room = worker.report.capacity - worker.used,
+                     .suspicion = mHealth.SuspicionOf(id, aNow) });
+  }
+  // When so many look faulty, the jobs are more likely at fault.
+  if (excluded.size() > out.size() / kMostExcludedPart) {
+    std::move(excluded.begin(), excluded.end(), std::back_inserter(out));
   }
   return out;
 }
@@ -659,8 +739,8 @@
   RunCost out;
   out.stopping = MustStop(aRun, view);
   bool saves = job.spec.steps[aRun.task.step].savesCheckpoints;
-  if (view.startedAt && !saves) {
-    out.lost = aNow - *view.startedAt;
+  if (view.progress.FirstAt() && !saves) {
+    out.lost = aNow - *view.progress.FirstAt();
   }
   return out;
 }
@@ -670,24 +750,20 @@
                    const RunRef& aRun,
                    Millis aNow) const
 {
-  const Job& job = *mState.FindJob(aRun.task.job);
-  Millis estimate = job.spec.steps[aRun.task.step].estimate;
+  const QueueId& queue = mState.FindJob(aRun.task.job)->queue;
   auto link = mLinks.find(aWorker);
   if (link == mLinks.end()) {
-    return mForecast.Expect(job.queue, estimate);
+    return Millis::Max();
   }
   auto it = link->second.runs.find(aRun);
-  if (it == link->second.runs.end() || !it->second.startedAt) {
-    return mForecast.Expect(job.queue, estimate);
+  if (it == link->second.runs.end()) {
+    return Millis::Max();
   }
   const RunView& view = it->second;
   if (MustStop(aRun, view)) {
     return std::max(view.stopSentAt + mOptions.stopTime - aNow, Millis(0));
   }
-  // Progress is known as of the last report.
-  Millis seen = view.progressAt - *view.startedAt;
-  Millis rest = mForecast.Rest(job.queue, estimate, seen, view.percent);
-  return std::max(rest - (aNow - view.progressAt), Millis(0));
+  return mForecast.Rest(queue, view.progress, aNow);
 }
 
 void
@@ -736,7 +812,7 @@
       NoteRun("run_preempted",
               worker,
               run,
-              "percent=" + std::to_string(it->second.percent));
+              "percent=" + std::to_string(it->second.progress.Percent()));
     }
   }
   if (!plan.victims.empty()) {
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -39,6 +39,8 @@
   Millis lease = Seconds(10);
   // How long a worker may delay the answer to a renewal.
   Millis renewWait = Millis(1500);
+  // The same where an urgent run is active, so that its progress is seen.
+  Millis urgentWait = Millis(500);
   // Interval at which workers report.
   Millis heartbeat = Millis(1500);
   // Longest time that a stop may take.
@@ -55,6 +57,7 @@
   uint64_t renewals = 0;
   uint64_t preemptions = 0;
   uint64_t stalledRuns = 0;
+  uint64_t laggingRuns = 0;
   uint64_t unanswered = 0;
   uint64_t refusedFenced = 0;
   uint64_t refusedSuperseded = 0;
@@ -117,6 +120,13 @@
   void CountRefusal(Refusal aRefusal);
   void NoteRunning(const OrderResult& aResult, WorkerLink& aLink, Millis aNow);
   void LearnFrom(const WorkerId& aWorker, const RunRef& aRun, Millis aNow);
+  void JudgeProgress(const OrderResult& aResult,
+                     const Worker& aWorker,
+                     WorkerLink& aLink,
+                     Millis aNow);
+  // Progress of the other members of a gang.
+  std::vector<const Progress*> PeersOf(const RunRef& aRun,
+                                       const StepSpec& aSpec) const;
   void SendStarts(const gen::Command& aCommand, Millis aNow);
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
   // False if the run is not active or its end is proposed already.
--- a/packages/fleet/forecast.cc
+++ b/packages/fleet/forecast.cc
@@ -10,8 +10,6 @@
 constexpr uint32_t kWindow = 50;
 // Below this the caller's estimate is used.
 constexpr uint32_t kEnoughSamples = 3;
-// Progress below this says little about the rate.
-constexpr int32_t kTellingPercent = 8;
 constexpr int32_t kAllDone = 100;
 
 } // namespace
@@ -28,23 +26,38 @@
 Millis
 Forecast::Expect(const QueueId& aQueue, Millis aEstimate) const
 {
-  auto it = mQueues.find(aQueue);
-  if (it == mQueues.end() || it->second.samples < kEnoughSamples) {
-    return aEstimate;
-  }
-  return Millis(static_cast<int64_t>(it->second.meanMs));
+  return Learned(aQueue).value_or(aEstimate);
 }
 
 Millis
 Forecast::Rest(const QueueId& aQueue,
-               Millis aEstimate,
-               Millis aElapsed,
-               int32_t aPercent) const
+               const Progress& aProgress,
+               Millis aNow) const
+{
+  auto grewAt = aProgress.GrewAt();
+  Millis since = grewAt ? aNow - *grewAt : Millis(0);
+  auto rate = aProgress.MeanRate();
+  if (rate && *rate > 0) {
+    double left = kAllDone - std::min(aProgress.Percent(), kAllDone);
+    Millis rest(static_cast<int64_t>(left / *rate * 1000));
+    return std::max(rest - since, Millis(0));
+  }
+  auto learned = Learned(aQueue);
+  if (!learned) {
+    return Millis::Max();
+  }
+  Millis rest = *learned * (kAllDone - aProgress.Percent()) / kAllDone;
+  return std::max(rest - since, Millis(0));
+}
+
+std::optional<Millis>
+Forecast::Learned(const QueueId& aQueue) const
 {
-  if (aPercent >= kTellingPercent && aElapsed > Millis(0)) {
-    return aElapsed * (kAllDone - std::min(aPercent, kAllDone)) / aPercent;
+  auto it = mQueues.find(aQueue);
+  if (it == mQueues.end() || it->second.samples < kEnoughSamples) {
+    return std::nullopt;
   }
-  return std::max(Expect(aQueue, aEstimate) - aElapsed, Millis(0));
+  return Millis(static_cast<int64_t>(it->second.meanMs));
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/forecast.h
+++ b/packages/fleet/forecast.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "fleet/progress.h"
 #include "fleet/types.h"
 
 #include <map>
@@ -22,12 +23,13 @@
   // Expected time of one task; `aEstimate` while nothing was learned.
   Millis Expect(const QueueId& aQueue, Millis aEstimate) const;
 
-  // Expected rest of a run that has `aPercent` of its work done after
-  // `aElapsed`.
+  // Expected rest of a run; `Millis::Max()` while there is nothing to go by but
+  // the caller's estimate.
   Millis Rest(const QueueId& aQueue,
-              Millis aEstimate,
-              Millis aElapsed,
-              int32_t aPercent) const;
+              const Progress& aProgress,
+              Millis aNow) const;
+
+  std::optional<Millis> Learned(const QueueId& aQueue) const;
 
 private:
   struct Record
--- a/packages/fleet/health.cc
+++ b/packages/fleet/health.cc
@@ -8,6 +8,7 @@
 
 // A failure may be the job's own; a stall among peers that move is not.
 constexpr int kFailurePoints = 1;
+constexpr int kSlowPoints = 2;
 constexpr int kStallPoints = 3;
 constexpr int kMostPoints = 6;
 
@@ -30,6 +31,22 @@
   mWorkers[aWorker].lastJob = aJob;
 }
 
+void
+Health::OnSlow(const WorkerId& aWorker, Millis aNow)
+{
+  Add(aWorker, kSlowPoints, aNow);
+}
+
+void
+Health::OnSteady(const WorkerId& aWorker)
+{
+  auto it = mWorkers.find(aWorker);
+  // Says nothing about runs that failed there.
+  if (it != mWorkers.end() && it->second.lastJob.empty()) {
+    mWorkers.erase(it);
+  }
+}
+
 void
 Health::OnStalled(const WorkerId& aWorker, Millis aNow)
 {
--- a/packages/fleet/health.h
+++ b/packages/fleet/health.h
@@ -32,6 +32,10 @@
   void OnDone(const WorkerId& aWorker);
   // A run failed there, though not necessarily by the worker's fault.
   void OnFailed(const WorkerId& aWorker, const JobId& aJob, Millis aNow);
+  // A run is much slower there than its peers elsewhere.
+  void OnSlow(const WorkerId& aWorker, Millis aNow);
+  // A run there keeps up with its peers.
+  void OnSteady(const WorkerId& aWorker);
   // A run made no progress while its peers did.
   void OnStalled(const WorkerId& aWorker, Millis aNow);
 
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "fleet/order.h"
+#include "fleet/progress.h"
 
 #include <map>
 #include <optional>
@@ -38,11 +39,7 @@
   Millis stopSentAt{ -1'000'000 };
   // Empty for runs that an earlier leader started.
   std::optional<Millis> startSentAt{};
-  // When the worker first listed the run.
-  std::optional<Millis> startedAt{};
-  int32_t percent = 0;
-  // When `percent` last grew.
-  Millis progressAt{};
+  Progress progress{};
   std::string checkpoint{};
 };
 
