Weigh what a reclaim loses against what it gains

A gang now counts once, work that was stopped before costs more, and an urgent unit beyond its workspace's guarantee stops nothing that loses more than twice its own work.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -738,6 +738,7 @@
   const Job& job = *mState.FindJob(aRun.task.job);
   RunCost out;
   out.stopping = MustStop(aRun, view);
+  out.restarts = aRun.run.Value() - 1;
   bool saves = job.spec.steps[aRun.task.step].savesCheckpoints;
   if (view.progress.FirstAt() && !saves) {
     out.lost = aNow - *view.progress.FirstAt();
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -322,13 +322,46 @@
   return chosen.size() == aUnit.tasks.size();
 }
 
+bool
+Planner::IsGuaranteed(const Unit& aUnit, const FleetView& aView)
+{
+  const Workspace* workspace =
+    aView.state->FindWorkspace(aUnit.job->workspace);
+  if (workspace == nullptr) {
+    return false;
+  }
+  int64_t needed = 0;
+  for (const JobId& id : aView.state->LiveJobs()) {
+    const Job& job = *aView.state->FindJob(id);
+    if (job.Ended() || job.priority > 0 || job.workspace != workspace->name) {
+      continue;
+    }
+    int64_t widest = 0;
+    for (const StepSpec& it : job.spec.steps) {
+      widest = std::max(widest, it.need.accelerators * it.tasks);
+    }
+    needed += widest;
+  }
+  return needed <= workspace->guaranteedAccelerators;
+}
+
 void
 Planner::ReclaimFor(const Unit& aUnit, FleetView& aView, Plan& aPlan)
 {
-  ReclaimRequest request{ .step = &aUnit.Spec(),
+  const StepSpec& step = aUnit.Spec();
+  ReclaimRequest request{ .step = &step,
                           .service = &aUnit.job->service,
                           .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
                           .priority = aUnit.job->priority };
+  if (!IsGuaranteed(aUnit, aView)) {
+    if (aView.wallNow > LatestStart(aUnit, aView)) {
+      return;
+    }
+    Millis time = aView.forecast->Expect(aUnit.job->queue, step.estimate);
+    request.mostCost = mOptions.reclaimWorth * WeightOf(step.need) *
+                       static_cast<double>(step.tasks) *
+                       static_cast<double>(time.Count()) / 1000;
+  }
   std::optional<ReclaimChoice> choice = ChooseVictims(request, aView);
   if (!choice || choice->victims.size() > mOptions.maxVictims) {
     return;
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -36,6 +36,10 @@
   double reservedShare = 0.4;
   // A result this many times later than its objective is worth nothing.
   int64_t worthlessAfter = 3;
+  // An urgent unit beyond its workspace's guarantee stops others only if they
+  // lose at most this many times its own work: its result is worth several
+  // times more for each second of an accelerator.
+  double reclaimWorth = 2;
 };
 
 // What a run would lose if it were stopped now.
@@ -45,6 +49,9 @@
   Millis lost{};
   // It is being stopped already.
   bool stopping = false;
+  // Earlier runs of the task or its gang; work that is stopped again and again
+  // never ends.
+  uint32_t restarts = 0;
 };
 
 struct FleetView
@@ -112,6 +119,9 @@
   std::vector<Unit> CollectUnits(const FleetView& aView, Plan& aPlan) const;
   bool PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   void ReclaimFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+  // Whether the urgent jobs of the unit's workspace need no more than its
+  // guarantee.
+  static bool IsGuaranteed(const Unit& aUnit, const FleetView& aView);
 
   // Names a unit between two plans.
   using UnitKey = std::tuple<JobId, uint32_t, uint32_t>;
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -1,9 +1,9 @@
 #include "fleet/reclaim.h"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace limpetwood::fleet {
 
@@ -12,22 +12,20 @@
 // Weight of an accelerator against a core, as the platform prices work.
 constexpr double kCoresPerAccelerator = 8;
 
+// What ends together when a run is stopped: a gang, or the run alone.
+using Group = std::tuple<JobId, uint32_t, uint32_t, uint32_t>;
+
 struct Victim
 {
   RunRef run;
   Resources need;
+  Group group;
+  // Of the whole group.
   double cost = 0;
   // Its room is coming without another stop.
   bool stopping = false;
 };
 
-double
-WeightOf(const Resources& aNeed)
-{
-  return static_cast<double>(aNeed.accelerators) * kCoresPerAccelerator +
-         static_cast<double>(aNeed.cpu) / 1000;
-}
-
 // Runs on one worker that may be stopped, cheapest first.
 std::vector<Victim>
 VictimsOn(const WorkerId& aWorker, int32_t aPriority, const FleetView& aView)
@@ -40,14 +38,17 @@
       continue;
     }
     const StepSpec& step = job.spec.steps[it.task.step];
-    // Stopping one member ends the whole gang.
-    double members = step.gang ? step.tasks : 1;
+    uint32_t members = step.gang ? step.tasks : 1;
+    double lost = static_cast<double>(cost.lost.Count()) / 1000;
     out.push_back({ .run = it,
                     .need = step.Counted(),
-                    .cost = cost.stopping
-                              ? 0
-                              : WeightOf(step.need) * members *
-                                  static_cast<double>(cost.lost.Count()),
+                    .group = { job.id,
+                               it.task.occurrence,
+                               it.task.step,
+                               step.gang ? 0 : it.task.index },
+                    .cost = cost.stopping ? 0
+                                          : WeightOf(step.need) * members *
+                                              lost * (1 + cost.restarts),
                     .stopping = cost.stopping });
   }
   std::sort(out.begin(), out.end(), [](const Victim& x, const Victim& y) {
@@ -56,13 +57,22 @@
   return out;
 }
 
-// The cheapest way to fit one task on one worker.
+// A way to fit at least one task on one worker.
 struct Offer
 {
   WorkerId worker;
   std::vector<Victim> victims{};
   uint32_t tasks = 0;
-  double cost = 0;
+
+  // Groups that end anyway cost nothing more.
+  double CostBeside(const std::set<Group>& aEnded) const
+  {
+    double cost = 0;
+    for (const Victim& it : victims) {
+      cost += aEnded.contains(it.group) ? 0 : it.cost;
+    }
+    return cost / tasks;
+  }
 };
 
 std::optional<Offer>
@@ -84,7 +94,6 @@
        VictimsOn(aCandidate.id, aRequest.priority, aView)) {
     room += it.need;
     out.victims.push_back(it);
-    out.cost += it.cost;
     out.tasks = TasksThatFit(*aRequest.step, room, limit);
     if (out.tasks > 0) {
       break;
@@ -98,7 +107,6 @@
     Resources without = room - out.victims[n].need;
     if (TasksThatFit(*aRequest.step, without, limit) > 0) {
       room = without;
-      out.cost -= out.victims[n].cost;
       out.victims.erase(out.victims.begin() + static_cast<ptrdiff_t>(n));
     }
   }
@@ -108,23 +116,24 @@
 std::optional<ReclaimChoice>
 Combine(std::vector<Offer> aOffers, uint32_t aTasks)
 {
-  std::sort(aOffers.begin(), aOffers.end(), [](const Offer& x, const Offer& y) {
-    return x.cost / x.tasks < y.cost / y.tasks;
-  });
   ReclaimChoice out;
+  std::set<Group> ended;
   uint32_t placed = 0;
-  for (const Offer& it : aOffers) {
-    if (placed >= aTasks) {
-      break;
-    }
-    placed += it.tasks;
-    out.cost += it.cost;
-    out.workers.push_back(it.worker);
-    for (const Victim& victim : it.victims) {
-      if (!victim.stopping) {
-        out.victims.emplace_back(it.worker, victim.run);
+  while (placed < aTasks && !aOffers.empty()) {
+    auto best = std::min_element(
+      aOffers.begin(), aOffers.end(), [&](const Offer& x, const Offer& y) {
+        return x.CostBeside(ended) < y.CostBeside(ended);
+      });
+    placed += best->tasks;
+    out.cost += best->CostBeside(ended) * best->tasks;
+    out.workers.push_back(best->worker);
+    for (const Victim& it : best->victims) {
+      ended.insert(it.group);
+      if (!it.stopping) {
+        out.victims.emplace_back(best->worker, it.run);
       }
     }
+    aOffers.erase(best);
   }
   if (placed < aTasks) {
     return std::nullopt;
@@ -134,6 +143,13 @@
 
 } // namespace
 
+double
+WeightOf(const Resources& aNeed)
+{
+  return static_cast<double>(aNeed.accelerators) * kCoresPerAccelerator +
+         static_cast<double>(aNeed.cpu) / 1000;
+}
+
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
@@ -150,7 +166,8 @@
   std::optional<ReclaimChoice> best;
   for (auto& [rack, offers] : groups) {
     auto choice = Combine(std::move(offers), aRequest.tasks);
-    if (choice && (!best || choice->cost < best->cost)) {
+    if (choice && choice->cost <= aRequest.mostCost &&
+        (!best || choice->cost < best->cost)) {
       best = std::move(choice);
     }
   }
--- a/packages/fleet/reclaim.h
+++ b/packages/fleet/reclaim.h
@@ -8,6 +8,7 @@
 
 #include "fleet/planner.h"
 
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -20,6 +21,8 @@
   uint32_t tasks = 0;
   // Only runs of jobs with a higher number are stopped.
   int32_t priority = 0;
+  // No choice that loses more is made, in the unit of `ReclaimChoice::cost`.
+  double mostCost = std::numeric_limits<double>::infinity();
 };
 
 struct ReclaimChoice
@@ -27,10 +30,14 @@
   std::vector<std::pair<WorkerId, RunRef>> victims{};
   // The workers on which the step will fit.
   std::vector<WorkerId> workers{};
-  // Accelerator milliseconds that are lost.
+  // Weighted work that is lost, see `WeightOf`.
   double cost = 0;
 };
 
+// Weight of a second of work on these resources, in cores.
+double
+WeightOf(const Resources& aNeed);
+
 // Empty if stopping all less urgent runs would not be enough.
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView);
