Serve metrics of the fleet processes

Counters for each refusal, retry and end of a run, latency histograms of the entry's answers, and the state of the group, at the deployment's metrics address.

--- /dev/null
+++ b/packages/fleetd/latency_histogram.h
@@ -0,0 +1,42 @@
+// Counts of durations in fixed buckets, for metrics.
+
+#pragma once
+
+#include "base/time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace limpetwood::fleetd {
+
+class LatencyHistogram
+{
+public:
+  // Upper bounds of the buckets in milliseconds; the last bucket has none. They
+  // follow the objectives of urgent and of patient requests.
+  static constexpr std::array<int64_t, 10> kBounds = { 2,   5,    10,   25,
+                                                       50,  100,  250,  1000,
+                                                       3000, 10000 };
+
+  void Observe(Millis aTime)
+  {
+    size_t n = 0;
+    while (n < kBounds.size() && aTime.Count() > kBounds[n]) {
+      ++n;
+    }
+    ++mBuckets[n];
+    mSum += aTime.Count();
+  }
+
+  const std::array<uint64_t, kBounds.size() + 1>& Buckets() const
+  {
+    return mBuckets;
+  }
+  int64_t Sum() const { return mSum; }
+
+private:
+  std::array<uint64_t, kBounds.size() + 1> mBuckets{};
+  int64_t mSum = 0;
+};
+
+} // namespace limpetwood::fleetd
--- /dev/null
+++ b/packages/fleetd/metrics.cc
@@ -0,0 +1,231 @@
+#include "fleetd/metrics.h"
+
+#include <limits>
+
+namespace limpetwood::fleetd {
+
+namespace {
+
+http::ServerLimits
+LimitsForScrapes()
+{
+  http::ServerLimits limits;
+  limits.maxBodyBytes = 0;
+  limits.maxConnections = 8;
+  return limits;
+}
+
+void
+AddDispatch(daemon::Families& aFamilies,
+            const fleet::DispatcherCounters& aCounters)
+{
+  for (int n = 0; n < fleet::kEndKinds; ++n) {
+    std::string how(fleet::EndName(static_cast<fleet::EndKind>(n)));
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_runs_ended_total",
+                       "Runs by how they ended, in this term",
+                       static_cast<double>(aCounters.ends[n]),
+                       { { "how", how } });
+  }
+  auto order = [&](const char* aKind, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_orders_total",
+                       "Orders to workers by kind, in this term",
+                       static_cast<double>(aValue),
+                       { { "kind", aKind } });
+  };
+  order("start", aCounters.starts);
+  order("stop", aCounters.stops);
+  order("renew", aCounters.renewals);
+  auto refusal = [&](const char* aReason, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_starts_refused_total",
+                       "Starts that workers refused by reason, in this term",
+                       static_cast<double>(aValue),
+                       { { "reason", aReason } });
+  };
+  refusal("fenced", aCounters.refusedFenced);
+  refusal("superseded", aCounters.refusedSuperseded);
+  refusal("late", aCounters.refusedLate);
+  refusal("no_room", aCounters.refusedNoRoom);
+  refusal("unhealthy", aCounters.refusedUnhealthy);
+  refusal("other", aCounters.refusedOther);
+  auto stopped = [&](const char* aReason, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_runs_given_up_total",
+                       "Runs that were stopped by reason, in this term",
+                       static_cast<double>(aValue),
+                       { { "reason", aReason } });
+  };
+  stopped("preempted", aCounters.preemptions);
+  stopped("stalled", aCounters.stalledRuns);
+  stopped("lagging", aCounters.laggingRuns);
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_orders_unanswered_total",
+                     "Orders without an answer, in this term",
+                     static_cast<double>(aCounters.unanswered));
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_plans_total",
+                     "Scheduling passes, in this term",
+                     static_cast<double>(aCounters.passes));
+}
+
+} // namespace
+
+void
+AddFamilies(daemon::Families& aFamilies, const RelayCounters& aCounters)
+{
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_relay_calls_total",
+                     "Requests handed to the relay",
+                     static_cast<double>(aCounters.calls));
+  auto retry = [&](const char* aReason, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_relay_retries_total",
+                       "Attempts that were repeated by reason",
+                       static_cast<double>(aValue),
+                       { { "reason", aReason } });
+  };
+  retry("not_leader", aCounters.retriesNotLeader);
+  retry("not_sent", aCounters.retriesNotSent);
+  retry("no_answer", aCounters.retriesNoAnswer);
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_relay_refused_no_leader_total",
+                     "Requests refused because no leader was known",
+                     static_cast<double>(aCounters.refusedNoLeader));
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_relay_leader_changes_total",
+                     "Times that another leader was found",
+                     static_cast<double>(aCounters.leaderChanges));
+}
+
+void
+AddFamilies(daemon::Families& aFamilies, const fleet::Node& aNode)
+{
+  const fleet::NodeCounters& counters = aNode.Counters();
+  replication::GroupStatus status = aNode.Status();
+  auto gauge = [&](const char* aName, const char* aHelp, double aValue) {
+    daemon::AddGauge(aFamilies, aName, aHelp, aValue);
+  };
+  gauge("limpetwood_leading",
+        "1 while this replica leads",
+        aNode.IsLeading() ? 1 : 0);
+  gauge("limpetwood_term", "Term", static_cast<double>(status.term));
+  gauge("limpetwood_commit_index",
+        "Index of the last committed entry",
+        static_cast<double>(status.commitIndex));
+  gauge("limpetwood_voters",
+        "Voters of the group",
+        static_cast<double>(status.membership.voters.size()));
+  gauge("limpetwood_configuration_version",
+        "Version of the configuration in force here",
+        static_cast<double>(aNode.State().Version().Value()));
+  gauge("limpetwood_live_jobs",
+        "Jobs that have not ended or still have runs",
+        static_cast<double>(aNode.State().LiveJobs().size()));
+  gauge("limpetwood_workers",
+        "Workers that are known",
+        static_cast<double>(aNode.State().Workers().size()));
+  auto job = [&](const char* aWhat, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_jobs_total",
+                       "Jobs by what became of them while this replica led",
+                       static_cast<double>(aValue),
+                       { { "what", aWhat } });
+  };
+  job("accepted", counters.jobsAccepted);
+  job("completed", counters.jobsCompleted);
+  job("failed", counters.jobsFailed);
+  job("cancelled", counters.jobsCancelled);
+  AddOutcomes(aFamilies, "limpetwood_leader_requests_total", counters.outcomes);
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_leaderships_total",
+                     "Times that this replica began to lead",
+                     static_cast<double>(counters.leaderships));
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_membership_changes_total",
+                     "Changes of the group's membership that were begun",
+                     static_cast<double>(counters.membershipChanges));
+  daemon::AddCounter(aFamilies,
+                     "limpetwood_proposals_total",
+                     "Entries that were proposed",
+                     static_cast<double>(counters.proposals));
+  if (const fleet::Dispatcher* dispatcher = aNode.Dispatch()) {
+    AddDispatch(aFamilies, dispatcher->Counters());
+    gauge("limpetwood_blocked_units",
+          "Steps that wait for room",
+          static_cast<double>(dispatcher->Blocked()));
+  }
+}
+
+void
+AddOutcomes(daemon::Families& aFamilies,
+            const std::string& aName,
+            const std::array<uint64_t, fleet::kOutcomes>& aOutcomes)
+{
+  for (int n = 0; n < fleet::kOutcomes; ++n) {
+    std::string outcome(fleet::OutcomeName(static_cast<fleet::Outcome>(n)));
+    daemon::AddCounter(aFamilies,
+                       aName,
+                       "Requests by outcome",
+                       static_cast<double>(aOutcomes[n]),
+                       { { "outcome", outcome } });
+  }
+}
+
+void
+AddHistogram(daemon::Families& aFamilies,
+             const std::string& aName,
+             const std::string& aHelp,
+             const LatencyHistogram& aHistogram)
+{
+  constexpr double kMillisPerSecond = 1000;
+  prometheus::MetricFamily family;
+  family.name = aName;
+  family.help = aHelp;
+  family.type = prometheus::MetricType::Histogram;
+  prometheus::ClientMetric metric;
+  uint64_t count = 0;
+  for (size_t n = 0; n < aHistogram.Buckets().size(); ++n) {
+    count += aHistogram.Buckets()[n];
+    double bound = n < LatencyHistogram::kBounds.size()
+                     ? static_cast<double>(LatencyHistogram::kBounds[n]) /
+                         kMillisPerSecond
+                     : std::numeric_limits<double>::infinity();
+    metric.histogram.bucket.push_back({ count, bound });
+  }
+  metric.histogram.sample_count = count;
+  metric.histogram.sample_sum =
+    static_cast<double>(aHistogram.Sum()) / kMillisPerSecond;
+  family.metric.push_back(std::move(metric));
+  aFamilies.push_back(std::move(family));
+}
+
+MetricsServer::MetricsServer(boost::asio::io_context& aContext,
+                             std::function<daemon::Families()> aCollect)
+  : mCollect(std::move(aCollect))
+  , mServer(aContext,
+            LimitsForScrapes(),
+            [this](http::Request aRequest, http::Responder aRespond) {
+              http::Response response;
+              if (aRequest.target == "/metrics") {
+                daemon::MetricBoard board;
+                board.Publish("process", mCollect());
+                response.headers.Set("Content-Type",
+                                     "text/plain; version=0.0.4");
+                response.body = board.Render();
+              } else {
+                response.status = 404;
+              }
+              aRespond(std::move(response));
+            })
+{
+}
+
+std::error_code
+MetricsServer::Listen(const http::Endpoint& aEndpoint)
+{
+  return mServer.Listen(aEndpoint).Error();
+}
+
+} // namespace limpetwood::fleetd
