Grant no lease to a worker that does not answer

Ruled out: lost ends, a lost report of the departure (such workers end without one). The test fails before.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -673,7 +673,9 @@
   if (mayWait) {
     renew.wait = urgent ? mOptions.urgentWait : mOptions.renewWait;
   }
-  if (aLink.ClockFloor(aNow) && aLink.suspects.empty()) {
+  // A lease that is sent may be in force from then on, so none is sent to a
+  // worker that does not answer; its runs could never be given up.
+  if (aLink.ClockFloor(aNow) && aLink.suspects.empty() && aLink.reachable) {
     renew.leaseUntil = aLink.GrantUntil(aNow, mOptions.lease);
   }
   aLink.renewInFlight = true;
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -51,6 +51,25 @@
   EXPECT_FALSE(fleet.IsActive(start));
 }
 
+// Guards against leases that are extended in vain: renewals that a lost worker
+// does not answer used to put off the end of its lease for ever.
+TEST(Dispatcher, LostWorkerLosesItsRunsWhenTheLeaseIsOver)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Millis limit = fleet.Options().lease + Seconds(4);
+  for (Millis at; at < limit; at += Millis(100)) {
+    fleet.Advance(Millis(100));
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      fleet.Answer(it, OrderResult::Outcome::kNoAnswer);
+    }
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+}
+
 // Guards against losing an end: a worker forgets what was acknowledged, so the
 // end must be in the replicated state first.
 TEST(Dispatcher, EndsAreAcknowledgedOnlyAfterTheirCommit)
