Plan and look at workers only when something is due

Now each worker has a time at which it is looked at, passes are 15 ms apart at least, the runs of a worker are read once a pass, and a step that is no smaller than one that found no room is not tried again.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -23,6 +23,10 @@
 constexpr int32_t kAllDone = 100;
 // At most one of so many workers is left out for its failures.
 constexpr size_t kMostExcludedPart = 2;
+// Each worker is looked at this often, for stalls and the ends of leases.
+constexpr Millis kLookInterval(250);
+// Shortest time between two plans, which bounds their share of the processor.
+constexpr Millis kPlanPause(15);
 // Plans are made at least this often while units wait.
 constexpr Millis kPlanInterval(250);
 
@@ -69,6 +73,7 @@
                           .resolvedAt = aNow };
   }
   mHealth.Forget(report.id);
+  WakeWorker(report.id, aNow);
   return mLinks.insert_or_assign(report.id, std::move(fresh)).first->second;
 }
 
@@ -104,10 +109,9 @@
     }
     link.sequence = aReport.sequence;
     link.draining = aReport.draining;
+    mPlanDue = mPlanDue || !IsUsable(aReport.id, aNow);
     link.lastHeard = aNow;
     link.OnClock(aReport.clock, aNow);
-    mPlanDue = true;
-    WakeAt(aNow);
     const WorkerReport& held = known->report;
     if (held.draining == aReport.draining &&
         held.capacity == aReport.capacity && held.address == aReport.address &&
@@ -173,7 +177,8 @@
     return;
   }
   WorkerLink& link = LinkOf(*worker, aNow);
-  WakeAt(aNow);
+  bool usable = IsUsable(aOrder.worker, aNow);
+  WakeWorker(aOrder.worker, aNow);
   if (aOrder.kind == Order::Kind::kRenew) {
     link.renewInFlight = false;
   }
@@ -189,7 +194,6 @@
     link.renewDue = std::max(link.renewDue, aNow + kRetryPause);
   } else {
     link.lastHeard = aNow;
-    mPlanDue = true;
   }
   if (aResult.clock) {
     link.OnClock(*aResult.clock, aNow);
@@ -220,6 +224,7 @@
       }
       break;
   }
+  mPlanDue = mPlanDue || usable != IsUsable(aOrder.worker, aNow);
 }
 
 void
@@ -455,6 +460,8 @@
     if (link == mLinks.end()) {
       continue;
     }
+    WakeWorker(worker, aNow);
+    WakeGang(run, aNow);
     link->second.runs.erase(run);
     link->second.openEnds.erase(run);
     if (link->second.openEnds.empty()) {
@@ -477,6 +484,41 @@
   WakeAt(aNow);
 }
 
+void
+Dispatcher::OnJobEnded(const JobId& aJob, Millis aNow)
+{
+  mPlanDue = true;
+  const Job* job = mState.FindJob(aJob);
+  if (job == nullptr) {
+    return;
+  }
+  for (const Occurrence& occurrence : job->occurrences) {
+    for (const Step& step : occurrence.steps) {
+      WakeStep(step, aNow);
+    }
+  }
+}
+
+void
+Dispatcher::WakeGang(const RunRef& aRun, Millis aNow)
+{
+  const Job* job = mState.FindJob(aRun.task.job);
+  if (job != nullptr && job->spec.steps[aRun.task.step].gang) {
+    WakeStep(job->occurrences[aRun.task.occurrence].steps[aRun.task.step],
+             aNow);
+  }
+}
+
+void
+Dispatcher::WakeStep(const Step& aStep, Millis aNow)
+{
+  for (const Task& it : aStep.tasks) {
+    if (it.phase == Task::Phase::kActive) {
+      WakeWorker(it.worker, aNow);
+    }
+  }
+}
+
 void
 Dispatcher::LearnFrom(const WorkerId& aWorker, const RunRef& aRun, Millis aNow)
 {
@@ -520,21 +562,49 @@
     start.leaseUntil = link.GrantUntil(aNow, mOptions.lease);
     mOrders.push_back(std::move(start));
     link.renewDue = std::min(link.renewDue, aNow);
+    WakeWorker(id, aNow);
     ++mCounters.starts;
   }
 }
 
+void
+Dispatcher::WakeWorker(const WorkerId& aWorker, Millis aTime)
+{
+  auto [it, inserted] = mWorkerDue.try_emplace(aWorker, aTime);
+  if (!inserted) {
+    if (it->second <= aTime) {
+      return;
+    }
+    mDue.erase({ it->second, aWorker });
+    it->second = aTime;
+  }
+  mDue.emplace(aTime, aWorker);
+  WakeAt(aTime);
+}
+
 void
 Dispatcher::Tick(Millis aNow, Millis aWallNow)
 {
   mNextTick = aNow + mOptions.heartbeat;
-  for (const auto& [id, worker] : mState.Workers()) {
-    TickWorker(worker, LinkOf(worker, aNow), aNow);
+  std::vector<WorkerId> due;
+  while (!mDue.empty() && mDue.begin()->first <= aNow) {
+    due.push_back(mDue.begin()->second);
+    mWorkerDue.erase(due.back());
+    mDue.erase(mDue.begin());
+  }
+  for (const WorkerId& it : due) {
+    if (const Worker* worker = mState.FindWorker(it)) {
+      TickWorker(*worker, LinkOf(*worker, aNow), aNow);
+    }
   }
-  if (!mStartsProposed && (mPlanDue || aNow >= mNextPlan)) {
+  bool planDue = (mPlanDue && aNow >= mEarliestPlan) || aNow >= mNextPlan;
+  if (!mStartsProposed && planDue) {
     RunPlan(aNow, aWallNow);
   }
-  WakeAt(mNextPlan);
+  WakeAt(mPlanDue ? std::max(mEarliestPlan, aNow + Millis(1)) : mNextPlan);
+  if (!mDue.empty()) {
+    WakeAt(mDue.begin()->first);
+  }
 }
 
 void
@@ -550,6 +620,7 @@
   if (aWorker.active.empty() && aNow - aLink.lastHeard > kForgetAfter) {
     ProposeGone(aWorker);
   }
+  WakeWorker(aWorker.report.id, aNow + kLookInterval);
 }
 
 void
@@ -632,7 +703,7 @@
       view.stopSentAt = aNow;
       SendStop(aWorker, run, aNow);
     }
-    WakeAt(view.stopSentAt + pause);
+    WakeWorker(aWorker.report.id, view.stopSentAt + pause);
   }
   for (const RunRef& it : aLink.suspects) {
     if (aLink.reachable) {
@@ -651,7 +722,7 @@
     return;
   }
   if (aNow < aLink.renewDue) {
-    WakeAt(aLink.renewDue);
+    WakeWorker(aWorker.report.id, aLink.renewDue);
     return;
   }
   // Ends that are on their way to the log would be listed again.
@@ -711,7 +782,6 @@
     auto& into = mHealth.IsExcluded(id, aNow) ? excluded : out;
     into.push_back({ .id = id,
                      .service = worker.report.service,
-                     .rack = worker.report.rack,
                      .report = &worker.report,
                      .room = worker.report.capacity - worker.used,
                      .suspicion = mHealth.SuspicionOf(id, aNow) });
@@ -720,6 +790,7 @@
   if (excluded.size() > out.size() / kMostExcludedPart) {
     std::move(excluded.begin(), excluded.end(), std::back_inserter(out));
   }
+  NumberRacks(out);
   return out;
 }
 
@@ -774,6 +845,7 @@
 {
   ++mCounters.passes;
   mPlanDue = false;
+  mEarliestPlan = aNow + kPlanPause;
   FleetView view{ .state = &mState,
                   .candidates = Candidates(aNow),
                   .costOf =
@@ -818,9 +890,9 @@
               "percent=" + std::to_string(it->second.progress.Percent()));
     }
   }
-  if (!plan.victims.empty()) {
-    for (const auto& [id, worker] : mState.Workers()) {
-      StopRuns(worker, LinkOf(worker, aNow), aNow);
+  for (const auto& [worker, run] : plan.victims) {
+    if (const Worker* found = mState.FindWorker(worker)) {
+      StopRuns(*found, LinkOf(*found, aNow), aNow);
     }
   }
 }
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -40,7 +40,7 @@
   // How long a worker may delay the answer to a renewal.
   Millis renewWait = Millis(1500);
   // The same where an urgent run is active, so that its progress is seen.
-  Millis urgentWait = Millis(500);
+  Millis urgentWait = Millis(600);
   // Interval at which workers report.
   Millis heartbeat = Millis(1500);
   // Longest time that a stop may take.
@@ -87,6 +87,8 @@
   void OnCommitted(const gen::Command& aCommand, Millis aNow);
   // The state changed in another way.
   void OnChanged() { mPlanDue = true; }
+  // Runs of the job that are still active must be stopped.
+  void OnJobEnded(const JobId& aJob, Millis aNow);
 
   void Tick(Millis aNow, Millis aWallNow);
   Millis NextTick() const { return mNextTick; }
@@ -158,6 +160,11 @@
                const WorkerId& aWorker,
                const RunRef& aRun,
                std::string aDetail);
+  // The workers of the other members of a gang, or of a step.
+  void WakeGang(const RunRef& aRun, Millis aNow);
+  void WakeStep(const Step& aStep, Millis aNow);
+  // The worker is looked at by the tick at `aTime`, or by an earlier one.
+  void WakeWorker(const WorkerId& aWorker, Millis aTime);
   void WakeAt(Millis aTime) { mNextTick = std::min(mNextTick, aTime); }
 
   const DispatcherOptions mOptions;
@@ -168,6 +175,9 @@
   Forecast mForecast;
   // One for each worker of the state, with its incarnation.
   std::map<WorkerId, WorkerLink> mLinks;
+  // When each worker is to be looked at next.
+  std::map<WorkerId, Millis> mWorkerDue;
+  std::set<std::pair<Millis, WorkerId>> mDue;
   gen::Command mCommand;
   // Ends in `mCommand` or on their way to the log.
   std::set<RunRef> mProposedEnds;
@@ -178,6 +188,9 @@
   // for them, so that room is never given twice.
   bool mStartsProposed = false;
   bool mPlanDue = true;
+  // The next plan is made at `mNextPlan`, or from `mEarliestPlan` on if
+  // something changed.
+  Millis mEarliestPlan;
   Millis mNextPlan;
   size_t mBlocked = 0;
   Millis mNextTick;
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -512,6 +512,7 @@
         }
         break;
       case Change::Kind::kJobEnded:
+        mDispatcher->OnJobEnded(it.run.task.job, mNow);
         if (const Job* job = mState.FindJob(it.run.task.job)) {
           mCounters.jobsCompleted += job->status == JobStatus::kCompleted;
           mCounters.jobsFailed += job->status == JobStatus::kFailed;
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -60,18 +60,28 @@
 SortFullestFirst(std::vector<Fit>& aFits,
                  const std::vector<Candidate>& aCandidates)
 {
-  std::map<RackId, int64_t> racks;
+  std::vector<int64_t> racks;
   for (const Candidate& it : aCandidates) {
+    racks.resize(std::max<size_t>(racks.size(), it.rack + 1));
     racks[it.rack] += it.room.accelerators;
   }
-  auto key = [&](const Fit& aFit) {
-    const Candidate& it = aCandidates[aFit.candidate];
-    return std::make_tuple(
-      it.suspicion, FreeShare(it), racks[it.rack], aFit.candidate);
-  };
-  std::sort(aFits.begin(), aFits.end(), [&](const Fit& x, const Fit& y) {
-    return key(x) < key(y);
+  using Key = std::tuple<int, int64_t, int64_t, size_t>;
+  std::vector<std::pair<Key, Fit>> order;
+  order.reserve(aFits.size());
+  for (const Fit& it : aFits) {
+    const Candidate& candidate = aCandidates[it.candidate];
+    order.emplace_back(Key{ candidate.suspicion,
+                            FreeShare(candidate),
+                            racks[candidate.rack],
+                            it.candidate },
+                       it);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& x, const auto& y) {
+    return x.first < y.first;
   });
+  for (size_t n = 0; n < order.size(); ++n) {
+    aFits[n] = order[n].second;
+  }
 }
 
 std::vector<size_t>
@@ -92,10 +102,16 @@
                const std::vector<Candidate>& aCandidates,
                const std::vector<Fit>& aFits)
 {
-  std::map<RackId, std::vector<Fit>> racks;
+  std::map<uint32_t, std::vector<Fit>> racks;
+  std::map<uint32_t, uint32_t> fit;
   for (const Fit& it : aFits) {
-    racks[aCandidates[it.candidate].rack].push_back(it);
+    uint32_t rack = aCandidates[it.candidate].rack;
+    racks[rack].push_back(it);
+    fit[rack] += it.tasks;
   }
+  std::erase_if(racks, [&](const auto& aEntry) {
+    return fit[aEntry.first] < aRequest.tasks;
+  });
   std::vector<size_t> best;
   std::tuple<bool, int, int64_t> bestKey;
   for (auto& [rack, fits] : racks) {
@@ -112,7 +128,8 @@
     for (const Fit& it : fits) {
       room += aCandidates[it.candidate].room.accelerators;
     }
-    bool away = !aRequest.step->rack.empty() && rack != aRequest.step->rack;
+    const RackId& name = aCandidates[chosen.front()].report->rack;
+    bool away = !aRequest.step->rack.empty() && name != aRequest.step->rack;
     auto key = std::make_tuple(away, suspicion, room);
     if (best.empty() || key < bestKey) {
       best = std::move(chosen);
@@ -124,6 +141,16 @@
 
 } // namespace
 
+void
+NumberRacks(std::vector<Candidate>& aCandidates)
+{
+  std::map<RackId, uint32_t> numbers;
+  for (Candidate& it : aCandidates) {
+    auto number = static_cast<uint32_t>(numbers.size());
+    it.rack = numbers.try_emplace(it.report->rack, number).first->second;
+  }
+}
+
 bool
 MayRun(const StepSpec& aStep,
        const ServiceId& aService,
@@ -168,7 +195,7 @@
   SortFullestFirst(fits, aCandidates);
   if (!step.rack.empty()) {
     std::stable_partition(fits.begin(), fits.end(), [&](const Fit& it) {
-      return aCandidates[it.candidate].rack == step.rack;
+      return aCandidates[it.candidate].report->rack == step.rack;
     });
   }
   std::vector<size_t> out = Fill(fits, aRequest.tasks);
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -21,7 +21,8 @@
 {
   WorkerId id{};
   ServiceId service{};
-  RackId rack{};
+  // Numbers the racks of a view from 0.
+  uint32_t rack = 0;
   const WorkerReport* report = nullptr;
   // Never negative in any part.
   Resources room{};
@@ -40,6 +41,10 @@
   bool maySpread = false;
 };
 
+// Gives the candidates of equal racks equal numbers.
+void
+NumberRacks(std::vector<Candidate>& aCandidates);
+
 // Indexes into `aCandidates`, one for each task, or fewer if not all fit.
 // Tasks of a gang are placed all or not at all.
 std::vector<size_t>
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -70,6 +70,29 @@
 
 } // namespace
 
+const std::vector<RunOutlook>&
+FleetView::RunsOf(const WorkerId& aWorker) const
+{
+  auto [it, inserted] = outlook.try_emplace(aWorker);
+  if (!inserted) {
+    return it->second;
+  }
+  for (const RunRef& run : state->FindWorker(aWorker)->active) {
+    const Job* job = state->FindJob(run.task.job);
+    it->second.push_back({ .run = run,
+                           .job = job,
+                           .need = job->spec.steps[run.task.step].Counted(),
+                           .rest = restOf(aWorker, run),
+                           .cost = costOf(aWorker, run) });
+  }
+  std::sort(it->second.begin(),
+            it->second.end(),
+            [](const RunOutlook& x, const RunOutlook& y) {
+              return x.rest < y.rest;
+            });
+  return it->second;
+}
+
 Millis
 LongestChain(const Job& aJob, const Forecast& aForecast)
 {
@@ -141,13 +164,20 @@
   }
   mWaitingSince = std::move(waiting);
   int64_t reserved = 0;
+  size_t made = 0;
+  mFailed.clear();
   for (const Unit& it : units) {
-    if (PlaceUnit(it, aView, plan)) {
+    if (!IsHopeless(it) && PlaceUnit(it, aView, plan)) {
       mReclaims.erase(it.job->id);
       continue;
     }
+    mFailed.push_back({ &it });
     ++plan.blocked;
     auto held = mReclaims.find(it.job->id);
+    if (held == mReclaims.end() && made >= mOptions.mostReservations) {
+      continue;
+    }
+    ++made;
     if (it.job->priority == 0 && held == mReclaims.end() &&
         !EndsInTime(it, aView)) {
       ReclaimFor(it, aView, plan);
@@ -159,9 +189,30 @@
       Reserve(it, aView, reserved);
     }
   }
+  mFailed.clear();
   return plan;
 }
 
+bool
+Planner::IsHopeless(const Unit& aUnit) const
+{
+  const StepSpec& step = aUnit.Spec();
+  return std::any_of(
+    mFailed.begin(), mFailed.end(), [&](const FailedShape& aFailed) {
+      const StepSpec& failed = aFailed.unit->Spec();
+      bool needsMore = failed.Counted().FitsIn(step.Counted());
+      // Single tasks start one by one; a gang needs room for all.
+      bool asMany = !failed.gang ||
+                    (step.gang &&
+                     step.rackSensitive == failed.rackSensitive &&
+                     aUnit.tasks.size() >= aFailed.unit->tasks.size());
+      bool asPicky = failed.label.empty() || failed.label == step.label;
+      bool unlimited = failed.perWorkerLimit == 0;
+      return aFailed.unit->job->service == aUnit.job->service && needsMore &&
+             asMany && asPicky && unlimited;
+    });
+}
+
 void
 Planner::KeepRoom(const std::vector<WorkerId>& aWorkers, FleetView& aView)
 {
@@ -284,19 +335,20 @@
     return false;
   }
   auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
-  std::map<RackId, uint32_t> fit;
+  std::vector<uint32_t> fit;
   int64_t idle = 0;
   int64_t all = 0;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(step, aUnit.job->service, *it.report)) {
       continue;
     }
+    fit.resize(std::max<size_t>(fit.size(), it.rack + 1));
     fit[it.rack] += TasksThatFit(step, it.report->capacity, tasks);
     idle += it.room.accelerators;
     all += it.report->capacity.accelerators;
   }
   bool neverFits = std::all_of(
-    fit.begin(), fit.end(), [&](const auto& it) { return it.second < tasks; });
+    fit.begin(), fit.end(), [&](uint32_t it) { return it < tasks; });
   auto since = mWaitingSince.find(KeyOf(aUnit));
   bool waited = since != mWaitingSince.end() &&
                 aView.now - since->second >= mOptions.spreadAfter;
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -34,6 +34,9 @@
   Millis spreadAfter = Millis(1500);
   // Part of the fleet's accelerators that is kept for gangs without room.
   double reservedShare = 0.4;
+  // Steps without room for which room is made or kept in one pass; the others
+  // wait behind them anyway.
+  size_t mostReservations = 16;
   // A result this many times later than its objective is worth nothing.
   int64_t worthlessAfter = 3;
   // An urgent unit beyond its workspace's guarantee stops others only if they
@@ -54,16 +57,31 @@
   uint32_t restarts = 0;
 };
 
+// A run on a worker as the planner sees it.
+struct RunOutlook
+{
+  RunRef run{};
+  const Job* job = nullptr;
+  Resources need{};
+  Millis rest{};
+  RunCost cost{};
+};
+
 struct FleetView
 {
   const FleetState* state = nullptr;
   std::vector<Candidate> candidates{};
-  std::function<RunCost(const WorkerId&, const RunRef&)> costOf;
+  std::function<RunCost(const WorkerId&, const RunRef&)> costOf{};
   // Expected rest of a run.
-  std::function<Millis(const WorkerId&, const RunRef&)> restOf;
+  std::function<Millis(const WorkerId&, const RunRef&)> restOf{};
   const Forecast* forecast = nullptr;
   Millis now{};
   Millis wallNow{};
+  // Filled by `RunsOf`.
+  mutable std::map<WorkerId, std::vector<RunOutlook>> outlook{};
+
+  // The runs on a worker, those that end first in front.
+  const std::vector<RunOutlook>& RunsOf(const WorkerId& aWorker) const;
 };
 
 struct PlannedStart
@@ -117,7 +135,11 @@
   };
 
   std::vector<Unit> CollectUnits(const FleetView& aView, Plan& aPlan) const;
+  // False if some tasks found no room.
   bool PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+  // Whether a unit of at most this shape failed in this pass already; room only
+  // shrinks during a pass.
+  bool IsHopeless(const Unit& aUnit) const;
   void ReclaimFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   // Whether the urgent jobs of the unit's workspace need no more than its
   // guarantee.
@@ -147,6 +169,12 @@
 
   PlannerOptions mOptions;
   std::map<JobId, Reclaim> mReclaims;
+  // Shapes that found no room in the present pass.
+  struct FailedShape
+  {
+    const Unit* unit = nullptr;
+  };
+  std::vector<FailedShape> mFailed;
   // Since when units that could start have waited.
   std::map<UnitKey, Millis> mWaitingSince;
 };
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -31,25 +31,26 @@
 VictimsOn(const WorkerId& aWorker, int32_t aPriority, const FleetView& aView)
 {
   std::vector<Victim> out;
-  for (const RunRef& it : aView.state->FindWorker(aWorker)->active) {
-    const Job& job = *aView.state->FindJob(it.task.job);
-    RunCost cost = aView.costOf(aWorker, it);
-    if (!cost.stopping && job.priority <= aPriority) {
+  for (const RunOutlook& it : aView.RunsOf(aWorker)) {
+    if (!it.cost.stopping && it.job->priority <= aPriority) {
       continue;
     }
-    const StepSpec& step = job.spec.steps[it.task.step];
+    const TaskRef& task = it.run.task;
+    const StepSpec& step = it.job->spec.steps[task.step];
     uint32_t members = step.gang ? step.tasks : 1;
-    double lost = static_cast<double>(cost.lost.Count()) / 1000;
-    out.push_back({ .run = it,
-                    .need = step.Counted(),
-                    .group = { job.id,
-                               it.task.occurrence,
-                               it.task.step,
-                               step.gang ? 0 : it.task.index },
-                    .cost = cost.stopping ? 0
-                                          : WeightOf(step.need) * members *
-                                              lost * (1 + cost.restarts),
-                    .stopping = cost.stopping });
+    double lost = static_cast<double>(it.cost.lost.Count()) / 1000;
+    out.push_back(
+      { .run = it.run,
+        .need = it.need,
+        .group = { task.job,
+                   task.occurrence,
+                   task.step,
+                   step.gang ? 0 : task.index },
+        .cost = it.cost.stopping
+                  ? 0
+                  : WeightOf(step.need) * members * lost *
+                      (1 + it.cost.restarts),
+        .stopping = it.cost.stopping });
   }
   std::sort(out.begin(), out.end(), [](const Victim& x, const Victim& y) {
     return x.cost < y.cost;
@@ -184,13 +185,13 @@
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
   bool oneRack = aRequest.step->rackSensitive && aRequest.tasks > 1;
-  std::map<RackId, std::vector<Offer>> groups;
+  std::map<uint32_t, std::vector<Offer>> groups;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
       continue;
     }
     if (auto offer = OfferOf(aRequest, it, aView)) {
-      groups[oneRack ? it.rack : RackId()].push_back(std::move(*offer));
+      groups[oneRack ? it.rack : 0].push_back(std::move(*offer));
     }
   }
   std::optional<ReclaimChoice> best;
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -30,18 +30,9 @@
   if (out.tasks > 0) {
     return out;
   }
-  std::vector<std::pair<Millis, Resources>> ends;
-  for (const RunRef& it : aView.state->FindWorker(aCandidate.id)->active) {
-    const Job& job = *aView.state->FindJob(it.task.job);
-    ends.emplace_back(aView.restOf(aCandidate.id, it),
-                      job.spec.steps[it.task.step].Counted());
-  }
-  std::sort(ends.begin(), ends.end(), [](const auto& x, const auto& y) {
-    return x.first < y.first;
-  });
-  for (const auto& [rest, need] : ends) {
-    room += need;
-    out.wait = rest;
+  for (const RunOutlook& it : aView.RunsOf(aCandidate.id)) {
+    room += it.need;
+    out.wait = it.rest;
     out.tasks = TasksThatFit(*aRequest.step, room, limit);
     if (out.tasks > 0) {
       return out;
@@ -57,13 +48,13 @@
 {
   bool oneRack = aRequest.step->rackSensitive && aRequest.tasks > 1 &&
                  !aRequest.maySpread;
-  std::map<RackId, std::vector<Opening>> groups;
+  std::map<uint32_t, std::vector<Opening>> groups;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
       continue;
     }
     if (auto opening = OpeningOf(aRequest, it, aView)) {
-      groups[oneRack ? it.rack : RackId()].push_back(std::move(*opening));
+      groups[oneRack ? it.rack : 0].push_back(std::move(*opening));
     }
   }
   std::optional<ReservationChoice> best;
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -10,6 +10,8 @@
 
 constexpr FencingToken kToken(7);
 const ServiceId kService("service");
+// Longer than the shortest pause between two plans.
+constexpr Millis kPlanTime(20);
 
 } // namespace
 
@@ -97,7 +99,7 @@
   command.jobs.push_back(std::move(job));
   mState.Apply(command);
   mDispatcher.OnChanged();
-  Settle();
+  Advance(kPlanTime);
 }
 
 std::vector<Order>
