Plan membership changes in a module of its own; add a soak of the real programs

Also: a bounded log that never blocks, exits that wait for no thread, a bind address apart from the instance's own.

--- a/packages/daemon/log.cc
+++ b/packages/daemon/log.cc
@@ -1,5 +1,7 @@
 #include "daemon/log.h"
 
+#include "daemon/bounded_appender.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -37,6 +39,17 @@
   return log4cplus::Logger::getInstance("limpetwood");
 }
 
+// A few lines for each request at the design size of one instance.
+constexpr int64_t kLinesPerSecond = 400;
+
+void
+Attach(log4cplus::SharedAppenderPtr aAppender, const InstanceId& aInstance)
+{
+  aAppender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+    "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p " + aInstance.Value() + " %m%n"));
+  TheLogger().addAppender(aAppender);
+}
+
 } // namespace
 
 void
@@ -49,11 +62,18 @@
   } else {
     appender = new log4cplus::ConsoleAppender(true, true);
   }
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-    "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p " + aInstance.Value() + " %m%n"));
-  log4cplus::Logger logger = TheLogger();
-  logger.addAppender(appender);
-  logger.setLogLevel(ToLog4cplus(aSettings.level));
+  Attach(appender, aInstance);
+  TheLogger().setLogLevel(ToLog4cplus(aSettings.level));
+}
+
+void
+OpenBoundedLog(const InstanceId& aInstance)
+{
+  static log4cplus::Initializer sInitializer;
+  log4cplus::setThreadPoolSize(1);
+  Attach(log4cplus::SharedAppenderPtr(new BoundedAppender(kLinesPerSecond)),
+         aInstance);
+  TheLogger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
 
 void
--- a/packages/daemon/log.h
+++ b/packages/daemon/log.h
@@ -12,6 +12,11 @@
 void
 OpenLog(const model::LogSettings& aSettings, const InstanceId& aInstance);
 
+// The same with lines to standard output that never wait for their reader and
+// whose rate is bounded.
+void
+OpenBoundedLog(const InstanceId& aInstance);
+
 void
 LogInfo(const std::string& aLine);
 void
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -38,7 +38,9 @@
     return daemon::kExitOk;
   }
   if (given.contains("platform")) {
-    return platform::Run();
+    return platform::Run(given.contains("settings")
+                           ? given["settings"].as<std::string>()
+                           : std::string());
   }
   if (!given.contains("settings")) {
     std::cerr << "limpetwoodd: --settings is required\n" << description;
--- a/packages/e2e/relay.cc
+++ b/packages/e2e/relay.cc
@@ -93,16 +93,20 @@
 class Relay : public std::enable_shared_from_this<Relay>
 {
 public:
-  Relay(asio::io_context& aContext, const http::Endpoint& aTarget)
+  Relay(asio::io_context& aContext,
+        const http::Endpoint& aTarget,
+        const http::Endpoint& aListen)
     : mContext(aContext)
-    , mAcceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    , mAcceptor(aContext,
+                { asio::ip::make_address(aListen.address), aListen.port })
     , mTarget(asio::ip::make_address(aTarget.address), aTarget.port)
   {
   }
 
   http::Endpoint Address() const
   {
-    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+    tcp::endpoint local = mAcceptor.local_endpoint();
+    return { local.address().to_string(), local.port() };
   }
 
   void Accept()
@@ -185,9 +189,9 @@
 }
 
 size_t
-RelayThread::Add(const http::Endpoint& aTarget)
+RelayThread::Add(const http::Endpoint& aTarget, const http::Endpoint& aListen)
 {
-  auto relay = std::make_shared<Relay>(mContext, aTarget);
+  auto relay = std::make_shared<Relay>(mContext, aTarget, aListen);
   mRelays.push_back(relay);
   asio::post(mContext, [relay] { relay->Accept(); });
   return mRelays.size() - 1;
--- a/packages/e2e/relay.h
+++ b/packages/e2e/relay.h
@@ -38,9 +38,10 @@
   RelayThread(const RelayThread&) = delete;
   RelayThread& operator=(const RelayThread&) = delete;
 
-  // Listens on 127.0.0.1 and forwards to `aTarget`. Returns the number of the
+  // Listens on `aListen` and forwards to `aTarget`. Returns the number of the
   // relay.
-  size_t Add(const http::Endpoint& aTarget);
+  size_t Add(const http::Endpoint& aTarget,
+             const http::Endpoint& aListen = { "127.0.0.1", 0 });
 
   http::Endpoint AddressOf(size_t aRelay) const;
   void SetMode(size_t aRelay, RelayMode aMode);
--- /dev/null
+++ b/packages/fleet/membership_plan_test.cc
@@ -0,0 +1,113 @@
+#include "fleet/membership_plan.h"
+
+#include <gtest/gtest.h>
+
+namespace limpetwood::fleet {
+namespace {
+
+using replication::DiskId;
+using replication::GroupStatus;
+using replication::Member;
+using replication::MembershipChange;
+using replication::PeerStatus;
+
+constexpr Millis kNow(100'000);
+
+Member
+MemberOf(const std::string& aInstance, uint64_t aDisk = 1)
+{
+  return { .instance = InstanceId(aInstance), .disk = DiskId(aDisk) };
+}
+
+// A leader "a" with these other members.
+GroupStatus
+StatusOf(std::vector<PeerStatus> aPeers)
+{
+  GroupStatus out;
+  out.self = MemberOf("a");
+  out.membership.voters.push_back(out.self);
+  for (const PeerStatus& it : aPeers) {
+    (it.voter ? out.membership.voters : out.membership.learners)
+      .push_back(it.member);
+  }
+  out.peers = std::move(aPeers);
+  return out;
+}
+
+PeerStatus
+Peer(const Member& aMember, bool aVoter, Millis aSilent = Millis(100))
+{
+  return { .member = aMember,
+           .voter = aVoter,
+           .match = 10,
+           .lastHeard = kNow - aSilent };
+}
+
+TEST(MembershipPlan, NothingIsDueWhileAllAreHeard)
+{
+  auto status = StatusOf(
+    { Peer(MemberOf("b"), true), Peer(MemberOf("c"), true) });
+  EXPECT_FALSE(NextMembershipStep(status, {}, kNow));
+}
+
+TEST(MembershipPlan, ApplicantIsAdmittedThenPromoted)
+{
+  auto status = StatusOf(
+    { Peer(MemberOf("b"), true), Peer(MemberOf("c"), true) });
+  status.applicants.push_back(MemberOf("d"));
+  auto step = NextMembershipStep(status, {}, kNow);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->change, MembershipChange::kAddLearner);
+  status = StatusOf({ Peer(MemberOf("b"), true),
+                      Peer(MemberOf("c"), true),
+                      Peer(MemberOf("d"), false) });
+  step = NextMembershipStep(status, {}, kNow);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->change, MembershipChange::kPromote);
+}
+
+// Without a replacement the group would lose what it can bear.
+TEST(MembershipPlan, SilentVoterStaysWhileItIsNeeded)
+{
+  auto status = StatusOf(
+    { Peer(MemberOf("b"), true), Peer(MemberOf("c"), true, Seconds(60)) });
+  EXPECT_FALSE(NextMembershipStep(status, {}, kNow));
+}
+
+TEST(MembershipPlan, SilentVoterGoesOnceOthersSuffice)
+{
+  auto status = StatusOf({ Peer(MemberOf("b"), true),
+                           Peer(MemberOf("c"), true, Seconds(60)),
+                           Peer(MemberOf("d"), true) });
+  auto step = NextMembershipStep(status, {}, kNow);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->change, MembershipChange::kRemove);
+  EXPECT_EQ(step->member, MemberOf("c"));
+}
+
+// An instance that came back with an empty disk is two members for a while; the
+// new one was once removed in favour of the old one, again and again.
+TEST(MembershipPlan, OldDiskOfAnInstanceGoesNotTheNewOne)
+{
+  auto status = StatusOf({ Peer(MemberOf("b"), true),
+                           Peer(MemberOf("c", 1), true, Millis(900)),
+                           Peer(MemberOf("c", 2), true, Millis(50)) });
+  auto step = NextMembershipStep(status, {}, kNow);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->change, MembershipChange::kRemove);
+  EXPECT_EQ(step->member, MemberOf("c", 1));
+}
+
+TEST(MembershipPlan, NewDiskIsPromotedBeforeTheOldOneGoes)
+{
+  auto status = StatusOf({ Peer(MemberOf("b"), true),
+                           Peer(MemberOf("c", 1), true, Millis(900)),
+                           Peer(MemberOf("c", 2), false, Millis(50)) });
+  auto step = NextMembershipStep(status, {}, kNow);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->change, MembershipChange::kPromote);
+  EXPECT_EQ(step->member, MemberOf("c", 2));
+}
+
+} // namespace
+} // namespace limpetwood::fleet
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -1,6 +1,7 @@
 #include "fleet/node.h"
 
 #include "base/error.h"
+#include "fleet/membership_plan.h"
 
 #include <algorithm>
 #include <cctype>
@@ -13,10 +14,6 @@
 
 // How often the leader looks for duties that no event announces.
 constexpr Millis kDutiesInterval(200);
-// A replica that was not heard for this long is taken for lost.
-constexpr Millis kReplicaLost(2000);
-// More voters slow down every commit without adding to what may be lost.
-constexpr size_t kMostVoters = 7;
 constexpr size_t kJobIdLength = 16;
 
 bool
@@ -562,49 +559,33 @@
     return;
   }
   replication::GroupStatus status = mGroup->Status();
-  auto done = [this](ProposeOutcome) { mMembershipInFlight = false; };
-  size_t voters = status.membership.voters.size();
-  size_t needed = mOptions.tolerated * 2 + 1;
-  auto replaced = [&](const replication::Member& aMember) {
-    return std::any_of(status.peers.begin(),
-                       status.peers.end(),
-                       [&](const replication::PeerStatus& aPeer) {
-                         return aPeer.member != aMember &&
-                                aPeer.member.instance == aMember.instance;
-                       });
-  };
-  const replication::PeerStatus* lost = nullptr;
-  const replication::PeerStatus* ready = nullptr;
-  for (const replication::PeerStatus& it : status.peers) {
-    bool silent = aNow - it.lastHeard > kReplicaLost;
-    // An instance that came back with another disk is lost as it was.
-    if (silent || replaced(it.member)) {
-      bool spare = it.voter ? voters > needed : silent;
-      if (spare && (lost == nullptr || it.voter)) {
-        lost = &it;
-      }
-    }
-    if (!it.voter && !silent && !it.repairing && it.match > 0) {
-      ready = &it;
-    }
+  auto step = NextMembershipStep(
+    status, { .tolerated = mOptions.tolerated }, aNow);
+  if (!step) {
+    return;
   }
-  auto begin = [&](std::string_view aWhat, const replication::Member& aWho) {
-    mMembershipInFlight = true;
-    ++mCounters.membershipChanges;
-    mEnvironment.Log("membership_change" + Field("change", aWhat) +
-                     Field("instance", aWho.instance.Value()) +
-                     Field("voters", std::to_string(voters)));
-  };
-  if (lost != nullptr) {
-    begin("remove", lost->member);
-    mGroup->Remove(lost->member, aNow, done);
-  } else if (ready != nullptr && voters < kMostVoters) {
-    begin("promote", ready->member);
-    mGroup->Promote(ready->member, aNow, done);
-  } else if (!status.applicants.empty()) {
-    begin("admit", status.applicants.front());
-    mGroup->AddLearner(status.applicants.front(), aNow, done);
+  mMembershipInFlight = true;
+  ++mCounters.membershipChanges;
+  auto done = [this](ProposeOutcome) { mMembershipInFlight = false; };
+  std::string_view name;
+  switch (step->change) {
+    case replication::MembershipChange::kAddLearner:
+      name = "admit";
+      mGroup->AddLearner(step->member, aNow, done);
+      break;
+    case replication::MembershipChange::kPromote:
+      name = "promote";
+      mGroup->Promote(step->member, aNow, done);
+      break;
+    case replication::MembershipChange::kRemove:
+      name = "remove";
+      mGroup->Remove(step->member, aNow, done);
+      break;
   }
+  mEnvironment.Log(
+    "membership_change" + Field("change", name) +
+    Field("instance", step->member.instance.Value()) +
+    Field("voters", std::to_string(status.membership.voters.size())));
 }
 
 void
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -75,7 +75,7 @@
   peer::TransportOptions options;
   options.self = InstanceId(aSettings.address);
   uint16_t port = aSettings.firstPort + kReplicationPortOffset;
-  options.listen = { aSettings.address, port };
+  options.listen = { aSettings.bindAddress, port };
   options.undeclaredPort = port;
   options.connectTimeout = Millis(400);
   options.unacknowledgedTimeout = Millis(1500);
@@ -157,7 +157,7 @@
     return transport.Error();
   }
   uint16_t port = mSettings.firstPort + kRequestPortOffset;
-  auto server = mServer.Listen({ mSettings.address, port });
+  auto server = mServer.Listen({ mSettings.bindAddress, port });
   if (!server) {
     return server.Error();
   }
--- a/packages/fleetd/settings.cc
+++ b/packages/fleetd/settings.cc
@@ -183,6 +183,8 @@
   settings.instance = InstanceId(instance);
   settings.zone = ZoneId(zone);
   reader.Text("address", settings.address);
+  settings.bindAddress = settings.address;
+  reader.Text("bindAddress", settings.bindAddress, false);
   int64_t port = 0;
   reader.Whole("firstInternalPort", 1, 65000, port);
   settings.firstPort = static_cast<uint16_t>(port);
--- a/packages/fleetd/settings.h
+++ b/packages/fleetd/settings.h
@@ -37,8 +37,10 @@
 {
   InstanceId instance;
   ZoneId zone;
-  // The instance's own address; its internal ports are bound there.
+  // The address at which the other instances reach this one, and where its
+  // internal ports are bound. They differ behind an address translation.
   std::string address;
+  std::string bindAddress;
   // First port of the range for traffic between instances.
   uint16_t firstPort = 0;
   // Addresses of instances that serve control, as known at the start.
--- a/packages/replication/internal/formation.cc
+++ b/packages/replication/internal/formation.cc
@@ -5,7 +5,7 @@
 namespace limpetwood::replication::internal {
 namespace {
 
-constexpr Millis kHelloInterval(1000);
+constexpr Millis kHelloInterval(300);
 
 } // namespace
 
