Add an emulator in virtual time and an experiment tool for scheduling policies

The real dispatcher and planner against workers that hang, slow down, fail or leave, under the load of the deployments; compares the planner with first-come first-fit, best-fit, shortest-first and itself without reservations or reclaims.

--- /dev/null
+++ b/packages/fleet/experiment/emulator.cc
@@ -0,0 +1,495 @@
+#include "fleet/experiment/emulator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpetwood::fleet::experiment {
+
+namespace {
+
+constexpr Millis kStep(10);
+constexpr Millis kCommitTime(10);
+constexpr Millis kReportInterval(1500);
+// Slowdown of tasks that are slower across racks.
+constexpr double kRackFactor = 3;
+// A result this many times later than its objective is worth nothing.
+constexpr int64_t kWorthlessAfter = 3;
+const ServiceId kService("service");
+
+DispatcherOptions
+DispatcherOptionsFor(const EmulatorOptions& aOptions)
+{
+  DispatcherOptions out;
+  out.stopTime = aOptions.stopTime;
+  out.planner = aOptions.planner;
+  out.planner.reclaimPatience = aOptions.stopTime + Millis(600);
+  return out;
+}
+
+std::string
+JobName(uint64_t aNumber)
+{
+  std::string digits = std::to_string(aNumber);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+double
+Outcomes::Worth() const
+{
+  double earned = 0;
+  double owed = 0;
+  for (const auto& [name, it] : classes) {
+    earned += it.earned;
+    owed += it.owed;
+  }
+  return owed > 0 ? earned / owed : 0;
+}
+
+Emulator::Emulator(EmulatorOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.seed)
+  , mStopTimes(mOptions.seed + 1)
+  , mDispatcher(DispatcherOptionsFor(mOptions),
+                mState,
+                FencingToken(1),
+                mNow)
+{
+  for (size_t n = 0; n < mOptions.workers; ++n) {
+    WorkerReport report;
+    report.id = WorkerId("w" + std::to_string(n));
+    report.incarnation = Incarnation(1);
+    report.service = kService;
+    report.rack =
+      RackId("r" + std::to_string(n / mOptions.workersPerRack));
+    report.capacity = mOptions.capacity;
+    mWorkers[report.id].report = report;
+  }
+  gen::Configuration configuration;
+  configuration.version = 1;
+  gen::Workspace workspace;
+  workspace.name = "workspace";
+  workspace.guaranteedAccelerators =
+    static_cast<int64_t>(mOptions.workers) * mOptions.capacity.accelerators / 2;
+  configuration.workspaces.push_back(workspace);
+  gen::Command command;
+  command.__set_configuration(configuration);
+  mState.Apply(command);
+}
+
+Outcomes
+Emulator::Run()
+{
+  Millis end = mBegin + mOptions.length + mOptions.drain;
+  for (; mNow < end; mNow += kStep) {
+    Disturb();
+    if (mNow < mBegin + mOptions.length) {
+      Arrive();
+    }
+    for (auto& [id, worker] : mWorkers) {
+      Work(worker);
+      AnswerRenewals(worker);
+      if (worker.alive && mNow >= worker.nextReport) {
+        worker.nextReport = mNow + kReportInterval;
+        ++worker.report.sequence;
+        worker.report.clock = mNow;
+        mDispatcher.OnReport(worker.report, mNow);
+      }
+    }
+    Commit();
+    mDispatcher.Tick(mNow, mNow);
+    if (mDispatcher.HasCommand()) {
+      mProposed.emplace_back(mNow + kCommitTime, mDispatcher.TakeCommand());
+    }
+    for (const Order& it : mDispatcher.TakeOrders()) {
+      Deliver(it);
+    }
+    mDispatcher.TakeNotes();
+    mState.TakeChanges();
+    Settle();
+  }
+  for (auto& [id, job] : mJobs) {
+    if (!job.settled) {
+      ++mOutcomes.classes[job.type->name].lost;
+    }
+  }
+  return mOutcomes;
+}
+
+void
+Emulator::Arrive()
+{
+  double boost = 1;
+  for (const Disturbance& it : mOptions.disturbances) {
+    bool active = it.kind == Disturbance::Kind::kBurst &&
+                  mNow >= mBegin + it.at && mNow < mBegin + it.at + it.length;
+    boost = active ? std::max(boost, it.x) : boost;
+  }
+  for (const LoadClass& it : mOptions.classes) {
+    Millis& next = mNextArrival[it.name];
+    double rate = it.perSecond * (&it == &mOptions.classes[0] ? boost : 1);
+    while (next <= mNow) {
+      if (next > Millis(0)) {
+        SubmitJob(it);
+      }
+      double gap = -std::log(1 - mRandom.Unit()) / rate * 1000;
+      next = std::max(next, mNow) + Millis(static_cast<int64_t>(gap) + 1);
+    }
+  }
+}
+
+void
+Emulator::SubmitJob(const LoadClass& aClass)
+{
+  StepSpec step;
+  double tasks = -std::log(1 - mRandom.Unit()) * aClass.meanTasks;
+  step.tasks = static_cast<uint32_t>(
+    std::clamp(tasks, 1.0, aClass.meanTasks * 6));
+  step.gang = aClass.gang;
+  step.need = { .cpu = aClass.cpu,
+                .memoryMb = 1000,
+                .accelerators = aClass.accelerators[mRandom.Below(
+                  aClass.accelerators.size())] };
+  step.rackSensitive = mRandom.Chance(aClass.rackSensitive);
+  step.savesCheckpoints = mRandom.Chance(aClass.savesCheckpoints);
+  auto mean = static_cast<double>(aClass.work.Count());
+  Millis work(static_cast<int64_t>(mean * (0.6 + 0.8 * mRandom.Unit())));
+  // Callers' estimates are off by up to a factor of two.
+  step.estimate = Millis(static_cast<int64_t>(
+    static_cast<double>(work.Count()) * std::exp2(mRandom.Unit() * 2 - 1)));
+  JobSpec spec;
+  spec.steps = { step };
+  gen::SubmitJob job;
+  job.id = JobName(mNextJob++);
+  job.queue = aClass.name;
+  job.workspace = "workspace";
+  job.serviceId = kService.Value();
+  job.spec = ToWire(spec);
+  job.acceptedAtMs = mNow.Count();
+  job.priority = aClass.priority;
+  job.maxAttempts = static_cast<int32_t>(aClass.maxAttempts);
+  job.stretch = aClass.stretch;
+  job.targetLatencyMs = aClass.targetLatency.Count();
+  gen::Command command;
+  command.jobs.push_back(job);
+  mState.Apply(command);
+  mDispatcher.OnChanged();
+  JobInfo& info = mJobs[JobId(job.id)];
+  info.type = &aClass;
+  info.handedIn = mNow;
+  info.work = work;
+  info.objective =
+    aClass.targetLatency +
+    Millis(static_cast<int64_t>(static_cast<double>(work.Count()) *
+                                aClass.stretch));
+  info.worth = 0.3 + 0.7 * std::min(step.tasks / aClass.meanTasks, 4.0);
+  ClassOutcome& outcome = mOutcomes.classes[aClass.name];
+  ++outcome.jobs;
+  outcome.owed += aClass.worth * info.worth;
+}
+
+void
+Emulator::Disturb()
+{
+  for (const Disturbance& it : mOptions.disturbances) {
+    bool begins = mNow == mBegin + it.at;
+    bool ends = mNow == mBegin + it.at + it.length;
+    if (!begins && !ends) {
+      continue;
+    }
+    auto count = static_cast<size_t>(
+      it.share * static_cast<double>(mWorkers.size()));
+    // Evenly spread, so that the same workers heal again.
+    size_t gap = std::max<size_t>(1, mWorkers.size() / std::max<size_t>(1, count));
+    size_t n = 0;
+    for (auto& [id, worker] : mWorkers) {
+      if (n++ % gap != 0) {
+        continue;
+      }
+      switch (it.kind) {
+        case Disturbance::Kind::kBurst:
+          break;
+        case Disturbance::Kind::kHang:
+          worker.hanging = begins;
+          break;
+        case Disturbance::Kind::kSlow:
+          worker.slowdown = begins ? it.x : 1;
+          break;
+        case Disturbance::Kind::kFail:
+          worker.failing = begins;
+          break;
+        case Disturbance::Kind::kLoss:
+          if (begins) {
+            worker.alive = false;
+            while (!worker.runs.empty()) {
+              EndRun(worker,
+                     worker.runs.begin()->first,
+                     EndKind::kLost,
+                     true);
+            }
+          }
+          break;
+      }
+    }
+  }
+}
+
+void
+Emulator::Commit()
+{
+  while (!mProposed.empty() && mProposed.front().first <= mNow) {
+    gen::Command command = std::move(mProposed.front().second);
+    mProposed.erase(mProposed.begin());
+    command.atMs = mNow.Count();
+    mState.Apply(command);
+    mDispatcher.OnCommitted(command, mNow);
+  }
+}
+
+void
+Emulator::Deliver(const Order& aOrder)
+{
+  WorkerState& worker = mWorkers[aOrder.worker];
+  OrderResult result;
+  result.outcome = OrderResult::Outcome::kAnswered;
+  result.clock = mNow;
+  if (!worker.alive) {
+    result.outcome = OrderResult::Outcome::kNoAnswer;
+    result.clock.reset();
+    mDispatcher.OnResult(aOrder, result, mNow);
+    return;
+  }
+  const TaskRef& task = aOrder.run.task;
+  if (aOrder.kind == Order::Kind::kRenew) {
+    std::erase_if(worker.ended, [&](const EndedRun& aEnd) {
+      return aEnd.number <= aOrder.acknowledgedEnds;
+    });
+    worker.renewals.push_back(aOrder);
+    return;
+  }
+  auto it = worker.runs.find(task);
+  if (aOrder.kind == Order::Kind::kStop) {
+    if (it != worker.runs.end()) {
+      it->second.stopAt = std::min(
+        it->second.stopAt,
+        mNow + Millis(mStopTimes.Between(50, mOptions.stopTime.Count())));
+    }
+    mDispatcher.OnResult(aOrder, result, mNow);
+    return;
+  }
+  for (const auto& [id, other] : mWorkers) {
+    mOutcomes.violations += other.runs.contains(task) ? 1 : 0;
+  }
+  JobInfo& job = mJobs[task.job];
+  const JobSpec& spec = mState.FindJob(task.job)->spec;
+  const StepSpec& step = spec.steps[task.step];
+  worker.usedAccelerators += step.need.accelerators;
+  mOutcomes.violations +=
+    worker.usedAccelerators > mOptions.capacity.accelerators ? 1 : 0;
+  double saved =
+    aOrder.checkpoint.empty() ? 0 : std::stod(aOrder.checkpoint);
+  worker.runs[task] = { .run = aOrder.run,
+                        .spec = &spec,
+                        .startedAt = mNow,
+                        .done = saved,
+                        .work = static_cast<double>(job.work.Count()) };
+  if (!job.started) {
+    job.started = true;
+    mOutcomes.classes[job.type->name].waits.push_back(mNow - job.handedIn);
+  }
+  mDispatcher.OnResult(aOrder, result, mNow);
+}
+
+bool
+Emulator::IsPresent(const RunState& aRun) const
+{
+  const TaskRef& task = aRun.run.task;
+  const StepSpec& step = aRun.spec->steps[task.step];
+  if (!step.gang) {
+    return true;
+  }
+  for (uint32_t n = 0; n < step.tasks; ++n) {
+    TaskRef member = task;
+    member.index = n;
+    const Task* state = mState.FindTask(member);
+    if (state == nullptr || state->phase != Task::Phase::kActive) {
+      return false;
+    }
+    auto worker = mWorkers.find(state->worker);
+    if (worker == mWorkers.end() || !worker->second.runs.contains(member)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+double
+Emulator::RackFactor(const RunState& aRun) const
+{
+  const StepSpec& step = aRun.spec->steps[aRun.run.task.step];
+  if (!step.rackSensitive || !step.gang) {
+    return 1;
+  }
+  std::optional<RackId> rack;
+  for (uint32_t n = 0; n < step.tasks; ++n) {
+    TaskRef member = aRun.run.task;
+    member.index = n;
+    const Task* task = mState.FindTask(member);
+    auto worker = mWorkers.find(task->worker);
+    if (worker == mWorkers.end()) {
+      continue;
+    }
+    if (rack && *rack != worker->second.report.rack) {
+      return kRackFactor;
+    }
+    rack = worker->second.report.rack;
+  }
+  return 1;
+}
+
+void
+Emulator::EndRun(WorkerState& aWorker,
+                 const TaskRef& aTask,
+                 EndKind aKind,
+                 bool aWasted)
+{
+  RunState run = aWorker.runs.at(aTask);
+  const StepSpec& step = run.spec->steps[aTask.step];
+  aWorker.runs.erase(aTask);
+  aWorker.usedAccelerators -= step.need.accelerators;
+  double seconds =
+    static_cast<double>((mNow - run.startedAt).Count()) / 1000;
+  double used = seconds * static_cast<double>(step.need.accelerators);
+  mOutcomes.used += used;
+  bool saved = step.savesCheckpoints && aKind != EndKind::kLost;
+  mOutcomes.thrownAway += aWasted && !saved ? used : 0;
+  aWorker.ended.push_back(
+    { .number = ++aWorker.endNumber,
+      .run = run.run,
+      .kind = aKind,
+      .checkpoint = aWasted && saved ? std::to_string(run.done) : "" });
+}
+
+void
+Emulator::EndGang(const RunState& aRun, EndKind aKind)
+{
+  const TaskRef& task = aRun.run.task;
+  for (auto& [id, worker] : mWorkers) {
+    std::vector<TaskRef> members;
+    for (const auto& [member, run] : worker.runs) {
+      if (member.job == task.job && member.step == task.step &&
+          member.occurrence == task.occurrence) {
+        members.push_back(member);
+      }
+    }
+    for (const TaskRef& it : members) {
+      EndRun(worker, it, aKind, aKind != EndKind::kDone);
+    }
+  }
+}
+
+void
+Emulator::Work(WorkerState& aWorker)
+{
+  std::vector<std::pair<TaskRef, EndKind>> ends;
+  for (auto& [task, run] : aWorker.runs) {
+    if (run.stopAt <= mNow) {
+      ends.emplace_back(task, EndKind::kStopped);
+    } else if (aWorker.failing) {
+      ends.emplace_back(task, EndKind::kFailed);
+    } else if (!aWorker.hanging && IsPresent(run)) {
+      run.done += static_cast<double>(kStep.Count()) /
+                  (aWorker.slowdown * RackFactor(run));
+      if (run.done >= run.work && !run.spec->steps[task.step].gang) {
+        ends.emplace_back(task, EndKind::kDone);
+      }
+    }
+  }
+  // A gang is done once its slowest member is through.
+  for (auto& [task, run] : aWorker.runs) {
+    const StepSpec& step = run.spec->steps[task.step];
+    if (!step.gang || task.index != 0 || run.done < run.work) {
+      continue;
+    }
+    bool all = true;
+    for (const auto& [id, other] : mWorkers) {
+      for (const auto& [member, peer] : other.runs) {
+        bool same = member.job == task.job && member.step == task.step;
+        all = all && (!same || peer.done >= peer.work);
+      }
+    }
+    if (all && IsPresent(run)) {
+      ends.emplace_back(task, EndKind::kDone);
+    }
+  }
+  for (const auto& [task, kind] : ends) {
+    auto it = aWorker.runs.find(task);
+    if (it == aWorker.runs.end()) {
+      continue;
+    }
+    RunState run = it->second;
+    EndRun(aWorker, task, kind, kind != EndKind::kDone);
+    if (run.spec->steps[task.step].gang) {
+      EndGang(run, kind == EndKind::kDone ? kind : EndKind::kBroken);
+    }
+  }
+}
+
+void
+Emulator::AnswerRenewals(WorkerState& aWorker)
+{
+  auto renewals = std::exchange(aWorker.renewals, {});
+  for (const Order& it : renewals) {
+    if (aWorker.alive && aWorker.ended.empty() && mNow < it.sentAt + it.wait) {
+      aWorker.renewals.push_back(it);
+      continue;
+    }
+    OrderResult result;
+    result.outcome = aWorker.alive ? OrderResult::Outcome::kAnswered
+                                   : OrderResult::Outcome::kNoAnswer;
+    if (aWorker.alive) {
+      result.clock = mNow;
+      result.ended = aWorker.ended;
+      for (const auto& [task, run] : aWorker.runs) {
+        const StepSpec& step = run.spec->steps[task.step];
+        result.running.push_back(
+          { .run = run.run,
+            .checkpoint =
+              step.savesCheckpoints ? std::to_string(run.done) : "",
+            .percent = static_cast<int32_t>(
+              std::min(run.done / run.work, 1.0) * 100) });
+      }
+    }
+    mDispatcher.OnResult(it, result, mNow);
+  }
+}
+
+void
+Emulator::Settle()
+{
+  for (auto& [id, info] : mJobs) {
+    if (info.settled) {
+      continue;
+    }
+    const Job* job = mState.FindJob(id);
+    if (job == nullptr || !job->Ended()) {
+      continue;
+    }
+    info.settled = true;
+    ClassOutcome& outcome = mOutcomes.classes[info.type->name];
+    Millis took = mNow - info.handedIn;
+    bool done = job->status == JobStatus::kCompleted;
+    if (done && took <= info.objective) {
+      ++outcome.inTime;
+      outcome.earned += info.type->worth * info.worth;
+    } else if (done && took <= info.objective * kWorthlessAfter) {
+      ++outcome.late;
+      outcome.earned += info.type->lateWorth * info.worth;
+    } else {
+      ++outcome.lost;
+    }
+  }
+}
+
+} // namespace limpetwood::fleet::experiment
--- /dev/null
+++ b/packages/fleet/experiment/fleet_experiment.cc
@@ -0,0 +1,129 @@
+// Compares scheduling policies under load patterns in virtual time.
+//
+//   fleet_experiment [--seeds N] [--load X] [--pattern NAME]
+//
+// Prints a row for each pattern and policy: the worth earned of what was owed,
+// by class, accelerator seconds thrown away, and the wait of urgent jobs.
+
+#include "fleet/experiment/patterns.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+
+namespace {
+
+using namespace limpetwood;
+using namespace limpetwood::fleet::experiment;
+
+struct Total
+{
+  double worth = 0;
+  double thrownAway = 0;
+  double used = 0;
+  size_t violations = 0;
+  std::map<std::string, double> classes;
+  std::vector<Millis> urgentWaits;
+};
+
+Millis
+Quantile(std::vector<Millis> aTimes, size_t aPercent)
+{
+  if (aTimes.empty()) {
+    return {};
+  }
+  std::sort(aTimes.begin(), aTimes.end());
+  return aTimes[std::min(aTimes.size() * aPercent / 100, aTimes.size() - 1)];
+}
+
+Total
+RunSeeds(const std::string& aPattern,
+         const Policy& aPolicy,
+         uint64_t aSeeds,
+         double aLoad)
+{
+  Total total;
+  for (uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    for (Pattern& it : AllPatterns(seed, aLoad)) {
+      if (it.name != aPattern) {
+        continue;
+      }
+      it.options.planner = aPolicy.options;
+      Outcomes outcomes = Emulator(it.options).Run();
+      auto share = 1.0 / static_cast<double>(aSeeds);
+      total.worth += outcomes.Worth() * share;
+      total.thrownAway += outcomes.thrownAway * share;
+      total.used += outcomes.used * share;
+      total.violations += outcomes.violations;
+      for (const auto& [name, outcome] : outcomes.classes) {
+        total.classes[name] += outcome.earned / outcome.owed * share;
+      }
+      const auto& waits = outcomes.classes["check"].waits;
+      total.urgentWaits.insert(
+        total.urgentWaits.end(), waits.begin(), waits.end());
+    }
+  }
+  return total;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  namespace options = boost::program_options;
+  options::options_description description("fleet_experiment");
+  auto add = description.add_options();
+  add("seeds", options::value<uint64_t>()->default_value(3), "runs of each");
+  add("load", options::value<double>()->default_value(1.0), "of the usual");
+  add("pattern", options::value<std::string>(), "one pattern alone");
+  add("help", "print this text");
+  try {
+    options::variables_map given;
+    options::store(options::parse_command_line(argc, argv, description), given);
+    options::notify(given);
+    if (given.contains("help")) {
+      std::cout << description;
+      return 0;
+    }
+    auto seeds = given["seeds"].as<uint64_t>();
+    auto load = given["load"].as<double>();
+    std::printf("%-16s %-21s %6s %6s %6s %6s %8s %7s %7s %5s\n",
+                "pattern",
+                "policy",
+                "worth",
+                "check",
+                "stitch",
+                "count",
+                "wasted",
+                "p50 ms",
+                "p95 ms",
+                "bad");
+    for (const Pattern& pattern : AllPatterns(1, load)) {
+      if (given.contains("pattern") &&
+          given["pattern"].as<std::string>() != pattern.name) {
+        continue;
+      }
+      for (const Policy& policy : AllPolicies()) {
+        Total it = RunSeeds(pattern.name, policy, seeds, load);
+        std::printf("%-16s %-21s %6.3f %6.3f %6.3f %6.3f %7.1f%% %7ld %7ld %5zu\n",
+                    pattern.name.c_str(),
+                    policy.name.c_str(),
+                    it.worth,
+                    it.classes["check"],
+                    it.classes["stitch"],
+                    it.classes["count"],
+                    it.used > 0 ? it.thrownAway / it.used * 100 : 0,
+                    static_cast<long>(Quantile(it.urgentWaits, 50).Count()),
+                    static_cast<long>(Quantile(it.urgentWaits, 95).Count()),
+                    it.violations);
+      }
+    }
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "fleet_experiment: " << error.what() << '\n';
+    return 2;
+  }
+}
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -192,7 +192,9 @@
       return out;
     }
   }
-  SortFullestFirst(fits, aCandidates);
+  if (aRequest.bestFit) {
+    SortFullestFirst(fits, aCandidates);
+  }
   if (!step.rack.empty()) {
     std::stable_partition(fits.begin(), fits.end(), [&](const Fit& it) {
       return aCandidates[it.candidate].report->rack == step.rack;
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -39,6 +39,8 @@
   std::function<uint32_t(const WorkerId&)> placed{};
   // Whether tasks that are slower across racks may be spread all the same.
   bool maySpread = false;
+  // Fullest workers first; otherwise the first that fit.
+  bool bestFit = true;
 };
 
 // Gives the candidates of equal racks equal numbers.
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -178,14 +178,14 @@
       continue;
     }
     ++made;
-    if (it.job->priority == 0 && held == mReclaims.end() &&
-        !EndsInTime(it, aView)) {
+    if (mOptions.reclaims && it.job->priority == 0 &&
+        held == mReclaims.end() && !EndsInTime(it, aView)) {
       ReclaimFor(it, aView, plan);
       held = mReclaims.find(it.job->id);
     }
     if (held != mReclaims.end()) {
       KeepRoom(held->second.workers, aView);
-    } else {
+    } else if (mOptions.reserves) {
       Reserve(it, aView, reserved);
     }
   }
@@ -277,6 +277,12 @@
 Planner::Rank
 Planner::RankOf(const Unit& aUnit, const FleetView& aView) const
 {
+  if (mOptions.rank == RankPolicy::kArrival) {
+    return { 0, 0, aUnit.due, aUnit.job->id.Value() };
+  }
+  if (mOptions.rank == RankPolicy::kShortest) {
+    return { 0, 0, aUnit.Spec().estimate, aUnit.job->id.Value() };
+  }
   Millis latest = LatestStart(aUnit, aView);
   Millis task =
     aView.forecast->Expect(aUnit.job->queue, aUnit.Spec().estimate);
@@ -318,6 +324,7 @@
     .placed =
       [&aUnit](const WorkerId& aWorker) { return TasksOn(aUnit, aWorker); },
     .maySpread = MaySpread(aUnit, aView),
+    .bestFit = mOptions.bestFit,
   };
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -22,8 +22,24 @@
 
 namespace limpetwood::fleet {
 
+// What comes first among the waiting steps.
+enum class RankPolicy
+{
+  // What a start still earns: urgency, then whether it is in time.
+  kWorth,
+  // Baselines for comparison.
+  kArrival,
+  kShortest,
+};
+
 struct PlannerOptions
 {
+  RankPolicy rank = RankPolicy::kWorth;
+  // Off in baselines.
+  bool reclaims = true;
+  bool reserves = true;
+  bool bestFit = true;
+
   // How long a reclaim may take before another one is tried: the longest stop
   // with time for its answer.
   Millis reclaimPatience = Millis(1500);
