Take no renewal of the same millisecond as proof that a run is over

Ruled out: the relay cut of that run (the worker's path had none), the stand-in. The test fails before.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -70,7 +70,7 @@
       underway ? RunView{ .phase = RunView::Phase::kUnresolved,
                           .stopWanted = true }
                : RunView{ .phase = RunView::Phase::kConfirmed,
-                          .resolvedAt = aNow };
+                          .resolvedAt = aNow - Millis(1) };
   }
   mHealth.Forget(report.id);
   WakeWorker(report.id, aNow);
@@ -418,7 +418,7 @@
   for (const RunRef& it : aWorker.active) {
     auto run = aLink.runs.find(it);
     if (!listed.contains(it) && run != aLink.runs.end() &&
-        run->second.resolvedAt <= aOrder.sentAt) {
+        run->second.resolvedAt < aOrder.sentAt) {
       ProposeEnd(aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
     }
   }
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -29,6 +29,19 @@
   EXPECT_FALSE(fleet.IsActive(start));
 }
 
+// Guards against a second run: a renewal and a start that were sent in the same
+// millisecond may arrive in either order, so the renewal proves nothing.
+TEST(Dispatcher, RenewalOfTheSameMillisecondProvesNothing)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.AnswerRenewal("w1", fleet.RenewAnswer());
+  EXPECT_TRUE(fleet.IsActive(start));
+}
+
 // Guards against a second run while the first may still be started: without an
 // answer to its stop, only the end of the lease frees the task.
 TEST(Dispatcher, UnansweredStartHoldsItsTaskUntilTheLeaseIsOver)
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -32,7 +32,8 @@
   };
 
   Phase phase = Phase::kStarting;
-  // A renewal sent from here on tells for certain whether the run exists.
+  // A renewal sent later tells for certain whether the run exists; within the
+  // same millisecond their order is not known.
   Millis resolvedAt = Millis::Max();
   bool stopWanted = false;
   bool stopAnswered = false;
