--- a/packages/fleet/codec.cc
+++ b/packages/fleet/codec.cc
@@ -24,7 +24,7 @@
 enum StepFlag : int32_t
 {
   kGang = 1 << 0,
-  kRackSensitive = 1 << 1,
+  kPrefersOneRack = 1 << 1,
   kSavesCheckpoints = 1 << 2,
   kSpeculative = 1 << 3,
   kLasting = 1 << 4,
@@ -36,7 +36,7 @@
 {
   int32_t flags = 0;
   flags |= aStep.gang ? kGang : 0;
-  flags |= aStep.rackSensitive ? kRackSensitive : 0;
+  flags |= aStep.prefersOneRack ? kPrefersOneRack : 0;
   flags |= aStep.savesCheckpoints ? kSavesCheckpoints : 0;
   flags |= aStep.speculative ? kSpeculative : 0;
   flags |= aStep.lasting ? kLasting : 0;
@@ -76,7 +76,7 @@
   out.perWorkerLimit = static_cast<int32_t>(aStep.perWorkerLimit);
   out.image = aStep.image;
   out.latencyTargetMs = aStep.latencyTarget.Count();
-  out.mayMiss = static_cast<int32_t>(aStep.mayMiss);
+  out.toleratedAbsences = static_cast<int32_t>(aStep.toleratedAbsences);
   return out;
 }
 
@@ -89,7 +89,7 @@
   out.estimate = Millis(aStep.estimateMs);
   out.after.assign(aStep.after.begin(), aStep.after.end());
   out.gang = (aStep.flags & kGang) != 0;
-  out.rackSensitive = (aStep.flags & kRackSensitive) != 0;
+  out.prefersOneRack = (aStep.flags & kPrefersOneRack) != 0;
   out.savesCheckpoints = (aStep.flags & kSavesCheckpoints) != 0;
   out.speculative = (aStep.flags & kSpeculative) != 0;
   out.lasting = (aStep.flags & kLasting) != 0;
@@ -99,7 +99,7 @@
   out.perWorkerLimit = static_cast<uint32_t>(aStep.perWorkerLimit);
   out.image = aStep.image;
   out.latencyTarget = Millis(aStep.latencyTargetMs);
-  out.mayMiss = static_cast<uint32_t>(aStep.mayMiss);
+  out.toleratedAbsences = static_cast<uint32_t>(aStep.toleratedAbsences);
   return out;
 }
 
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -66,11 +66,10 @@
                     it->second.runs[run].phase != RunView::Phase::kConfirmed;
     // What earlier leaders started, or an earlier incarnation ran, is resolved
     // by the first renewal; a start that is still underway, by a stop.
-    fresh.runs[run] =
-      underway ? RunView{ .phase = RunView::Phase::kUnresolved,
-                          .stopWanted = true }
-               : RunView{ .phase = RunView::Phase::kConfirmed,
-                          .resolvedAt = aNow - Millis(1) };
+    fresh.runs[run] = underway ? RunView{ .phase = RunView::Phase::kUnresolved,
+                                          .stopWanted = true }
+                               : RunView{ .phase = RunView::Phase::kConfirmed,
+                                          .resolvedAt = aNow - Millis(1) };
   }
   mHealth.Forget(report.id);
   WakeWorker(report.id, aNow);
@@ -142,8 +141,7 @@
   }
   gen::WorkerGone gone;
   gone.id = aWorker.report.id.Value();
-  gone.incarnation =
-    static_cast<int64_t>(aWorker.report.incarnation.Value());
+  gone.incarnation = static_cast<int64_t>(aWorker.report.incarnation.Value());
   mCommand.gone.push_back(std::move(gone));
 }
 
@@ -172,8 +170,7 @@
                      Millis aNow)
 {
   const Worker* worker = mState.FindWorker(aOrder.worker);
-  if (worker == nullptr ||
-      worker->report.incarnation != aOrder.incarnation) {
+  if (worker == nullptr || worker->report.incarnation != aOrder.incarnation) {
     return;
   }
   WorkerLink& link = LinkOf(*worker, aNow);
@@ -282,8 +279,7 @@
       NoteRun("start_refused",
               aOrder.worker,
               aOrder.run,
-              "refusal=" +
-                std::to_string(static_cast<int>(aResult.refusal)));
+              "refusal=" + std::to_string(static_cast<int>(aResult.refusal)));
       ProposeEnd(aOrder.worker, aOrder.run, EndKind::kRejected, {});
       break;
     case OrderResult::Outcome::kNoAnswer:
@@ -739,8 +735,8 @@
     aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& aRun) {
       return mState.FindJob(aRun.task.job)->priority == 0;
     });
-  bool mayWait = aLink.fenced && aLink.reachable && !aWorker.active.empty() &&
-                 !resolving;
+  bool mayWait =
+    aLink.fenced && aLink.reachable && !aWorker.active.empty() && !resolving;
   if (mayWait) {
     renew.wait = urgent ? mOptions.urgentWait : mOptions.renewWait;
   }
@@ -846,19 +842,17 @@
   ++mCounters.passes;
   mPlanDue = false;
   mEarliestPlan = aNow + kPlanPause;
-  FleetView view{ .state = &mState,
-                  .candidates = Candidates(aNow),
-                  .costOf =
-                    [&](const WorkerId& aWorker, const RunRef& aRun) {
-                      return CostOf(aWorker, aRun, aNow);
-                    },
-                  .restOf =
-                    [&](const WorkerId& aWorker, const RunRef& aRun) {
-                      return RestOf(aWorker, aRun, aNow);
-                    },
-                  .forecast = &mForecast,
-                  .now = aNow,
-                  .wallNow = aWallNow };
+  FleetView view{
+    .state = &mState,
+    .candidates = Candidates(aNow),
+    .costOf = [&](const WorkerId& aWorker,
+                  const RunRef& aRun) { return CostOf(aWorker, aRun, aNow); },
+    .restOf = [&](const WorkerId& aWorker,
+                  const RunRef& aRun) { return RestOf(aWorker, aRun, aNow); },
+    .forecast = &mForecast,
+    .now = aNow,
+    .wallNow = aWallNow
+  };
   Plan plan = mPlanner.Decide(std::move(view));
   mBlocked = plan.blocked;
   mNextPlan = aNow + (plan.blocked > 0 ? kPlanInterval : Seconds(1));
@@ -914,8 +908,7 @@
       ++n;
     }
     mNotes.push_back("runs_started first=" + NameOf(first) +
-                     " tasks=" + std::to_string(count) +
-                     " workers=" + workers);
+                     " tasks=" + std::to_string(count) + " workers=" + workers);
   }
 }
 
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -152,9 +152,7 @@
   RunCost CostOf(const WorkerId& aWorker,
                  const RunRef& aRun,
                  Millis aNow) const;
-  Millis RestOf(const WorkerId& aWorker,
-                const RunRef& aRun,
-                Millis aNow) const;
+  Millis RestOf(const WorkerId& aWorker, const RunRef& aRun, Millis aNow) const;
   void NoteStarts(const Plan& aPlan);
   void NoteRun(std::string_view aWhat,
                const WorkerId& aWorker,
--- a/packages/fleet/experiment/emulator.cc
+++ b/packages/fleet/experiment/emulator.cc
@@ -51,18 +51,14 @@
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.seed)
   , mStopTimes(mOptions.seed + 1)
-  , mDispatcher(DispatcherOptionsFor(mOptions),
-                mState,
-                FencingToken(1),
-                mNow)
+  , mDispatcher(DispatcherOptionsFor(mOptions), mState, FencingToken(1), mNow)
 {
   for (size_t n = 0; n < mOptions.workers; ++n) {
     WorkerReport report;
     report.id = WorkerId("w" + std::to_string(n));
     report.incarnation = Incarnation(1);
     report.service = kService;
-    report.rack =
-      RackId("r" + std::to_string(n / mOptions.workersPerRack));
+    report.rack = RackId("r" + std::to_string(n / mOptions.workersPerRack));
     report.capacity = mOptions.capacity;
     mWorkers[report.id].report = report;
   }
@@ -144,14 +140,16 @@
 {
   StepSpec step;
   double tasks = -std::log(1 - mRandom.Unit()) * aClass.meanTasks;
-  step.tasks = static_cast<uint32_t>(
-    std::clamp(tasks, 1.0, aClass.meanTasks * 6));
+  step.tasks =
+    static_cast<uint32_t>(std::clamp(tasks, 1.0, aClass.meanTasks * 6));
   step.gang = aClass.gang;
-  step.need = { .cpu = aClass.cpu,
-                .memoryMb = 1000,
-                .accelerators = aClass.accelerators[mRandom.Below(
-                  aClass.accelerators.size())] };
-  step.rackSensitive = mRandom.Chance(aClass.rackSensitive);
+  step.need = {
+    .cpu = aClass.cpu,
+    .memoryMb = 1000,
+    .accelerators =
+      aClass.accelerators[mRandom.Below(aClass.accelerators.size())]
+  };
+  step.prefersOneRack = mRandom.Chance(aClass.prefersOneRack);
   step.savesCheckpoints = mRandom.Chance(aClass.savesCheckpoints);
   auto mean = static_cast<double>(aClass.work.Count());
   Millis work(static_cast<int64_t>(mean * (0.6 + 0.8 * mRandom.Unit())));
@@ -179,10 +177,9 @@
   info.type = &aClass;
   info.handedIn = mNow;
   info.work = work;
-  info.objective =
-    aClass.targetLatency +
-    Millis(static_cast<int64_t>(static_cast<double>(work.Count()) *
-                                aClass.stretch));
+  info.objective = aClass.targetLatency +
+                   Millis(static_cast<int64_t>(
+                     static_cast<double>(work.Count()) * aClass.stretch));
   info.worth = 0.3 + 0.7 * std::min(step.tasks / aClass.meanTasks, 4.0);
   ClassOutcome& outcome = mOutcomes.classes[aClass.name];
   ++outcome.jobs;
@@ -198,10 +195,11 @@
     if (!begins && !ends) {
       continue;
     }
-    auto count = static_cast<size_t>(
-      it.share * static_cast<double>(mWorkers.size()));
+    auto count =
+      static_cast<size_t>(it.share * static_cast<double>(mWorkers.size()));
     // Evenly spread, so that the same workers heal again.
-    size_t gap = std::max<size_t>(1, mWorkers.size() / std::max<size_t>(1, count));
+    size_t gap =
+      std::max<size_t>(1, mWorkers.size() / std::max<size_t>(1, count));
     size_t n = 0;
     for (auto& [id, worker] : mWorkers) {
       if (n++ % gap != 0) {
@@ -223,10 +221,7 @@
           if (begins) {
             worker.alive = false;
             while (!worker.runs.empty()) {
-              EndRun(worker,
-                     worker.runs.begin()->first,
-                     EndKind::kLost,
-                     true);
+              EndRun(worker, worker.runs.begin()->first, EndKind::kLost, true);
             }
           }
           break;
@@ -287,8 +282,7 @@
   worker.usedAccelerators += step.need.accelerators;
   mOutcomes.violations +=
     worker.usedAccelerators > mOptions.capacity.accelerators ? 1 : 0;
-  double saved =
-    aOrder.checkpoint.empty() ? 0 : std::stod(aOrder.checkpoint);
+  double saved = aOrder.checkpoint.empty() ? 0 : std::stod(aOrder.checkpoint);
   worker.runs[task] = { .run = aOrder.run,
                         .spec = &spec,
                         .startedAt = mNow,
@@ -328,7 +322,7 @@
 Emulator::RackFactor(const RunState& aRun) const
 {
   const StepSpec& step = aRun.spec->steps[aRun.run.task.step];
-  if (!step.rackSensitive || !step.gang) {
+  if (!step.prefersOneRack || !step.gang) {
     return 1;
   }
   std::optional<RackId> rack;
@@ -358,8 +352,7 @@
   const StepSpec& step = run.spec->steps[aTask.step];
   aWorker.runs.erase(aTask);
   aWorker.usedAccelerators -= step.need.accelerators;
-  double seconds =
-    static_cast<double>((mNow - run.startedAt).Count()) / 1000;
+  double seconds = static_cast<double>((mNow - run.startedAt).Count()) / 1000;
   double used = seconds * static_cast<double>(step.need.accelerators);
   mOutcomes.used += used;
   bool saved = step.savesCheckpoints && aKind != EndKind::kLost;
@@ -455,10 +448,9 @@
         const StepSpec& step = run.spec->steps[task.step];
         result.running.push_back(
           { .run = run.run,
-            .checkpoint =
-              step.savesCheckpoints ? std::to_string(run.done) : "",
-            .percent = static_cast<int32_t>(
-              std::min(run.done / run.work, 1.0) * 100) });
+            .checkpoint = step.savesCheckpoints ? std::to_string(run.done) : "",
+            .percent =
+              static_cast<int32_t>(std::min(run.done / run.work, 1.0) * 100) });
       }
     }
     mDispatcher.OnResult(it, result, mNow);
--- a/packages/fleet/experiment/emulator.h
+++ b/packages/fleet/experiment/emulator.h
@@ -31,7 +31,7 @@
   std::vector<int64_t> accelerators{ 1 };
   int64_t cpu = 8000;
   bool gang = true;
-  double rackSensitive = 0.6;
+  double prefersOneRack = 0.6;
   double savesCheckpoints = 0;
   double stretch = 1.5;
   Millis targetLatency = Millis(250);
@@ -66,9 +66,7 @@
   uint64_t seed = 1;
   size_t workers = 48;
   size_t workersPerRack = 8;
-  Resources capacity{ .cpu = 128'000,
-                      .memoryMb = 512'000,
-                      .accelerators = 8 };
+  Resources capacity{ .cpu = 128'000, .memoryMb = 512'000, .accelerators = 8 };
   Millis stopTime = Millis(500);
   Millis length = Seconds(40);
   // After the last arrival.
--- a/packages/fleet/experiment/fleet_experiment.cc
+++ b/packages/fleet/experiment/fleet_experiment.cc
@@ -108,17 +108,18 @@
       }
       for (const Policy& policy : AllPolicies()) {
         Total it = RunSeeds(pattern.name, policy, seeds, load);
-        std::printf("%-16s %-21s %6.3f %6.3f %6.3f %6.3f %7.1f%% %7ld %7ld %5zu\n",
-                    pattern.name.c_str(),
-                    policy.name.c_str(),
-                    it.worth,
-                    it.classes["check"],
-                    it.classes["stitch"],
-                    it.classes["count"],
-                    it.used > 0 ? it.thrownAway / it.used * 100 : 0,
-                    static_cast<long>(Quantile(it.urgentWaits, 50).Count()),
-                    static_cast<long>(Quantile(it.urgentWaits, 95).Count()),
-                    it.violations);
+        std::printf(
+          "%-16s %-21s %6.3f %6.3f %6.3f %6.3f %7.1f%% %7ld %7ld %5zu\n",
+          pattern.name.c_str(),
+          policy.name.c_str(),
+          it.worth,
+          it.classes["check"],
+          it.classes["stitch"],
+          it.classes["count"],
+          it.used > 0 ? it.thrownAway / it.used * 100 : 0,
+          static_cast<long>(Quantile(it.urgentWaits, 50).Count()),
+          static_cast<long>(Quantile(it.urgentWaits, 95).Count()),
+          it.violations);
       }
     }
     return 0;
--- a/packages/fleet/experiment/patterns.cc
+++ b/packages/fleet/experiment/patterns.cc
@@ -12,10 +12,12 @@
   check.work = Millis(2500);
   check.accelerators = { 1, 2, 4, 8, 8 };
   check.cpu = 15'000;
-  check.rackSensitive = 0.8;
+  check.prefersOneRack = 0.8;
   check.worth = 4;
   check.lateWorth = 0.8;
-  LoadClass stitch{ .name = "stitch", .priority = 1, .perSecond = 0.78 * aLoad };
+  LoadClass stitch{ .name = "stitch",
+                    .priority = 1,
+                    .perSecond = 0.78 * aLoad };
   stitch.meanTasks = 5;
   stitch.work = Millis(6800);
   stitch.accelerators = { 1, 2, 4, 8, 8 };
@@ -31,7 +33,7 @@
   count.work = Millis(6100);
   count.cpu = 11'000;
   count.gang = false;
-  count.rackSensitive = 0;
+  count.prefersOneRack = 0;
   count.savesCheckpoints = 0.45;
   count.stretch = 3;
   count.targetLatency = Millis(3000);
--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -24,7 +24,7 @@
   8: i32 perWorkerLimit
   9: string image
   10: i64 latencyTargetMs
-  11: i32 mayMiss
+  11: i32 toleratedAbsences
 }
 
 struct JobSpec {
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -203,8 +203,8 @@
   this->latencyTargetMs = val;
 }
 
-void Step::__set_mayMiss(const int32_t val) {
-  this->mayMiss = val;
+void Step::__set_toleratedAbsences(const int32_t val) {
+  this->toleratedAbsences = val;
 }
 std::ostream& operator<<(std::ostream& out, const Step& obj)
 {
@@ -328,8 +328,8 @@
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->mayMiss);
-          this->__isset.mayMiss = true;
+          xfer += iprot->readI32(this->toleratedAbsences);
+          this->__isset.toleratedAbsences = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -399,8 +399,8 @@
   xfer += oprot->writeI64(this->latencyTargetMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("mayMiss", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(this->mayMiss);
+  xfer += oprot->writeFieldBegin("toleratedAbsences", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->toleratedAbsences);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -420,7 +420,7 @@
   swap(a.perWorkerLimit, b.perWorkerLimit);
   swap(a.image, b.image);
   swap(a.latencyTargetMs, b.latencyTargetMs);
-  swap(a.mayMiss, b.mayMiss);
+  swap(a.toleratedAbsences, b.toleratedAbsences);
   swap(a.__isset, b.__isset);
 }
 
@@ -435,7 +435,7 @@
   perWorkerLimit = other10.perWorkerLimit;
   image = other10.image;
   latencyTargetMs = other10.latencyTargetMs;
-  mayMiss = other10.mayMiss;
+  toleratedAbsences = other10.toleratedAbsences;
   __isset = other10.__isset;
 }
 Step::Step(Step&& other11) noexcept {
@@ -449,7 +449,7 @@
   perWorkerLimit = other11.perWorkerLimit;
   image = std::move(other11.image);
   latencyTargetMs = other11.latencyTargetMs;
-  mayMiss = other11.mayMiss;
+  toleratedAbsences = other11.toleratedAbsences;
   __isset = other11.__isset;
 }
 Step& Step::operator=(const Step& other12) {
@@ -463,7 +463,7 @@
   perWorkerLimit = other12.perWorkerLimit;
   image = other12.image;
   latencyTargetMs = other12.latencyTargetMs;
-  mayMiss = other12.mayMiss;
+  toleratedAbsences = other12.toleratedAbsences;
   __isset = other12.__isset;
   return *this;
 }
@@ -478,7 +478,7 @@
   perWorkerLimit = other13.perWorkerLimit;
   image = std::move(other13.image);
   latencyTargetMs = other13.latencyTargetMs;
-  mayMiss = other13.mayMiss;
+  toleratedAbsences = other13.toleratedAbsences;
   __isset = other13.__isset;
   return *this;
 }
@@ -495,7 +495,7 @@
   out << ", " << "perWorkerLimit=" << to_string(perWorkerLimit);
   out << ", " << "image=" << to_string(image);
   out << ", " << "latencyTargetMs=" << to_string(latencyTargetMs);
-  out << ", " << "mayMiss=" << to_string(mayMiss);
+  out << ", " << "toleratedAbsences=" << to_string(toleratedAbsences);
   out << ")";
 }
 
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -123,7 +123,7 @@
 std::ostream& operator<<(std::ostream& out, const Resources& obj);
 
 typedef struct _Step__isset {
-  _Step__isset() : tasks(false), need(false), estimateMs(false), after(false), flags(false), label(false), rack(false), perWorkerLimit(false), image(false), latencyTargetMs(false), mayMiss(false) {}
+  _Step__isset() : tasks(false), need(false), estimateMs(false), after(false), flags(false), label(false), rack(false), perWorkerLimit(false), image(false), latencyTargetMs(false), toleratedAbsences(false) {}
   bool tasks :1;
   bool need :1;
   bool estimateMs :1;
@@ -134,7 +134,7 @@
   bool perWorkerLimit :1;
   bool image :1;
   bool latencyTargetMs :1;
-  bool mayMiss :1;
+  bool toleratedAbsences :1;
 } _Step__isset;
 
 class Step : public virtual ::apache::thrift::TBase {
@@ -153,7 +153,7 @@
          perWorkerLimit(0),
          image(),
          latencyTargetMs(0),
-         mayMiss(0) {
+         toleratedAbsences(0) {
   }
 
   virtual ~Step() noexcept;
@@ -167,7 +167,7 @@
   int32_t perWorkerLimit;
   std::string image;
   int64_t latencyTargetMs;
-  int32_t mayMiss;
+  int32_t toleratedAbsences;
 
   _Step__isset __isset;
 
@@ -191,7 +191,7 @@
 
   void __set_latencyTargetMs(const int64_t val);
 
-  void __set_mayMiss(const int32_t val);
+  void __set_toleratedAbsences(const int32_t val);
 
   bool operator == (const Step & rhs) const
   {
@@ -215,7 +215,7 @@
       return false;
     if (!(latencyTargetMs == rhs.latencyTargetMs))
       return false;
-    if (!(mayMiss == rhs.mayMiss))
+    if (!(toleratedAbsences == rhs.toleratedAbsences))
       return false;
     return true;
   }
--- a/packages/fleet/membership_plan.cc
+++ b/packages/fleet/membership_plan.cc
@@ -14,14 +14,12 @@
 bool
 IsReplaced(const PeerStatus& aPeer, const GroupStatus& aStatus)
 {
-  return std::any_of(aStatus.peers.begin(),
-                     aStatus.peers.end(),
-                     [&](const PeerStatus& aOther) {
-                       return aOther.member != aPeer.member &&
-                              aOther.member.instance ==
-                                aPeer.member.instance &&
-                              aOther.lastHeard > aPeer.lastHeard;
-                     });
+  return std::any_of(
+    aStatus.peers.begin(), aStatus.peers.end(), [&](const PeerStatus& aOther) {
+      return aOther.member != aPeer.member &&
+             aOther.member.instance == aPeer.member.instance &&
+             aOther.lastHeard > aPeer.lastHeard;
+    });
 }
 
 } // namespace
--- a/packages/fleet/membership_plan_test.cc
+++ b/packages/fleet/membership_plan_test.cc
@@ -37,23 +37,22 @@
 PeerStatus
 Peer(const Member& aMember, bool aVoter, Millis aSilent = Millis(100))
 {
-  return { .member = aMember,
-           .voter = aVoter,
-           .match = 10,
-           .lastHeard = kNow - aSilent };
+  return {
+    .member = aMember, .voter = aVoter, .match = 10, .lastHeard = kNow - aSilent
+  };
 }
 
 TEST(MembershipPlan, NothingIsDueWhileAllAreHeard)
 {
-  auto status = StatusOf(
-    { Peer(MemberOf("b"), true), Peer(MemberOf("c"), true) });
+  auto status =
+    StatusOf({ Peer(MemberOf("b"), true), Peer(MemberOf("c"), true) });
   EXPECT_FALSE(NextMembershipStep(status, {}, kNow));
 }
 
 TEST(MembershipPlan, ApplicantIsAdmittedThenPromoted)
 {
-  auto status = StatusOf(
-    { Peer(MemberOf("b"), true), Peer(MemberOf("c"), true) });
+  auto status =
+    StatusOf({ Peer(MemberOf("b"), true), Peer(MemberOf("c"), true) });
   status.applicants.push_back(MemberOf("d"));
   auto step = NextMembershipStep(status, {}, kNow);
   ASSERT_TRUE(step);
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -137,8 +137,7 @@
   auto kind = static_cast<RequestKind>(aRequest.kind);
   bool leading = mDispatcher != nullptr && mGroup->IsLeader(aNow);
   if (!leading || kind == RequestKind::kPing) {
-    gen::Reply reply =
-      MakeReply(leading ? Outcome::kOk : Outcome::kNotLeader);
+    gen::Reply reply = MakeReply(leading ? Outcome::kOk : Outcome::kNotLeader);
     if (auto leader = mGroup->Leader()) {
       reply.leader = leader->Value();
     }
@@ -198,8 +197,8 @@
     out.outcome = Outcome::kUnauthorized;
     return out;
   }
-  out.job = JobId(
-    std::string_view(aRequest.path).substr(out.queue->prefix.size()));
+  out.job =
+    JobId(std::string_view(aRequest.path).substr(out.queue->prefix.size()));
   if (!out.job.empty() && !IsJobId(out.job.Value())) {
     out.outcome = Outcome::kUnknownQueue;
   }
@@ -251,10 +250,9 @@
   if (target.job.empty()) {
     for (const JobId& it : mState.LiveJobs()) {
       const Job& job = *mState.FindJob(it);
-      reply.count += job.queue == target.queue->name &&
-                         job.status == JobStatus::kQueued
-                       ? 1
-                       : 0;
+      reply.count +=
+        job.queue == target.queue->name && job.status == JobStatus::kQueued ? 1
+                                                                            : 0;
     }
     reply.jobStatus = -1;
     Answer(aDone, std::move(reply));
@@ -321,9 +319,9 @@
     return;
   }
   // A batch holds one configuration; the highest version wins in any order.
-  bool newest = !mBatch.command.__isset.configuration ||
-                mBatch.command.configuration.version <
-                  aRequest.configuration.version;
+  bool newest =
+    !mBatch.command.__isset.configuration ||
+    mBatch.command.configuration.version < aRequest.configuration.version;
   if (newest) {
     mBatch.command.__set_configuration(aRequest.configuration);
   }
@@ -559,8 +557,8 @@
     return;
   }
   replication::GroupStatus status = mGroup->Status();
-  auto step = NextMembershipStep(
-    status, { .tolerated = mOptions.tolerated }, aNow);
+  auto step =
+    NextMembershipStep(status, { .tolerated = mOptions.tolerated }, aNow);
   if (!step) {
     return;
   }
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -29,8 +29,8 @@
     uint32_t limit = aRequest.tasks;
     if (step.perWorkerLimit > 0) {
       uint32_t placed = aRequest.placed ? aRequest.placed(it.id) : 0;
-      limit = std::min(limit,
-                       step.perWorkerLimit - std::min(step.perWorkerLimit, placed));
+      limit = std::min(
+        limit, step.perWorkerLimit - std::min(step.perWorkerLimit, placed));
     }
     uint32_t tasks = TasksThatFit(step, it.room, limit);
     if (tasks > 0) {
@@ -186,7 +186,7 @@
 {
   std::vector<Fit> fits = FindFits(aRequest, aCandidates);
   const StepSpec& step = *aRequest.step;
-  if (step.rackSensitive && aRequest.tasks > 1) {
+  if (step.prefersOneRack && aRequest.tasks > 1) {
     std::vector<size_t> out = PlaceInOneRack(aRequest, aCandidates, fits);
     if (!out.empty() || !aRequest.maySpread) {
       return out;
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -62,8 +62,8 @@
     return 0;
   }
   const Step& step = aUnit.job->occurrences[aUnit.occurrence].steps[aUnit.step];
-  return static_cast<uint32_t>(std::count_if(
-    step.tasks.begin(), step.tasks.end(), [&](const Task& aTask) {
+  return static_cast<uint32_t>(
+    std::count_if(step.tasks.begin(), step.tasks.end(), [&](const Task& aTask) {
       return aTask.phase == Task::Phase::kActive && aTask.worker == aWorker;
     }));
 }
@@ -85,11 +85,10 @@
                            .rest = restOf(aWorker, run),
                            .cost = costOf(aWorker, run) });
   }
-  std::sort(it->second.begin(),
-            it->second.end(),
-            [](const RunOutlook& x, const RunOutlook& y) {
-              return x.rest < y.rest;
-            });
+  std::sort(
+    it->second.begin(),
+    it->second.end(),
+    [](const RunOutlook& x, const RunOutlook& y) { return x.rest < y.rest; });
   return it->second;
 }
 
@@ -178,8 +177,8 @@
       continue;
     }
     ++made;
-    if (mOptions.reclaims && it.job->priority == 0 &&
-        held == mReclaims.end() && !EndsInTime(it, aView)) {
+    if (mOptions.reclaims && it.job->priority == 0 && held == mReclaims.end() &&
+        !EndsInTime(it, aView)) {
       ReclaimFor(it, aView, plan);
       held = mReclaims.find(it.job->id);
     }
@@ -202,10 +201,10 @@
       const StepSpec& failed = aFailed.unit->Spec();
       bool needsMore = failed.Counted().FitsIn(step.Counted());
       // Single tasks start one by one; a gang needs room for all.
-      bool asMany = !failed.gang ||
-                    (step.gang &&
-                     step.rackSensitive == failed.rackSensitive &&
-                     aUnit.tasks.size() >= aFailed.unit->tasks.size());
+      bool asMany =
+        !failed.gang ||
+        (step.gang && step.prefersOneRack == failed.prefersOneRack &&
+         aUnit.tasks.size() >= aFailed.unit->tasks.size());
       bool asPicky = failed.label.empty() || failed.label == step.label;
       bool unlimited = failed.perWorkerLimit == 0;
       return aFailed.unit->job->service == aUnit.job->service && needsMore &&
@@ -226,14 +225,11 @@
 Planner::EndsInTime(const Unit& aUnit, const FleetView& aView) const
 {
   auto choice = ChooseReservation(RequestFor(aUnit, aView), aView);
-  return choice &&
-         aView.wallNow + choice->wait <= LatestStart(aUnit, aView);
+  return choice && aView.wallNow + choice->wait <= LatestStart(aUnit, aView);
 }
 
 bool
-Planner::Reserve(const Unit& aUnit,
-                 FleetView& aView,
-                 int64_t& aReserved) const
+Planner::Reserve(const Unit& aUnit, FleetView& aView, int64_t& aReserved) const
 {
   if (!aUnit.Spec().gang) {
     return false;
@@ -269,8 +265,8 @@
   const Job& job = *aUnit.job;
   Millis chain = LongestChain(job, *aView.forecast);
   Millis task = aView.forecast->Expect(job.queue, aUnit.Spec().estimate);
-  auto allowed = static_cast<int64_t>(
-    static_cast<double>(chain.Count()) * job.stretch);
+  auto allowed =
+    static_cast<int64_t>(static_cast<double>(chain.Count()) * job.stretch);
   return aUnit.due + job.targetLatency + Millis(allowed) - task;
 }
 
@@ -284,8 +280,7 @@
     return { 0, 0, aUnit.Spec().estimate, aUnit.job->id.Value() };
   }
   Millis latest = LatestStart(aUnit, aView);
-  Millis task =
-    aView.forecast->Expect(aUnit.job->queue, aUnit.Spec().estimate);
+  Millis task = aView.forecast->Expect(aUnit.job->queue, aUnit.Spec().estimate);
   Millis objective = latest + task - aUnit.due;
   Millis worthless = aUnit.due + objective * mOptions.worthlessAfter;
   bool late = aView.wallNow > latest;
@@ -338,7 +333,7 @@
 Planner::MaySpread(const Unit& aUnit, const FleetView& aView) const
 {
   const StepSpec& step = aUnit.Spec();
-  if (!step.rackSensitive || aUnit.tasks.size() < 2) {
+  if (!step.prefersOneRack || aUnit.tasks.size() < 2) {
     return false;
   }
   auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
@@ -372,11 +367,13 @@
     Candidate& it = aView.candidates[chosen[n]];
     it.room -= step.Counted();
     Attempt run = LastRunOf(aUnit, aUnit.tasks[n]).Next();
-    aPlan.starts.push_back(
-      { .run = { { aUnit.job->id, aUnit.occurrence, aUnit.step, aUnit.tasks[n] },
-                 run },
-        .worker = it.id,
-        .incarnation = it.report->incarnation });
+    aPlan.starts.push_back({ .run = { { aUnit.job->id,
+                                        aUnit.occurrence,
+                                        aUnit.step,
+                                        aUnit.tasks[n] },
+                                      run },
+                             .worker = it.id,
+                             .incarnation = it.report->incarnation });
   }
   return chosen.size() == aUnit.tasks.size();
 }
@@ -384,8 +381,7 @@
 bool
 Planner::IsGuaranteed(const Unit& aUnit, const FleetView& aView)
 {
-  const Workspace* workspace =
-    aView.state->FindWorkspace(aUnit.job->workspace);
+  const Workspace* workspace = aView.state->FindWorkspace(aUnit.job->workspace);
   if (workspace == nullptr) {
     return false;
   }
@@ -426,8 +422,7 @@
     return;
   }
   mReclaims[aUnit.job->id] = { .workers = choice->workers,
-                               .until =
-                                 aView.now + mOptions.reclaimPatience };
+                               .until = aView.now + mOptions.reclaimPatience };
   for (auto& it : choice->victims) {
     aPlan.victims.push_back(std::move(it));
   }
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -175,8 +175,7 @@
   // Whether a unit will have room in time without stopping anything.
   bool EndsInTime(const Unit& aUnit, const FleetView& aView) const;
   // Takes workers out of the view, so that later units do not use them.
-  static void KeepRoom(const std::vector<WorkerId>& aWorkers,
-                       FleetView& aView);
+  static void KeepRoom(const std::vector<WorkerId>& aWorkers, FleetView& aView);
   // Keeps room for a unit that has none; later units do not use it.
   bool Reserve(const Unit& aUnit, FleetView& aView, int64_t& aReserved) const;
 
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -129,9 +129,7 @@
   StepSpec step;
   step.tasks = aTasks;
   step.gang = aGang;
-  step.need = { .cpu = 1000,
-                .memoryMb = 1000,
-                .accelerators = aAccelerators };
+  step.need = { .cpu = 1000, .memoryMb = 1000, .accelerators = aAccelerators };
   step.estimate = Millis(4000);
   return step;
 }
@@ -198,7 +196,7 @@
   fleet.AddWorker("w2", "r2");
   fleet.AddWorker("w3", "r2");
   StepSpec step = Step(2, 8, true);
-  step.rackSensitive = true;
+  step.prefersOneRack = true;
   fleet.Submit(JobName(1), step, 1);
   Plan plan = fleet.Decide();
   ASSERT_EQ(plan.starts.size(), 2U);
@@ -213,7 +211,7 @@
   fleet.AddWorker("w1", "r1");
   fleet.AddWorker("w2", "r2");
   StepSpec step = Step(2, 8, true);
-  step.rackSensitive = true;
+  step.prefersOneRack = true;
   fleet.Submit(JobName(1), step, 1);
   EXPECT_EQ(fleet.Decide().starts.size(), 2U);
 }
@@ -337,13 +335,12 @@
   fleet.Run(JobName(1), 2, "w3", Millis(0), Millis(2000));
   fleet.Run(JobName(1), 3, "w4", Millis(0), Millis(2500));
   StepSpec step = Step(2, 8, true);
-  step.rackSensitive = true;
+  step.prefersOneRack = true;
   PlacementRequest request{ .step = &step, .service = &kService, .tasks = 2 };
   auto choice = ChooseReservation(request, fleet.View());
   ASSERT_TRUE(choice);
   EXPECT_EQ(choice->wait, Millis(2500));
-  EXPECT_EQ(choice->workers,
-            (std::vector{ WorkerId("w3"), WorkerId("w4") }));
+  EXPECT_EQ(choice->workers, (std::vector{ WorkerId("w3"), WorkerId("w4") }));
 }
 
 } // namespace
--- a/packages/fleet/progress.cc
+++ b/packages/fleet/progress.cc
@@ -101,8 +101,7 @@
   }
   double left = kAllDone - aInput.own->Percent();
   double anew = (aInput.resumes ? left : kAllDone) / *reference;
-  bool sooner =
-    left > *own * (anew + kRestartSeconds) * kClearlySooner;
+  bool sooner = left > *own * (anew + kRestartSeconds) * kClearlySooner;
   return sooner ? Pace::kHopeless : Pace::kLagging;
 }
 
--- a/packages/fleet/progress_test.cc
+++ b/packages/fleet/progress_test.cc
@@ -51,9 +51,8 @@
 {
   Progress own = Steady(3, Millis(2000));
   EXPECT_EQ(Judge({ .own = &own, .peers = {} }), Pace::kUnknown);
-  EXPECT_EQ(
-    Judge({ .own = &own, .peers = {}, .expected = Millis(5000) }),
-    Pace::kHopeless);
+  EXPECT_EQ(Judge({ .own = &own, .peers = {}, .expected = Millis(5000) }),
+            Pace::kHopeless);
 }
 
 TEST(Progress, MemberThatIsThroughIsNotJudged)
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -39,18 +39,16 @@
     const StepSpec& step = it.job->spec.steps[task.step];
     uint32_t members = step.gang ? step.tasks : 1;
     double lost = static_cast<double>(it.cost.lost.Count()) / 1000;
-    out.push_back(
-      { .run = it.run,
-        .need = it.need,
-        .group = { task.job,
-                   task.occurrence,
-                   task.step,
-                   step.gang ? 0 : task.index },
-        .cost = it.cost.stopping
-                  ? 0
-                  : WeightOf(step.need) * members * lost *
-                      (1 + it.cost.restarts),
-        .stopping = it.cost.stopping });
+    out.push_back({ .run = it.run,
+                    .need = it.need,
+                    .group = { task.job,
+                               task.occurrence,
+                               task.step,
+                               step.gang ? 0 : task.index },
+                    .cost = it.cost.stopping ? 0
+                                             : WeightOf(step.need) * members *
+                                                 lost * (1 + it.cost.restarts),
+                    .stopping = it.cost.stopping });
   }
   std::sort(out.begin(), out.end(), [](const Victim& x, const Victim& y) {
     return x.cost < y.cost;
@@ -116,8 +114,7 @@
   if (out.tasks > 0) {
     return out;
   }
-  for (const Victim& it :
-       VictimsOn(aCandidate.id, aRequest.priority, aView)) {
+  for (const Victim& it : VictimsOn(aCandidate.id, aRequest.priority, aView)) {
     room += it.need;
     out.victims.push_back(it);
     out.tasks = TasksThatFit(*aRequest.step, room, limit);
@@ -184,7 +181,7 @@
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
-  bool oneRack = aRequest.step->rackSensitive && aRequest.tasks > 1;
+  bool oneRack = aRequest.step->prefersOneRack && aRequest.tasks > 1;
   std::map<uint32_t, std::vector<Offer>> groups;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -46,8 +46,8 @@
 std::optional<ReservationChoice>
 ChooseReservation(const PlacementRequest& aRequest, const FleetView& aView)
 {
-  bool oneRack = aRequest.step->rackSensitive && aRequest.tasks > 1 &&
-                 !aRequest.maySpread;
+  bool oneRack =
+    aRequest.step->prefersOneRack && aRequest.tasks > 1 && !aRequest.maySpread;
   std::map<uint32_t, std::vector<Opening>> groups;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
@@ -59,9 +59,10 @@
   }
   std::optional<ReservationChoice> best;
   for (auto& [rack, openings] : groups) {
-    std::sort(openings.begin(),
-              openings.end(),
-              [](const Opening& x, const Opening& y) { return x.wait < y.wait; });
+    std::sort(
+      openings.begin(), openings.end(), [](const Opening& x, const Opening& y) {
+        return x.wait < y.wait;
+      });
     ReservationChoice choice;
     uint32_t tasks = 0;
     for (const Opening& it : openings) {
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -154,9 +154,8 @@
 {
   WorkerId id(aGone.id);
   auto it = mWorkers.find(id);
-  if (it == mWorkers.end() ||
-      it->second.report.incarnation.Value() !=
-        static_cast<uint64_t>(aGone.incarnation)) {
+  if (it == mWorkers.end() || it->second.report.incarnation.Value() !=
+                                static_cast<uint64_t>(aGone.incarnation)) {
     return;
   }
   LoseRuns(id, aAt);
@@ -380,8 +379,7 @@
 FleetState::FindWorkspaceByKey(std::string_view aKey) const
 {
   auto it = mKeys.find(aKey);
-  return it == mKeys.end() ? nullptr
-                           : &mConfiguration->workspaces[it->second];
+  return it == mKeys.end() ? nullptr : &mConfiguration->workspaces[it->second];
 }
 
 const Workspace*
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -157,8 +157,8 @@
 void
 FleetFixture::AnswerRenewal(const std::string& aWorker, OrderResult aResult)
 {
-  auto it = std::find_if(
-    mOrders.begin(), mOrders.end(), [&](const Order& aOrder) {
+  auto it =
+    std::find_if(mOrders.begin(), mOrders.end(), [&](const Order& aOrder) {
       return aOrder.kind == Order::Kind::kRenew &&
              aOrder.worker.Value() == aWorker;
     });
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -65,7 +65,7 @@
   std::vector<uint32_t> after{};
   bool gang = false;
   // The run time grows when the tasks span racks.
-  bool rackSensitive = false;
+  bool prefersOneRack = false;
   // The tasks save checkpoints.
   bool savesCheckpoints = false;
   // Copies of a task may run at the same time.
@@ -83,7 +83,7 @@
   std::string image{};
   Millis latencyTarget{};
   // Tasks that may be away at once because of the system.
-  uint32_t mayMiss = 0;
+  uint32_t toleratedAbsences = 0;
 
   // The part of the need that counts against a worker's capacity.
   Resources Counted() const
@@ -107,7 +107,10 @@
   // 0 for a job that runs once, at once.
   uint32_t occurrences = 0;
 
-  uint32_t OccurrenceCount() const { return occurrences == 0 ? 1 : occurrences; }
+  uint32_t OccurrenceCount() const
+  {
+    return occurrences == 0 ? 1 : occurrences;
+  }
 };
 
 struct Queue
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -128,13 +128,12 @@
                 aRespond(std::move(response));
                 return;
               }
-              mNode->Handle(request.Value(),
-                            MonotonicNow(),
-                            [aRespond](gen::Reply aReply) {
-                              http::Response response;
-                              response.body = fleet::Encode(aReply);
-                              aRespond(std::move(response));
-                            });
+              mNode->Handle(
+                request.Value(), MonotonicNow(), [aRespond](gen::Reply aReply) {
+                  http::Response response;
+                  response.body = fleet::Encode(aReply);
+                  aRespond(std::move(response));
+                });
               Schedule();
             })
   , mRelay(aContext, RelayOptionsFor(aSettings), mLog)
--- a/packages/fleetd/latency_histogram.h
+++ b/packages/fleetd/latency_histogram.h
@@ -14,8 +14,8 @@
 public:
   // Upper bounds of the buckets in milliseconds; the last bucket has none. They
   // follow the objectives of urgent and of patient requests.
-  static constexpr std::array<int64_t, 10> kBounds = { 2,   5,    10,   25,
-                                                       50,  100,  250,  1000,
+  static constexpr std::array<int64_t, 10> kBounds = { 2,    5,    10,  25,
+                                                       50,   100,  250, 1000,
                                                        3000, 10000 };
 
   void Observe(Millis aTime)
--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -188,10 +188,10 @@
   uint64_t count = 0;
   for (size_t n = 0; n < aHistogram.Buckets().size(); ++n) {
     count += aHistogram.Buckets()[n];
-    double bound = n < LatencyHistogram::kBounds.size()
-                     ? static_cast<double>(LatencyHistogram::kBounds[n]) /
-                         kMillisPerSecond
-                     : std::numeric_limits<double>::infinity();
+    double bound =
+      n < LatencyHistogram::kBounds.size()
+        ? static_cast<double>(LatencyHistogram::kBounds[n]) / kMillisPerSecond
+        : std::numeric_limits<double>::infinity();
     metric.histogram.bucket.push_back({ count, bound });
   }
   metric.histogram.sample_count = count;
--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -166,8 +166,8 @@
           });
   }
   // Looks for a lost leader four times as often.
-  Millis pause = leader.empty() ? options.pingInterval / 4
-                                : options.pingInterval;
+  Millis pause =
+    leader.empty() ? options.pingInterval / 4 : options.pingInterval;
   pingTimer.expires_after(ToChrono(pause));
   pingTimer.async_wait([self = shared_from_this()](auto ec) {
     if (!ec) {
@@ -183,10 +183,10 @@
   if (stopped) {
     return;
   }
-  auto reply = aResult.verdict == Verdict::kAnswered
-                 ? fleet::Decode<gen::Reply>(aResult.response.body)
-                 : Result<gen::Reply>(std::make_error_code(
-                     std::errc::connection_refused));
+  auto reply =
+    aResult.verdict == Verdict::kAnswered
+      ? fleet::Decode<gen::Reply>(aResult.response.body)
+      : Result<gen::Reply>(std::make_error_code(std::errc::connection_refused));
   if (!reply) {
     if (aTarget == leader) {
       LoseLeader("ping_unanswered");
@@ -273,7 +273,8 @@
 {
   Millis now = MonotonicNow();
   bool outage = now - leaderHeard > options.outageAfter;
-  bool late = now - aCall->begun >= options.leaderWait || now >= aCall->deadline;
+  bool late =
+    now - aCall->begun >= options.leaderWait || now >= aCall->deadline;
   if (stopped || outage || late) {
     ++counters.refusedNoLeader;
     Finish(aCall, ReplyOf(Outcome::kUnavailable));
@@ -378,9 +379,7 @@
 }
 
 void
-Relay::Call(const gen::Request& aRequest,
-            Millis aDeadline,
-            RelayCallback aDone)
+Relay::Call(const gen::Request& aRequest, Millis aDeadline, RelayCallback aDone)
 {
   ++mImpl->counters.calls;
   auto call = std::make_shared<PendingCall>();
--- a/packages/fleetd/settings.cc
+++ b/packages/fleetd/settings.cc
@@ -49,14 +49,16 @@
     aOut = value->get<std::string>();
   }
 
-  void Whole(const std::string& aKey, int64_t aLow, int64_t aHigh, int64_t& aOut)
+  void Whole(const std::string& aKey,
+             int64_t aLow,
+             int64_t aHigh,
+             int64_t& aOut)
   {
     const json* value = Find(aKey, true);
     if (value == nullptr) {
       return;
     }
-    bool valid = value->is_number_integer() &&
-                 value->get<int64_t>() >= aLow &&
+    bool valid = value->is_number_integer() && value->get<int64_t>() >= aLow &&
                  value->get<int64_t>() <= aHigh;
     if (!valid) {
       Fault(aKey,
--- a/packages/http/pooled_client.cc
+++ b/packages/http/pooled_client.cc
@@ -35,8 +35,8 @@
     }
     mPool->Acquire(aEndpoint,
                    mOptions.timeout,
-                   [self = shared_from_this()](
-                     std::error_code ec, std::shared_ptr<Connection> it) {
+                   [self = shared_from_this()](std::error_code ec,
+                                               std::shared_ptr<Connection> it) {
                      if (ec) {
                        self->Finish(Verdict::kNotRun, ec);
                        return;
@@ -63,12 +63,12 @@
                           self->Fail(ec);
                         }
                       });
-    mConnection->ReadHead(Left(),
-                          mOptions.maxBodyBytes,
-                          [self = shared_from_this()](std::error_code ec,
-                                                      ResponseHead aHead) {
-                            self->OnHead(ec, std::move(aHead));
-                          });
+    mConnection->ReadHead(
+      Left(),
+      mOptions.maxBodyBytes,
+      [self = shared_from_this()](std::error_code ec, ResponseHead aHead) {
+        self->OnHead(ec, std::move(aHead));
+      });
   }
 
   void OnHead(std::error_code aError, ResponseHead aHead)
@@ -166,8 +166,7 @@
                     FetchOptions aOptions,
                     FetchCallback aDone)
 {
-  std::make_shared<Call>(
-    mPool, std::move(aRequest), aOptions, std::move(aDone))
+  std::make_shared<Call>(mPool, std::move(aRequest), aOptions, std::move(aDone))
     ->Start(aEndpoint);
 }
 
--- a/packages/peer/transport.cc
+++ b/packages/peer/transport.cc
@@ -457,8 +457,7 @@
   }
   mImpl->Accept();
   for (const auto& [id, endpoint] : mImpl->options.peers) {
-    auto outbound =
-      std::make_shared<Outbound>(mImpl, endpoint, std::nullopt);
+    auto outbound = std::make_shared<Outbound>(mImpl, endpoint, std::nullopt);
     mImpl->outbound.emplace(id, outbound);
     outbound->Dial();
   }
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -37,7 +37,7 @@
   std::map<InstanceId, http::Endpoint> peers;
   // If set, instances are named by their IP address, and those that are not
   // listed above are dialled at this port when something is sent to them.
-  std::optional<uint16_t> undeclaredPort;
+  std::optional<uint16_t> undeclaredPort{};
   // An undeclared peer to which nothing was sent for this long is let go.
   Millis undeclaredIdle = Seconds(10);
   Millis connectTimeout = Seconds(1);
--- a/packages/replication/internal/group_impl.cc
+++ b/packages/replication/internal/group_impl.cc
@@ -62,8 +62,7 @@
   mStore = std::move(store).Value();
   mState = loaded.state;
   mSelf = { mOptions.self, mState.disk };
-  mFormation.emplace(
-    mSelf, mOptions.voters, mOptions.mayForm, random());
+  mFormation.emplace(mSelf, mOptions.voters, mOptions.mayForm, random());
   if (loaded.snapshot.index > 0 && !mMachine.Restore(*loaded.snapshot.data)) {
     return Errc::kCorrupt;
   }
