--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -18,6 +18,10 @@
 // A request between instances carries at most a configuration.
 constexpr uint64_t kMaxRequestBytes = 16U << 20U;
 
+// How often the disk's state is looked at, and how long a failed one rests.
+constexpr Millis kDiskCheckInterval(200);
+constexpr Millis kReopenPause(500);
+
 // Elections end well within the time in which callers come back.
 constexpr replication::Timing kTiming{ .heartbeat = Millis(150),
                                        .learnerHeartbeat = Millis(300),
@@ -115,42 +119,102 @@
                [this](const InstanceId& aFrom,
                       peer::Channel /*aChannel*/,
                       std::string aPayload) {
-                 mNode->OnReplication(aFrom, aPayload, MonotonicNow());
-                 Schedule();
+                 if (mNode) {
+                   mNode->OnReplication(aFrom, aPayload, MonotonicNow());
+                   Schedule();
+                 }
                })
   , mServer(aContext,
             ServerLimitsFor(),
             [this](http::Request aRequest, http::Responder aRespond) {
-              auto request = fleet::Decode<gen::Request>(aRequest.body);
-              if (!request) {
-                http::Response response;
-                response.status = 400;
-                aRespond(std::move(response));
-                return;
-              }
-              mNode->Handle(
-                request.Value(), MonotonicNow(), [aRespond](gen::Reply aReply) {
-                  http::Response response;
-                  response.body = fleet::Encode(aReply);
-                  aRespond(std::move(response));
-                });
-              Schedule();
+              Serve(aRequest, aRespond);
             })
   , mRelay(aContext, RelayOptionsFor(aSettings), mLog)
   , mTimer(aContext)
+  , mReopenTimer(aContext)
+  , mSeeds(aSettings.seeds)
 {
 }
 
 ControlProcess::~ControlProcess() = default;
 
+void
+ControlProcess::Serve(const http::Request& aRequest,
+                      const http::Responder& aRespond)
+{
+  auto request = fleet::Decode<gen::Request>(aRequest.body);
+  if (!request) {
+    http::Response response;
+    response.status = 400;
+    aRespond(std::move(response));
+    return;
+  }
+  auto answer = [aRespond](const gen::Reply& aReply) {
+    http::Response response;
+    response.body = fleet::Encode(aReply);
+    aRespond(std::move(response));
+  };
+  if (!mNode) {
+    gen::Reply reply;
+    reply.outcome = static_cast<int32_t>(fleet::Outcome::kNotLeader);
+    answer(reply);
+    return;
+  }
+  mNode->Handle(request.Value(), MonotonicNow(), answer);
+  Schedule();
+}
+
 std::error_code
-ControlProcess::Start()
+ControlProcess::OpenNode()
 {
   auto node = fleet::Node::Open(NodeOptionsFor(mSettings), *this);
   if (!node) {
     return node.Error();
   }
   mNode = std::move(node).Value();
+  mNode->SetContacts(InstancesOf(mSeeds));
+  return {};
+}
+
+void
+ControlProcess::CheckDisk(Millis aNow)
+{
+  if (aNow < mNextDiskCheck) {
+    return;
+  }
+  mNextDiskCheck = aNow + kDiskCheckInterval;
+  std::error_code error = mNode->Status().diskError;
+  if (error) {
+    mLog("disk_failed error=" + error.message());
+    // Whoever waits for an answer is left without one, as after a crash.
+    mNode.reset();
+    Reopen();
+  }
+}
+
+void
+ControlProcess::Reopen()
+{
+  mReopenTimer.expires_after(std::chrono::milliseconds(kReopenPause.Count()));
+  mReopenTimer.async_wait([this](auto ec) {
+    if (ec) {
+      return;
+    }
+    if (std::error_code error = OpenNode()) {
+      Reopen();
+      return;
+    }
+    mLog("disk_works");
+    Schedule();
+  });
+}
+
+std::error_code
+ControlProcess::Start()
+{
+  if (std::error_code ec = OpenNode()) {
+    return ec;
+  }
   auto transport = mTransport.Start();
   if (!transport) {
     return transport.Error();
@@ -168,21 +232,26 @@
 void
 ControlProcess::PrepareShutdown()
 {
-  mNode->PrepareShutdown(MonotonicNow());
-  Schedule();
+  if (mNode) {
+    mNode->PrepareShutdown(MonotonicNow());
+    Schedule();
+  }
 }
 
 void
 ControlProcess::SetSeeds(const std::vector<std::string>& aSeeds)
 {
+  mSeeds = aSeeds;
   mRelay.SetSeeds(aSeeds);
-  mNode->SetContacts(InstancesOf(aSeeds));
+  if (mNode) {
+    mNode->SetContacts(InstancesOf(aSeeds));
+  }
 }
 
 std::string
 ControlProcess::LeaderAddress() const
 {
-  auto leader = mNode->Leader();
+  auto leader = mNode ? mNode->Leader() : std::nullopt;
   return leader ? leader->Value() : std::string();
 }
 
@@ -191,7 +260,7 @@
                        Millis aDeadline,
                        RelayCallback aDone)
 {
-  if (mNode->IsLeading()) {
+  if (mNode && mNode->IsLeading()) {
     mNode->Handle(aRequest, MonotonicNow(), std::move(aDone));
     Schedule();
     return;
@@ -211,15 +280,17 @@
   fleet::Order copy = aOrder;
   mSendOrder(std::move(aOrder),
              [this, order = std::move(copy)](fleet::OrderResult aResult) {
-               mNode->OnOrderResult(order, aResult, MonotonicNow());
-               Schedule();
+               if (mNode) {
+                 mNode->OnOrderResult(order, aResult, MonotonicNow());
+                 Schedule();
+               }
              });
 }
 
 void
 ControlProcess::Schedule()
 {
-  if (mTicking || mStopped) {
+  if (mTicking || mStopped || !mNode) {
     return;
   }
   Millis now = MonotonicNow();
@@ -240,9 +311,13 @@
 ControlProcess::Tick()
 {
   mTimerAt = Millis::Max();
+  if (!mNode) {
+    return;
+  }
   mTicking = true;
   mNode->Tick(MonotonicNow(), WallNow());
   mTicking = false;
+  CheckDisk(MonotonicNow());
   Schedule();
 }
 
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -4,7 +4,8 @@
 //   if (auto ec = process.Start()) { ... }
 //   process.Handle(request, deadline, [](gen::Reply aReply) {});
 //
-// Requests that arrive at a replica that does not lead are relayed.
+// Requests that arrive at a replica that does not lead are relayed. A replica
+// whose disk failed is closed and opened again until the disk works.
 //
 // All calls and callbacks happen on the thread that runs the io_context.
 
@@ -20,6 +21,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace limpetwood::fleetd {
 
@@ -54,7 +56,8 @@
 
   void SetSeeds(const std::vector<std::string>& aSeeds);
 
-  const fleet::Node& Node() const { return *mNode; }
+  // Null while the disk does not work.
+  const fleet::Node* Node() const { return mNode.get(); }
   const RelayCounters& Relayed() const { return mRelay.Counters(); }
   // Address of the instance that leads, if known.
   std::string LeaderAddress() const;
@@ -68,7 +71,11 @@
   // Runs the node's tick when it is due.
   void Schedule();
   void Tick();
-  void ServeRequests();
+  void Serve(const http::Request& aRequest, const http::Responder& aRespond);
+  std::error_code OpenNode();
+  // Closes the node if its disk failed.
+  void CheckDisk(Millis aNow);
+  void Reopen();
 
   boost::asio::io_context& mContext;
   const Settings mSettings;
@@ -80,6 +87,9 @@
   std::unique_ptr<fleet::Node> mNode;
   boost::asio::steady_timer mTimer;
   Millis mTimerAt = Millis::Max();
+  Millis mNextDiskCheck;
+  boost::asio::steady_timer mReopenTimer;
+  std::vector<std::string> mSeeds;
   bool mTicking = false;
   bool mStopped = false;
 };
