--- /dev/null
+++ b/packages/fleet/admission_test.cc
@@ -0,0 +1,86 @@
+#include "fleet/admission.h"
+
+#include <gtest/gtest.h>
+
+namespace limpetwood::fleet {
+namespace {
+
+Job
+JobOf(uint64_t aNumber, int32_t aPriority, uint32_t aTasks)
+{
+  Job job;
+  std::string digits = std::to_string(aNumber);
+  job.id = JobId(std::string(16 - digits.size(), '0') + digits);
+  job.queue = QueueId("queue");
+  job.priority = aPriority;
+  job.stretch = 3;
+  job.targetLatency = Millis(1000);
+  StepSpec step;
+  step.tasks = aTasks;
+  step.need = { .cpu = 1, .memoryMb = 1, .accelerators = 1 };
+  step.estimate = Millis(5000);
+  job.spec.steps = { step };
+  return job;
+}
+
+FleetState
+BacklogOfTasks(uint32_t aTasks, int32_t aPriority)
+{
+  Job job = JobOf(1, aPriority, aTasks);
+  gen::SubmitJob submit;
+  submit.id = job.id.Value();
+  submit.queue = "queue";
+  submit.spec = ToWire(job.spec);
+  submit.priority = aPriority;
+  submit.maxAttempts = 1;
+  gen::Command command;
+  command.jobs.push_back(submit);
+  FleetState state;
+  state.Apply(command);
+  return state;
+}
+
+AdmissionVerdict
+Ask(const FleetState& aState, int32_t aPriority, int64_t aAccelerators)
+{
+  Forecast forecast;
+  return Admit(JobOf(2, aPriority, 1),
+               { .state = &aState,
+                 .forecast = &forecast,
+                 .usableAccelerators = aAccelerators });
+}
+
+// The objective is 16 s, so the result is worthless after 48 s.
+TEST(Admission, JobThatCanStillBeWorthSomethingIsAccepted)
+{
+  // 80 tasks of 5 s on 10 accelerators: a wait of 40 s.
+  EXPECT_TRUE(Ask(BacklogOfTasks(80, 1), 1, 10).accepted);
+}
+
+TEST(Admission, HopelessJobIsRefusedWithATimeToComeBack)
+{
+  // A wait of 100 s, which is 57 s too long.
+  AdmissionVerdict verdict = Ask(BacklogOfTasks(200, 1), 1, 10);
+  EXPECT_FALSE(verdict.accepted);
+  EXPECT_GE(verdict.retryAfter, Seconds(57));
+  EXPECT_LE(verdict.retryAfter, Millis(57'000 * 125 / 100));
+}
+
+TEST(Admission, UrgentJobIsNeverRefused)
+{
+  EXPECT_TRUE(Ask(BacklogOfTasks(2000, 0), 0, 10).accepted);
+}
+
+TEST(Admission, LessUrgentWorkIsNoBacklog)
+{
+  EXPECT_TRUE(Ask(BacklogOfTasks(2000, 2), 1, 10).accepted);
+}
+
+// Workers may be on their way; nothing is known about the wait.
+TEST(Admission, WithoutWorkersNothingIsRefused)
+{
+  EXPECT_TRUE(Ask(BacklogOfTasks(2000, 1), 1, 0).accepted);
+}
+
+} // namespace
+} // namespace limpetwood::fleet
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -764,6 +764,16 @@
          link.ClockFloor(aNow).has_value();
 }
 
+int64_t
+Dispatcher::UsableAccelerators(Millis aNow) const
+{
+  int64_t out = 0;
+  for (const auto& [id, worker] : mState.Workers()) {
+    out += IsUsable(id, aNow) ? worker.report.capacity.accelerators : 0;
+  }
+  return out;
+}
+
 std::vector<Candidate>
 Dispatcher::Candidates(Millis aNow) const
 {
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -103,6 +103,9 @@
   const DispatcherCounters& Counters() const { return mCounters; }
   // Units without room at the last pass.
   size_t Blocked() const { return mBlocked; }
+  const Forecast& Times() const { return mForecast; }
+  // Accelerators of the workers that take new tasks.
+  int64_t UsableAccelerators(Millis aNow) const;
   // Whether a worker takes new tasks.
   bool IsUsable(const WorkerId& aWorker, Millis aNow) const;
 
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -1,6 +1,7 @@
 #include "fleet/node.h"
 
 #include "base/error.h"
+#include "fleet/admission.h"
 #include "fleet/membership_plan.h"
 
 #include <algorithm>
@@ -234,6 +235,20 @@
   job.maxAttempts = static_cast<int32_t>(target.queue->maxAttempts);
   job.stretch = target.queue->stretch;
   job.targetLatencyMs = target.queue->targetLatency.Count();
+  AdmissionVerdict verdict =
+    Admit(FleetState::JobOf(job),
+          { .state = &mState,
+            .forecast = &mDispatcher->Times(),
+            .usableAccelerators = mDispatcher->UsableAccelerators(mNow) });
+  if (!verdict.accepted) {
+    gen::Reply reply = MakeReply(Outcome::kRejected);
+    reply.retryAfterMs = verdict.retryAfter.Count();
+    mEnvironment.Log(
+      "job_refused" + Field("job", job.id) + Field("queue", job.queue) +
+      Field("retry_after_ms", std::to_string(reply.retryAfterMs)));
+    Answer(aDone, std::move(reply));
+    return;
+  }
   mBatch.command.jobs.push_back(std::move(job));
   AnswerAfterCommit(std::move(aDone));
 }
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -298,11 +298,13 @@
 Planner::SortByRank(std::vector<Unit>& aUnits, const FleetView& aView) const
 {
   std::vector<std::pair<Rank, size_t>> order;
+  order.reserve(aUnits.size());
   for (size_t n = 0; n < aUnits.size(); ++n) {
     order.emplace_back(RankOf(aUnits[n], aView), n);
   }
   std::sort(order.begin(), order.end());
   std::vector<Unit> sorted;
+  sorted.reserve(aUnits.size());
   for (const auto& [rank, n] : order) {
     sorted.push_back(std::move(aUnits[n]));
   }
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -90,16 +90,11 @@
   }
 }
 
-void
-FleetState::ApplyJob(const gen::SubmitJob& aJob)
+Job
+FleetState::JobOf(const gen::SubmitJob& aJob)
 {
-  JobId id(aJob.id);
-  auto [it, inserted] = mJobs.try_emplace(id);
-  if (!inserted) {
-    return;
-  }
-  Job& job = it->second;
-  job.id = id;
+  Job job;
+  job.id = JobId(aJob.id);
   job.queue = QueueId(aJob.queue);
   job.workspace = WorkspaceId(aJob.workspace);
   job.service = ServiceId(aJob.serviceId);
@@ -109,8 +104,18 @@
   job.maxAttempts = static_cast<uint32_t>(aJob.maxAttempts);
   job.stretch = aJob.stretch;
   job.targetLatency = Millis(aJob.targetLatencyMs);
-  UpdateLive(job);
-  Note({ .kind = Change::Kind::kJobAccepted, .run = { { id }, {} } });
+  return job;
+}
+
+void
+FleetState::ApplyJob(const gen::SubmitJob& aJob)
+{
+  Job job = JobOf(aJob);
+  auto [it, inserted] = mJobs.try_emplace(job.id, std::move(job));
+  if (inserted) {
+    UpdateLive(it->second);
+    Note({ .kind = Change::Kind::kJobAccepted, .run = { { it->first }, {} } });
+  }
 }
 
 void
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -151,6 +151,9 @@
   const Workspace* FindWorkspaceByKey(std::string_view aKey) const;
   const Workspace* FindWorkspace(const WorkspaceId& aName) const;
 
+  // The job that a submission would add.
+  static Job JobOf(const gen::SubmitJob& aJob);
+
   const Job* FindJob(const JobId& aId) const;
   const Worker* FindWorker(const WorkerId& aId) const;
   const std::map<JobId, Job>& Jobs() const { return mJobs; }
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -32,6 +32,7 @@
 InstancesOf(const std::vector<std::string>& aAddresses)
 {
   std::vector<InstanceId> out;
+  out.reserve(aAddresses.size());
   for (const std::string& it : aAddresses) {
     out.emplace_back(it);
   }
