Number the groups of a reclaim; share the compact codec; measure a pass

Cause: each offer of a reclaim was compared with all others for each of its victims; a pass with 350 workers and 175 waiting jobs took 47 ms (median of five).

--- a/packages/control/codec.cc
+++ b/packages/control/codec.cc
@@ -1,69 +1,21 @@
 #include "control/codec.h"
 
-#include "base/error.h"
-
-#include <thrift/TConfiguration.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
-#include <memory>
+#include "base/compact_codec.h"
 
 namespace limpetwood::control {
 
-namespace {
-
-using apache::thrift::TConfiguration;
-using apache::thrift::TException;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-using Protocol = TCompactProtocolT<TMemoryBuffer>;
-
-// Elements of a list or map, far above any message of the design size.
-constexpr int32_t kMaxContainerSize = 1'000'000;
-
-} // namespace
-
 template<typename T>
 std::string
 Encode(const T& aValue)
 {
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  Protocol protocol(buffer);
-  aValue.write(&protocol);
-  return buffer->getBufferAsString();
+  return EncodeCompact(aValue);
 }
 
 template<typename T>
 Result<T>
 Decode(std::string_view aBytes)
 {
-  if (aBytes.size() > kMaxMessageBytes) {
-    return make_error_code(Errc::kTooLarge);
-  }
-  auto limits = std::make_shared<TConfiguration>(
-    static_cast<int>(kMaxMessageBytes), static_cast<int>(kMaxMessageBytes));
-  try {
-    // The buffer is only read; Thrift's interface lacks a const variant.
-    auto* data =
-      reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())); // NOLINT
-    auto buffer =
-      std::make_shared<TMemoryBuffer>(data,
-                                      static_cast<uint32_t>(aBytes.size()),
-                                      TMemoryBuffer::OBSERVE,
-                                      limits);
-    Protocol protocol(
-      buffer, static_cast<int32_t>(kMaxMessageBytes), kMaxContainerSize);
-    T value;
-    value.read(&protocol);
-    if (buffer->available_read() != 0) {
-      return make_error_code(Errc::kCorrupt);
-    }
-    return value;
-  } catch (const TException&) {
-    return make_error_code(Errc::kCorrupt);
-  } catch (const std::exception&) {
-    return make_error_code(Errc::kCorrupt);
-  }
+  return DecodeCompact<T>(aBytes, kMaxMessageBytes);
 }
 
 template std::string
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <tuple>
 
 namespace limpetwood::fleet {
@@ -20,6 +19,8 @@
   RunRef run;
   Resources need;
   Group group;
+  // Of the group among those of all offers.
+  size_t number = 0;
   // Of the whole group.
   double cost = 0;
   // Its room is coming without another stop.
@@ -62,42 +63,60 @@
   WorkerId worker;
   std::vector<Victim> victims{};
   uint32_t tasks = 0;
+};
+
+// The groups that offers would end, numbered from 0.
+class Groups
+{
+public:
+  explicit Groups(std::vector<Offer>& aOffers)
+  {
+    std::map<Group, size_t> numbers;
+    for (Offer& offer : aOffers) {
+      for (Victim& it : offer.victims) {
+        it.number = numbers.try_emplace(it.group, numbers.size()).first->second;
+        mSharing.resize(numbers.size());
+        ++mSharing[it.number];
+      }
+    }
+    mEnded.resize(mSharing.size());
+  }
 
-  // Groups that end anyway cost nothing more.
-  double CostBeside(const std::set<Group>& aEnded) const
+  // What an offer costs more, with what was ended already.
+  double CostOf(const Offer& aOffer) const
   {
     double cost = 0;
-    for (const Victim& it : victims) {
-      cost += aEnded.contains(it.group) ? 0 : it.cost;
+    for (const Victim& it : aOffer.victims) {
+      cost += mEnded[it.number] ? 0 : it.cost;
     }
     return cost;
   }
-};
 
-// Cost of an offer for each task, where the cost of a group is shared by the
-// offers that it makes room for.
-double
-SharedCost(const Offer& aOffer,
-           const std::vector<Offer>& aOffers,
-           const std::set<Group>& aEnded,
-           uint32_t aTasks)
-{
-  double cost = 0;
-  for (const Victim& it : aOffer.victims) {
-    if (aEnded.contains(it.group)) {
-      continue;
+  // The same for each task, where the cost of a group is shared by the offers
+  // that it makes room for.
+  double SharedCostOf(const Offer& aOffer, uint32_t aTasks) const
+  {
+    double cost = 0;
+    for (const Victim& it : aOffer.victims) {
+      double sharing = std::min(mSharing[it.number], aTasks);
+      cost += mEnded[it.number] ? 0 : it.cost / sharing;
     }
-    auto sharing =
-      std::count_if(aOffers.begin(), aOffers.end(), [&](const Offer& aOther) {
-        return std::any_of(
-          aOther.victims.begin(),
-          aOther.victims.end(),
-          [&](const Victim& aVictim) { return aVictim.group == it.group; });
-      });
-    cost += it.cost / static_cast<double>(std::min<int64_t>(sharing, aTasks));
+    return cost / aOffer.tasks;
   }
-  return cost / aOffer.tasks;
-}
+
+  void Take(const Offer& aOffer)
+  {
+    for (const Victim& it : aOffer.victims) {
+      mEnded[it.number] = true;
+      --mSharing[it.number];
+    }
+  }
+
+private:
+  // Victims of each group among the offers that were not taken.
+  std::vector<uint32_t> mSharing;
+  std::vector<bool> mEnded;
+};
 
 std::optional<Offer>
 OfferOf(const ReclaimRequest& aRequest,
@@ -140,28 +159,36 @@
 Combine(std::vector<Offer> aOffers, uint32_t aTasks)
 {
   ReclaimChoice out;
-  std::set<Group> ended;
+  Groups groups(aOffers);
+  std::vector<bool> taken(aOffers.size());
   uint32_t placed = 0;
-  while (placed < aTasks && !aOffers.empty()) {
-    auto best = aOffers.begin();
+  for (size_t round = 0; round < aOffers.size() && placed < aTasks; ++round) {
+    size_t best = aOffers.size();
     double least = std::numeric_limits<double>::infinity();
-    for (auto it = aOffers.begin(); it != aOffers.end(); ++it) {
-      double cost = SharedCost(*it, aOffers, ended, aTasks - placed);
+    for (size_t n = 0; n < aOffers.size(); ++n) {
+      if (taken[n]) {
+        continue;
+      }
+      double cost = groups.SharedCostOf(aOffers[n], aTasks - placed);
       if (cost < least) {
         least = cost;
-        best = it;
+        best = n;
       }
     }
-    placed += best->tasks;
-    out.cost += best->CostBeside(ended);
-    out.workers.push_back(best->worker);
-    for (const Victim& it : best->victims) {
-      ended.insert(it.group);
+    if (best == aOffers.size()) {
+      break;
+    }
+    const Offer& offer = aOffers[best];
+    taken[best] = true;
+    placed += offer.tasks;
+    out.cost += groups.CostOf(offer);
+    out.workers.push_back(offer.worker);
+    for (const Victim& it : offer.victims) {
       if (!it.stopping) {
-        out.victims.emplace_back(best->worker, it.run);
+        out.victims.emplace_back(offer.worker, it.run);
       }
     }
-    aOffers.erase(best);
+    groups.Take(offer);
   }
   if (placed < aTasks) {
     return std::nullopt;
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -111,8 +111,7 @@
                                const Settings& aSettings,
                                SendOrderFunction aSendOrder,
                                LogFunction aLog)
-  : mContext(aContext)
-  , mSettings(aSettings)
+  : mSettings(aSettings)
   , mSendOrder(std::move(aSendOrder))
   , mLog(std::move(aLog))
   , mTransport(aContext,
@@ -291,7 +290,7 @@
 void
 ControlProcess::Schedule()
 {
-  if (mTicking || mStopped || !mNode) {
+  if (mTicking || !mNode) {
     return;
   }
   Millis now = MonotonicNow();
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -77,7 +77,6 @@
   void CheckDisk(Millis aNow);
   void Reopen();
 
-  boost::asio::io_context& mContext;
   const Settings mSettings;
   SendOrderFunction mSendOrder;
   LogFunction mLog;
@@ -91,7 +90,6 @@
   boost::asio::steady_timer mReopenTimer;
   std::vector<std::string> mSeeds;
   bool mTicking = false;
-  bool mStopped = false;
 };
 
 } // namespace limpetwood::fleetd
--- a/packages/fleetd/relay.h
+++ b/packages/fleetd/relay.h
@@ -55,7 +55,7 @@
   uint64_t leaderChanges = 0;
 };
 
-// Sends one request to one instance; the path and the port are fixed.
+// Gets the outcome of a request.
 using RelayCallback = std::function<void(fleet::gen::Reply)>;
 
 class Relay
