Never refuse a copy of a submission that is on its way to the log

Found by reading: a second copy of a job's submission that arrives before the first one is committed could be refused for the backlog, though the job then runs. Admission now skips jobs in a batch without an outcome.

--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -235,11 +235,15 @@
   job.maxAttempts = static_cast<int32_t>(target.queue->maxAttempts);
   job.stretch = target.queue->stretch;
   job.targetLatencyMs = target.queue->targetLatency.Count();
-  AdmissionVerdict verdict =
-    Admit(FleetState::JobOf(job),
-          { .state = &mState,
-            .forecast = &mDispatcher->Times(),
-            .usableAccelerators = mDispatcher->UsableAccelerators(mNow) });
+  // A copy of a submission that is on its way to the log must not be refused.
+  AdmissionVerdict verdict;
+  if (!mSubmitting.contains(job.id)) {
+    verdict =
+      Admit(FleetState::JobOf(job),
+            { .state = &mState,
+              .forecast = &mDispatcher->Times(),
+              .usableAccelerators = mDispatcher->UsableAccelerators(mNow) });
+  }
   if (!verdict.accepted) {
     gen::Reply reply = MakeReply(Outcome::kRejected);
     reply.retryAfterMs = verdict.retryAfter.Count();
@@ -249,8 +253,13 @@
     Answer(aDone, std::move(reply));
     return;
   }
+  mSubmitting.insert(job.id);
+  AnswerAfterCommit(
+    [this, id = job.id, done = std::move(aDone)](gen::Reply aReply) {
+      mSubmitting.erase(id);
+      done(std::move(aReply));
+    });
   mBatch.command.jobs.push_back(std::move(job));
-  AnswerAfterCommit(std::move(aDone));
 }
 
 void
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -158,6 +159,8 @@
   uint64_t mGeneration = 0;
   bool mConfirming = false;
   Batch mBatch;
+  // Jobs in a batch that has no outcome yet.
+  std::set<std::string> mSubmitting;
   bool mMembershipInFlight = false;
   Millis mNextDuties;
   NodeCounters mCounters;
