--- a/packages/fleet/planner_benchmark.cc
+++ b/packages/fleet/planner_benchmark.cc
@@ -77,7 +77,7 @@
 }
 
 void
-BM_Pass(benchmark::State& aState)
+PlanPass(benchmark::State& aState)
 {
   auto workers = static_cast<size_t>(aState.range(0));
   FleetState state = LoadedFleet(workers, workers / 2);
@@ -106,7 +106,7 @@
   }
 }
 
-BENCHMARK(BM_Pass)->Arg(48)->Arg(350)->Unit(benchmark::kMillisecond);
+BENCHMARK(PlanPass)->Arg(48)->Arg(350)->Unit(benchmark::kMillisecond);
 
 } // namespace
 } // namespace limpetwood::fleet
