--- /dev/null
+++ b/packages/base/log_event.h
@@ -0,0 +1,70 @@
+// One line of a process's log: what happened, with fields.
+//
+//   LogEvent("run_stalled").Add("run", name).Add("still_ms", since)
+//
+// Lines are JSON objects, so that tools can read them without knowing each
+// event. Names of fields that hold a time end with their unit.
+
+#pragma once
+
+#include "base/strong.h"
+#include "base/time.h"
+
+#include <concepts>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace limpetwood {
+
+class LogEvent
+{
+public:
+  // `aName` is a word in snake_case.
+  explicit LogEvent(std::string_view aName);
+
+  LogEvent& Add(std::string_view aField, std::string_view aValue);
+  LogEvent& Add(std::string_view aField, const std::string& aValue)
+  {
+    return Add(aField, std::string_view(aValue));
+  }
+  LogEvent& Add(std::string_view aField, const char* aValue)
+  {
+    return Add(aField, std::string_view(aValue));
+  }
+  LogEvent& Add(std::string_view aField, bool aValue)
+  {
+    return AddLiteral(aField, aValue ? "true" : "false");
+  }
+  template<std::integral T>
+  LogEvent& Add(std::string_view aField, T aValue)
+  {
+    return AddLiteral(aField, std::to_string(aValue));
+  }
+  LogEvent& Add(std::string_view aField, Millis aValue)
+  {
+    return Add(aField, aValue.Count());
+  }
+  template<typename Tag>
+  LogEvent& Add(std::string_view aField, const StrongString<Tag>& aValue)
+  {
+    return Add(aField, aValue.Value());
+  }
+  template<typename Tag, typename Rep>
+  LogEvent& Add(std::string_view aField, StrongInt<Tag, Rep> aValue)
+  {
+    return Add(aField, aValue.Value());
+  }
+
+  // The members of the JSON object, without its braces.
+  const std::string& Members() const { return mMembers; }
+
+private:
+  LogEvent& AddLiteral(std::string_view aField, std::string_view aLiteral);
+
+  std::string mMembers;
+};
+
+using LogFunction = std::function<void(const LogEvent&)>;
+
+} // namespace limpetwood
