--- a/packages/fleetd/latency_histogram.h
+++ b/packages/base/latency_histogram.h
@@ -7,7 +7,7 @@
 #include <array>
 #include <cstdint>
 
-namespace limpetwood::fleetd {
+namespace limpetwood {
 
 class LatencyHistogram
 {
@@ -39,4 +39,4 @@
   int64_t mSum = 0;
 };
 
-} // namespace limpetwood::fleetd
+} // namespace limpetwood
--- a/packages/control/control_group.cc
+++ b/packages/control/control_group.cc
@@ -356,9 +356,8 @@
     return;
   }
   mLeading = leading;
-  mEnvironment.Log(leading ? "became control leader in term " +
-                               std::to_string(mGroup->Term())
-                           : std::string("lost the control leader lease"));
+  mEnvironment.Log(LogEvent(leading ? "leading" : "leadership_lost")
+                     .Add("term", mGroup->Term()));
   if (!leading) {
     return;
   }
@@ -447,8 +446,9 @@
       continue;
     }
     ++mCounters.zonesFenced;
-    mEnvironment.Log("zone " + zone.Value() +
-                     " has passed its autonomy; its jobs are reassigned");
+    mEnvironment.Log(LogEvent("zone_fenced")
+                       .Add("zone", zone)
+                       .Add("reason", "autonomy_passed"));
     gen::FenceZone fence;
     fence.zone = zone.Value();
     gen::Command command;
@@ -493,16 +493,18 @@
   size_t wanted = mOptions.group.voters.size();
   size_t voters = status.membership.voters.size();
   if (voters > wanted && lost != nullptr) {
-    mEnvironment.Log("removing the unreachable voter " +
-                     lost->member.instance.Value());
+    mEnvironment.Log(LogEvent("membership_change")
+                       .Add("change", "remove")
+                       .Add("instance", lost->member.instance));
     mMembershipInFlight = true;
     mGroup->Remove(lost->member, aNow, done);
     return;
   }
   bool needed = voters < wanted || (lost != nullptr && voters == wanted);
   if (needed && learner != nullptr) {
-    mEnvironment.Log("promoting " + learner->member.instance.Value() +
-                     " to voter");
+    mEnvironment.Log(LogEvent("membership_change")
+                       .Add("change", "promote")
+                       .Add("instance", learner->member.instance));
     ++mCounters.repairsStarted;
     mMembershipInFlight = true;
     mGroup->Promote(learner->member, aNow, done);
@@ -521,8 +523,9 @@
   }
   if (!status.applicants.empty()) {
     const replication::Member& applicant = status.applicants.front();
-    mEnvironment.Log("admitting " + applicant.instance.Value() +
-                     " as a standby");
+    mEnvironment.Log(LogEvent("membership_change")
+                       .Add("change", "admit")
+                       .Add("instance", applicant.instance));
     mMembershipInFlight = true;
     mGroup->AddLearner(applicant, aNow, done);
   }
--- a/packages/control/control_group.h
+++ b/packages/control/control_group.h
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include "base/log_event.h"
 #include "base/result.h"
 #include "control/assigner.h"
 #include "control/codec.h"
@@ -47,7 +48,7 @@
   virtual void SendControl(const InstanceId& aTo,
                            const gen::ControlMessage& aMessage) = 0;
   // One line for a change of state.
-  virtual void Log(const std::string& aLine) = 0;
+  virtual void Log(const LogEvent& aEvent) = 0;
 };
 
 struct ControlGroupCounters
--- a/packages/daemon/actors.cc
+++ b/packages/daemon/actors.cc
@@ -43,8 +43,9 @@
   mOptions.group.seed = SeedOf(mOptions.group.self);
   auto opened = control::ControlGroup::Open(mOptions, *this);
   if (!opened) {
-    LogError("cannot open the control state in " + mOptions.group.folder +
-             ": " + opened.Error().message());
+    LogError(LogEvent("control_state_not_opened")
+               .Add("folder", mOptions.group.folder)
+               .Add("error", opened.Error().message()));
     return {};
   }
   mGroup = std::move(opened).Value();
@@ -111,9 +112,9 @@
 }
 
 void
-GroupActor::Log(const std::string& aLine)
+GroupActor::Log(const LogEvent& aEvent)
 {
-  LogInfo(aLine);
+  LogInfo(aEvent);
 }
 
 InstanceActor::InstanceActor(caf::actor_config& aConfig,
@@ -227,9 +228,9 @@
 }
 
 void
-InstanceActor::Log(const std::string& aLine)
+InstanceActor::Log(const LogEvent& aEvent)
 {
-  LogInfo(aLine);
+  LogInfo(aEvent);
 }
 
 } // namespace limpetwood::daemon
--- a/packages/daemon/actors.h
+++ b/packages/daemon/actors.h
@@ -84,7 +84,7 @@
   void SendReplication(const InstanceId& aTo, std::string aBytes) override;
   void SendControl(const InstanceId& aTo,
                    const control::gen::ControlMessage& aMessage) override;
-  void Log(const std::string& aLine) override;
+  void Log(const LogEvent& aEvent) override;
 
   // Ticks after all messages that are in the mailbox now, so that they share
   // one disk sync.
@@ -124,7 +124,7 @@
   void InForce(const membership::HeldConfiguration& aConfiguration,
                const model::PlannedDocument& aPlanned) override;
   void Drain() override;
-  void Log(const std::string& aLine) override;
+  void Log(const LogEvent& aEvent) override;
 
   void OnTick();
   void ArmTimer();
--- a/packages/daemon/bounded_appender.cc
+++ b/packages/daemon/bounded_appender.cc
@@ -53,8 +53,9 @@
   }
   std::string line = formatEvent(aEvent);
   if (mDropped > 0) {
-    line.insert(line.size() - 1,
-                " dropped_lines_before=" + std::to_string(mDropped));
+    // In front of the brace and the line break.
+    line.insert(line.size() - 2,
+                ",\"dropped_lines_before\":" + std::to_string(mDropped));
   }
   ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
   if (written == static_cast<ssize_t>(line.size())) {
--- a/packages/daemon/environment.h
+++ b/packages/daemon/environment.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/log_event.h"
 #include "base/verdict.h"
 #include "control/codec.h"
 #include "membership/configuration_holder.h"
@@ -48,7 +49,7 @@
   virtual void Drain() = 0;
 
   // One line for a change of state.
-  virtual void Log(const std::string& aLine) = 0;
+  virtual void Log(const LogEvent& aEvent) = 0;
 };
 
 } // namespace limpetwood::daemon
--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -137,8 +137,8 @@
     if (cutOff &&
         mCandidate.ContactAge(aNow) >= mSettings.timings.zoneAutonomy &&
         !mAuthority->Suspended()) {
-      mEnvironment.Log("the zone's autonomy has ended; its tasks stop at the "
-                       "end of their leases");
+      mEnvironment.Log(
+        LogEvent("zone_autonomy_ended").Add("zone", mSettings.zone));
       mAuthority->Suspend();
     }
     mAuthority->Tick(aNow, cutOff);
@@ -270,9 +270,9 @@
       return;
     case membership::Offer::kPersistFirst:
       if (std::error_code ec = mEnvironment.Persist(copy)) {
-        mEnvironment.Log("cannot store configuration " +
-                         std::to_string(copy.version.Value()) + ": " +
-                         ec.message());
+        mEnvironment.Log(LogEvent("configuration_not_stored")
+                           .Add("version", copy.version)
+                           .Add("error", ec.message()));
         return;
       }
       if (mHolder.Synced(copy.version)) {
@@ -295,14 +295,14 @@
   // here could differ, because it depends on the plans before it.
   auto planned = model::ReadPlanned(held.document);
   if (!planned) {
-    mEnvironment.Log("configuration " + std::to_string(held.version.Value()) +
-                     " cannot be read");
+    mEnvironment.Log(
+      LogEvent("configuration_unreadable").Add("version", held.version));
     return;
   }
   ++mCounters.configurationsAdopted;
   mPlanned = std::move(planned).Value();
-  mEnvironment.Log("configuration " + std::to_string(held.version.Value()) +
-                   " is in force");
+  mEnvironment.Log(
+    LogEvent("configuration_in_force").Add("version", held.version));
   mEnvironment.InForce(held, *mPlanned);
   if (mAuthority) {
     mAuthority->OnConfiguration(*mPlanned, MonotonicNow());
@@ -357,9 +357,9 @@
                                                mSettings.timings.workerLease,
                                                mEnvironment,
                                                mLeader);
-  mEnvironment.Log("authority of zone " + mSettings.zone.Value() +
-                   " in epoch " +
-                   std::to_string(mCandidate.CurrentEpoch().Value()));
+  mEnvironment.Log(LogEvent("zone_authority")
+                     .Add("zone", mSettings.zone)
+                     .Add("epoch", mCandidate.CurrentEpoch()));
   if (mPlanned) {
     mAuthority->OnConfiguration(*mPlanned, aNow);
   }
@@ -373,7 +373,8 @@
     return;
   }
   ++mCounters.authorityLosses;
-  mEnvironment.Log("no longer authority of zone " + mSettings.zone.Value());
+  mEnvironment.Log(
+    LogEvent("zone_authority_lost").Add("zone", mSettings.zone));
   mLeftoversEpoch = mAuthority->CurrentEpoch();
   for (gen::JobEvent& it : mAuthority->TakeUnreported()) {
     mLeftovers.push_back(std::move(it));
--- a/packages/daemon/log.cc
+++ b/packages/daemon/log.cc
@@ -46,7 +46,8 @@
 Attach(log4cplus::SharedAppenderPtr aAppender, const InstanceId& aInstance)
 {
   aAppender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-    "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p " + aInstance.Value() + " %m%n"));
+    R"({"time":"%d{%Y-%m-%dT%H:%M:%S.%q}Z","level":"%p","instance":")" +
+    aInstance.Value() + R"(",%m}%n)"));
   TheLogger().addAppender(aAppender);
 }
 
@@ -77,21 +78,21 @@
 }
 
 void
-LogInfo(const std::string& aLine)
+LogInfo(const LogEvent& aEvent)
 {
-  LOG4CPLUS_INFO(TheLogger(), aLine);
+  LOG4CPLUS_INFO(TheLogger(), aEvent.Members());
 }
 
 void
-LogWarn(const std::string& aLine)
+LogWarn(const LogEvent& aEvent)
 {
-  LOG4CPLUS_WARN(TheLogger(), aLine);
+  LOG4CPLUS_WARN(TheLogger(), aEvent.Members());
 }
 
 void
-LogError(const std::string& aLine)
+LogError(const LogEvent& aEvent)
 {
-  LOG4CPLUS_ERROR(TheLogger(), aLine);
+  LOG4CPLUS_ERROR(TheLogger(), aEvent.Members());
 }
 
 } // namespace limpetwood::daemon
--- a/packages/daemon/log.h
+++ b/packages/daemon/log.h
@@ -1,11 +1,11 @@
-// The daemon's log: one line for each change of state.
+// The daemon's log: a JSON object a line, with `time`, `level` and `instance`
+// in front of the event's own fields.
 
 #pragma once
 
+#include "base/log_event.h"
 #include "model/settings.h"
 
-#include <string>
-
 namespace limpetwood::daemon {
 
 // Sets up log4cplus for the process. Call once, before the first line.
@@ -18,10 +18,10 @@
 OpenBoundedLog(const InstanceId& aInstance);
 
 void
-LogInfo(const std::string& aLine);
+LogInfo(const LogEvent& aEvent);
 void
-LogWarn(const std::string& aLine);
+LogWarn(const LogEvent& aEvent);
 void
-LogError(const std::string& aLine);
+LogError(const LogEvent& aEvent);
 
 } // namespace limpetwood::daemon
--- a/packages/daemon/process.cc
+++ b/packages/daemon/process.cc
@@ -175,7 +175,7 @@
   mGroup = nullptr;
   mInstance = nullptr;
   mActors.reset();
-  LogInfo("stopped");
+  LogInfo(LogEvent("stopped").Add("exit_code", mExitCode));
   return mExitCode;
 }
 
@@ -189,8 +189,8 @@
     auto loaded = LoadConfiguration(*mSettings.dataFolder);
     if (!loaded) {
       // As after the loss of the disk: wait for a linearizable read.
-      LogWarn("the stored configuration is unusable: " +
-              loaded.Error().message());
+      LogWarn(LogEvent("stored_configuration_unusable")
+                .Add("error", loaded.Error().message()));
     } else {
       held = std::move(loaded).Value();
     }
@@ -215,14 +215,16 @@
                                      std::pair("control", &control),
                                      std::pair("caller", &caller) }) {
     if (!*bound) {
-      LogError(std::string("cannot listen on the ") + name +
-               " address: " + bound->Error().message());
+      LogError(LogEvent("listen_failed")
+                 .Add("address_of", name)
+                 .Add("error", bound->Error().message()));
       return false;
     }
   }
-  LogInfo("listening: callers " + http::FormatEndpoint(caller.Value()) +
-          ", control " + http::FormatEndpoint(control.Value()) + ", peers " +
-          http::FormatEndpoint(peers.Value()));
+  LogInfo(LogEvent("started")
+            .Add("callers", http::FormatEndpoint(caller.Value()))
+            .Add("control", http::FormatEndpoint(control.Value()))
+            .Add("peers", http::FormatEndpoint(peers.Value())));
   return true;
 }
 
@@ -234,8 +236,9 @@
       return;
     }
     if (mDraining) {
-      LogWarn("second signal: ending " +
-              std::to_string(mRequestPath.InFlight()) + " requests");
+      LogWarn(LogEvent("drain_cut_short")
+                .Add("reason", "second_signal")
+                .Add("requests_ended", mRequestPath.InFlight()));
       FinishDrain(kExitDrainCutShort);
       return;
     }
@@ -251,8 +254,8 @@
     return;
   }
   mDraining = true;
-  LogInfo("draining; requests in progress: " +
-          std::to_string(mRequestPath.InFlight()));
+  LogInfo(
+    LogEvent("draining").Add("requests_in_flight", mRequestPath.InFlight()));
   mControlServer.SetDraining();
   caf::anon_send(mInstance, DrainAtom::value);
   if (mGroup) {
@@ -260,8 +263,9 @@
   }
   mRequestPath.Drain([this](uint64_t aEnded) {
     if (aEnded > 0) {
-      LogWarn("drain deadline passed: ended " + std::to_string(aEnded) +
-              " requests");
+      LogWarn(LogEvent("drain_cut_short")
+                .Add("reason", "deadline")
+                .Add("requests_ended", aEnded));
     }
     FinishDrain(aEnded > 0 ? kExitDrainCutShort : kExitOk);
   });
--- a/packages/daemon/zone_authority.cc
+++ b/packages/daemon/zone_authority.cc
@@ -343,9 +343,10 @@
       },
       [this](const Alarm& it) {
         std::string key = it.reason;
-        std::string detail;
+        LogEvent event(it.active ? "alarm" : "alarm_ended");
+        event.Add("reason", it.reason);
         for (const auto& [name, value] : it.values) {
-          detail.append(" ").append(name).append("=").append(value);
+          event.Add(name, value);
         }
         if (!it.values.empty()) {
           key += "/" + it.values.front().second;
@@ -353,8 +354,7 @@
         bool changed = it.active ? mAlarms.insert_or_assign(key, it).second
                                  : mAlarms.erase(key) > 0;
         if (changed) {
-          mEnvironment.Log((it.active ? "alarm " : "alarm ended: ") +
-                           it.reason + detail);
+          mEnvironment.Log(event);
         }
       } },
     aEffect);
@@ -442,7 +442,8 @@
     return;
   }
   if (!aAnswer.result.accepted) {
-    mEnvironment.Log("journal refused: " + aAnswer.result.reason);
+    mEnvironment.Log(
+      LogEvent("journal_refused").Add("reason", aAnswer.result.reason));
     return;
   }
   std::vector<Record> done;
--- a/packages/fleet/admission.cc
+++ b/packages/fleet/admission.cc
@@ -78,7 +78,10 @@
   Millis excess = std::clamp(wait + chain - worthless, kSoonest, kLatest);
   auto turn =
     static_cast<int64_t>(std::hash<JobId>()(aJob.id) % (kSpreadPercent + 1));
-  return { .accepted = false, .retryAfter = excess + excess * turn / 100 };
+  return { .accepted = false,
+           .retryAfter = excess + excess * turn / 100,
+           .expected = wait + chain,
+           .worthlessAfter = worthless };
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/admission.h
+++ b/packages/fleet/admission.h
@@ -25,6 +25,10 @@
   bool accepted = true;
   // When to come back, if not.
   Millis retryAfter{};
+  // What decided: the expected time to the result, and the time after which it
+  // is worth nothing.
+  Millis expected{};
+  Millis worthlessAfter{};
 };
 
 // `aJob` is not part of the state yet.
--- /dev/null
+++ b/packages/fleet/change_event.cc
@@ -0,0 +1,86 @@
+#include "fleet/change_event.h"
+
+namespace limpetwood::fleet {
+
+namespace {
+
+std::string_view
+StatusName(JobStatus aStatus)
+{
+  switch (aStatus) {
+    case JobStatus::kQueued:
+      return "queued";
+    case JobStatus::kRunning:
+      return "running";
+    case JobStatus::kCompleted:
+      return "completed";
+    case JobStatus::kFailed:
+      return "failed";
+    case JobStatus::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+LogEvent
+AcceptedEvent(const Job& aJob, const FleetState& aState)
+{
+  LogEvent event("job_accepted");
+  event.Add("job", aJob.id)
+    .Add("queue", aJob.queue)
+    .Add("workspace", aJob.workspace)
+    .Add("priority", aJob.priority)
+    .Add("steps", aJob.spec.steps.size())
+    .Add("configuration", aState.Version());
+  return event;
+}
+
+LogEvent
+EndedEvent(const Job& aJob)
+{
+  LogEvent event("job_ended");
+  event.Add("job", aJob.id)
+    .Add("status", StatusName(aJob.status))
+    .Add("age_ms", aJob.endedAt - aJob.acceptedAt)
+    .Add("active_runs", aJob.activeRuns);
+  return event;
+}
+
+} // namespace
+
+std::optional<LogEvent>
+EventOf(const Change& aChange, const FleetState& aState)
+{
+  switch (aChange.kind) {
+    case Change::Kind::kConfiguration:
+      return LogEvent("configuration_in_force")
+        .Add("version", aState.Version());
+    case Change::Kind::kJobAccepted:
+    case Change::Kind::kJobEnded: {
+      const Job* job = aState.FindJob(aChange.run.task.job);
+      if (job == nullptr) {
+        return std::nullopt;
+      }
+      return aChange.kind == Change::Kind::kJobAccepted
+               ? AcceptedEvent(*job, aState)
+               : EndedEvent(*job);
+    }
+    case Change::Kind::kRunEnded:
+      if (aChange.end == EndKind::kDone) {
+        return std::nullopt;
+      }
+      return LogEvent("run_ended")
+        .Add("run", NameOf(aChange.run))
+        .Add("how", EndName(aChange.end))
+        .Add("worker", aChange.worker);
+    case Change::Kind::kWorkerJoined:
+      return LogEvent("worker_joined").Add("worker", aChange.worker);
+    case Change::Kind::kWorkerDraining:
+      return LogEvent("worker_draining").Add("worker", aChange.worker);
+    case Change::Kind::kWorkerGone:
+      break;
+  }
+  return LogEvent("worker_gone").Add("worker", aChange.worker);
+}
+
+} // namespace limpetwood::fleet
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -16,11 +16,6 @@
 constexpr Millis kForgetAfter = Seconds(20);
 // How long an unhealthy worker is left alone.
 constexpr Millis kUnhealthyPause = Seconds(2);
-// A run whose progress stands still this long has stalled: several times the
-// longest pause between two percent of the longest task, and of a restore.
-constexpr Millis kStallTime(2500);
-// A member of a gang that is through waits for the others at this progress.
-constexpr int32_t kAllDone = 100;
 // At most one of so many workers is left out for its failures.
 constexpr size_t kMostExcludedPart = 2;
 // Each worker is looked at this often, for stalls and the ends of leases.
@@ -39,6 +34,8 @@
   : mOptions(aOptions)
   , mState(aState)
   , mToken(aToken)
+  , mProposals(aState)
+  , mWatch(aState, mLinks, mForecast, aOptions.stopTime)
   , mPlanner(aOptions.planner)
   , mHealth(aOptions.health)
   , mNextPlan(aNow)
@@ -118,7 +115,7 @@
       return false;
     }
   }
-  mCommand.workers.push_back(ToWire(aReport));
+  mProposals.Report(aReport);
   return true;
 }
 
@@ -129,38 +126,7 @@
   if (known == nullptr) {
     return false;
   }
-  ProposeGone(*known);
-  return true;
-}
-
-void
-Dispatcher::ProposeGone(const Worker& aWorker)
-{
-  if (!mProposedGone.insert(aWorker.report.id).second) {
-    return;
-  }
-  gen::WorkerGone gone;
-  gone.id = aWorker.report.id.Value();
-  gone.incarnation = static_cast<int64_t>(aWorker.report.incarnation.Value());
-  mCommand.gone.push_back(std::move(gone));
-}
-
-bool
-Dispatcher::ProposeEnd(const WorkerId& aWorker,
-                       const RunRef& aRun,
-                       EndKind aKind,
-                       const std::string& aCheckpoint)
-{
-  if (!mState.IsActive(aRun, aWorker) || !mProposedEnds.insert(aRun).second) {
-    return false;
-  }
-  gen::RunEnd end;
-  end.task = ToWire(aRun.task);
-  end.run = static_cast<int32_t>(aRun.run.Value());
-  end.worker = aWorker.Value();
-  end.kind = static_cast<int32_t>(aKind);
-  end.checkpoint = aCheckpoint;
-  mCommand.ends.push_back(std::move(end));
+  mProposals.Gone(*known);
   return true;
 }
 
@@ -180,7 +146,7 @@
     link.renewInFlight = false;
   }
   if (aResult.outcome == OrderResult::Outcome::kOtherIncarnation) {
-    ProposeGone(*worker);
+    mProposals.Gone(*worker);
     return;
   }
   bool silent = aResult.outcome == OrderResult::Outcome::kNotSent ||
@@ -197,6 +163,7 @@
   }
   switch (aOrder.kind) {
     case Order::Kind::kStart:
+      mCounters.startAnswers.Observe(aNow - aOrder.sentAt);
       OnStartResult(aOrder, aResult, link, aNow);
       break;
     case Order::Kind::kStop: {
@@ -224,33 +191,6 @@
   mPlanDue = mPlanDue || usable != IsUsable(aOrder.worker, aNow);
 }
 
-void
-Dispatcher::CountRefusal(Refusal aRefusal)
-{
-  switch (aRefusal) {
-    case Refusal::kFenced:
-      ++mCounters.refusedFenced;
-      break;
-    case Refusal::kSuperseded:
-      ++mCounters.refusedSuperseded;
-      break;
-    case Refusal::kLate:
-      ++mCounters.refusedLate;
-      break;
-    case Refusal::kNoRoom:
-      ++mCounters.refusedNoRoom;
-      break;
-    case Refusal::kUnhealthy:
-      ++mCounters.refusedUnhealthy;
-      break;
-    case Refusal::kNone:
-    case Refusal::kNoTicket:
-    case Refusal::kMalformed:
-      ++mCounters.refusedOther;
-      break;
-  }
-}
-
 void
 Dispatcher::OnStartResult(const Order& aOrder,
                           const OrderResult& aResult,
@@ -270,20 +210,24 @@
       }
       break;
     case OrderResult::Outcome::kRefused:
-      CountRefusal(aResult.refusal);
+      ++mCounters.refusals[static_cast<size_t>(aResult.refusal)];
       if (aResult.refusal == Refusal::kUnhealthy) {
         aLink.unhealthyUntil = aNow + kUnhealthyPause;
       }
       [[fallthrough]];
     case OrderResult::Outcome::kNotSent:
-      NoteRun("start_refused",
-              aOrder.worker,
-              aOrder.run,
-              "refusal=" + std::to_string(static_cast<int>(aResult.refusal)));
-      ProposeEnd(aOrder.worker, aOrder.run, EndKind::kRejected, {});
+      NoteRun("start_refused", aOrder.worker, aOrder.run)
+        .Add("reason",
+             aResult.outcome == OrderResult::Outcome::kNotSent
+               ? "not_sent"
+               : RefusalName(aResult.refusal))
+        .Add("sent_ms_ago", aNow - aOrder.sentAt);
+      mProposals.End(aOrder.worker, aOrder.run, EndKind::kRejected, {});
       break;
     case OrderResult::Outcome::kNoAnswer:
-      NoteRun("start_unanswered", aOrder.worker, aOrder.run, "");
+      NoteRun("start_unanswered", aOrder.worker, aOrder.run)
+        .Add("sent_ms_ago", aNow - aOrder.sentAt)
+        .Add("heard_ms_ago", aNow - aLink.lastHeard);
       run.phase = RunView::Phase::kUnresolved;
       run.stopWanted = true;
       break;
@@ -322,21 +266,11 @@
 {
   for (const RunningRun& it : aResult.running) {
     auto found = aLink.runs.find(it.run);
-    const Job* job = mState.FindJob(it.run.task.job);
-    if (found == aLink.runs.end() || job == nullptr ||
-        found->second.stopWanted) {
-      continue;
-    }
-    const StepSpec& spec = job->spec.steps[it.run.task.step];
-    if (spec.lasting) {
+    if (found == aLink.runs.end() || found->second.stopWanted) {
       continue;
     }
     RunView& view = found->second;
-    PaceInput input{ .own = &view.progress,
-                     .peers = PeersOf(it.run, spec),
-                     .expected = mForecast.Learned(job->queue),
-                     .resumes = !view.checkpoint.empty() };
-    switch (Judge(input)) {
+    switch (mWatch.PaceOf(it.run, view)) {
       case Pace::kUnknown:
         break;
       case Pace::kSteady:
@@ -345,10 +279,9 @@
       case Pace::kHopeless:
         view.stopWanted = true;
         ++mCounters.laggingRuns;
-        NoteRun("run_lagging",
-                aWorker.report.id,
-                it.run,
-                "percent=" + std::to_string(it.percent));
+        NoteRun("run_lagging", aWorker.report.id, it.run)
+          .Add("percent", it.percent)
+          .Add("seen_for_ms", aNow - view.progress.FirstAt().value_or(aNow));
         [[fallthrough]];
       case Pace::kLagging:
         mHealth.OnSlow(aWorker.report.id, aNow);
@@ -357,33 +290,6 @@
   }
 }
 
-std::vector<const Progress*>
-Dispatcher::PeersOf(const RunRef& aRun, const StepSpec& aSpec) const
-{
-  std::vector<const Progress*> out;
-  if (!aSpec.gang) {
-    return out;
-  }
-  for (uint32_t n = 0; n < aSpec.tasks; ++n) {
-    RunRef peer = aRun;
-    peer.task.index = n;
-    const Task* task = mState.FindTask(peer.task);
-    if (n == aRun.task.index || task == nullptr ||
-        task->phase != Task::Phase::kActive) {
-      continue;
-    }
-    auto link = mLinks.find(task->worker);
-    if (link == mLinks.end()) {
-      continue;
-    }
-    auto run = link->second.runs.find(peer);
-    if (run != link->second.runs.end()) {
-      out.push_back(&run->second.progress);
-    }
-  }
-  return out;
-}
-
 void
 Dispatcher::OnRenewResult(const Order& aOrder,
                           const OrderResult& aResult,
@@ -400,7 +306,7 @@
     listed.insert(it.run);
     if (it.number > aLink.endsProposed) {
       aLink.endsProposed = it.number;
-      if (ProposeEnd(aOrder.worker, it.run, it.kind, it.checkpoint)) {
+      if (mProposals.End(aOrder.worker, it.run, it.kind, it.checkpoint)) {
         aLink.openEnds.insert(it.run);
       }
     }
@@ -415,7 +321,7 @@
     auto run = aLink.runs.find(it);
     if (!listed.contains(it) && run != aLink.runs.end() &&
         run->second.resolvedAt < aOrder.sentAt) {
-      ProposeEnd(aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
+      mProposals.End(aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
     }
   }
   JudgeProgress(aResult, aWorker, aLink, aNow);
@@ -442,7 +348,7 @@
   for (const gen::RunEnd& it : aCommand.ends) {
     RunRef run{ .task = FromWire(it.task),
                 .run = Attempt(static_cast<uint32_t>(it.run)) };
-    mProposedEnds.erase(run);
+    mProposals.OnEndCommitted(run);
     WorkerId worker(it.worker);
     auto kind = static_cast<EndKind>(it.kind);
     ++mCounters.ends[static_cast<size_t>(kind)];
@@ -465,7 +371,7 @@
     }
   }
   for (const gen::WorkerGone& it : aCommand.gone) {
-    mProposedGone.erase(WorkerId(it.id));
+    mProposals.OnGoneCommitted(WorkerId(it.id));
     if (mState.FindWorker(WorkerId(it.id)) == nullptr) {
       mLinks.erase(WorkerId(it.id));
     }
@@ -539,6 +445,7 @@
     return;
   }
   mStartsProposed = false;
+  Millis wallNow(aCommand.atMs);
   for (const gen::RunStart& it : aCommand.starts) {
     RunRef run{ .task = FromWire(it.task),
                 .run = Attempt(static_cast<uint32_t>(it.run)) };
@@ -560,21 +467,18 @@
     link.renewDue = std::min(link.renewDue, aNow);
     WakeWorker(id, aNow);
     ++mCounters.starts;
+    bool first = run.run == Attempt(1) && run.task.index == 0 &&
+                 run.task.step == 0 && job.spec.occurrences == 0;
+    if (first) {
+      mCounters.waits.Observe(wallNow - job.acceptedAt);
+    }
   }
 }
 
 void
 Dispatcher::WakeWorker(const WorkerId& aWorker, Millis aTime)
 {
-  auto [it, inserted] = mWorkerDue.try_emplace(aWorker, aTime);
-  if (!inserted) {
-    if (it->second <= aTime) {
-      return;
-    }
-    mDue.erase({ it->second, aWorker });
-    it->second = aTime;
-  }
-  mDue.emplace(aTime, aWorker);
+  mAgenda.Wake(aWorker, aTime);
   WakeAt(aTime);
 }
 
@@ -582,13 +486,7 @@
 Dispatcher::Tick(Millis aNow, Millis aWallNow)
 {
   mNextTick = aNow + mOptions.heartbeat;
-  std::vector<WorkerId> due;
-  while (!mDue.empty() && mDue.begin()->first <= aNow) {
-    due.push_back(mDue.begin()->second);
-    mWorkerDue.erase(due.back());
-    mDue.erase(mDue.begin());
-  }
-  for (const WorkerId& it : due) {
+  for (const WorkerId& it : mAgenda.TakeDue(aNow)) {
     if (const Worker* worker = mState.FindWorker(it)) {
       TickWorker(*worker, LinkOf(*worker, aNow), aNow);
     }
@@ -598,9 +496,7 @@
     RunPlan(aNow, aWallNow);
   }
   WakeAt(mPlanDue ? std::max(mEarliestPlan, aNow + Millis(1)) : mNextPlan);
-  if (!mDue.empty()) {
-    WakeAt(mDue.begin()->first);
-  }
+  WakeAt(mAgenda.Next());
 }
 
 void
@@ -614,7 +510,7 @@
   StopRuns(aWorker, aLink, aNow);
   RenewWorker(aWorker, aLink, aNow);
   if (aWorker.active.empty() && aNow - aLink.lastHeard > kForgetAfter) {
-    ProposeGone(aWorker);
+    mProposals.Gone(aWorker);
   }
   WakeWorker(aWorker.report.id, aNow + kLookInterval);
 }
@@ -629,10 +525,10 @@
     auto run = aLink.runs.find(it);
     bool unresolved = run != aLink.runs.end() &&
                       run->second.phase == RunView::Phase::kUnresolved;
-    if (unresolved && !mProposedEnds.contains(it)) {
+    if (unresolved && !mProposals.IsEnding(it)) {
       aLink.suspects.push_back(it);
     }
-    ProposeEnd(aWorker.report.id,
+    mProposals.End(aWorker.report.id,
                it,
                EndKind::kLost,
                run == aLink.runs.end() ? std::string()
@@ -640,57 +536,20 @@
   }
 }
 
-bool
-Dispatcher::HasStalled(const RunRef& aRun,
-                       const RunView& aView,
-                       const WorkerLink& aLink,
-                       Millis aNow) const
-{
-  const Job* job = mState.FindJob(aRun.task.job);
-  return job != nullptr && !job->spec.steps[aRun.task.step].lasting &&
-         aView.progress.GrewAt() && !aView.stopWanted && aLink.reachable &&
-         aView.progress.Percent() < kAllDone &&
-         aNow - *aView.progress.GrewAt() > kStallTime &&
-         aNow - aLink.lastHeard < mOptions.renewWait;
-}
-
-bool
-Dispatcher::MustStop(const RunRef& aRun, const RunView& aView) const
-{
-  if (aView.stopWanted) {
-    return true;
-  }
-  const Job* job = mState.FindJob(aRun.task.job);
-  if (job == nullptr ||
-      (job->Ended() && job->status != JobStatus::kCompleted)) {
-    return true;
-  }
-  const StepSpec& spec = job->spec.steps[aRun.task.step];
-  if (!spec.gang) {
-    return false;
-  }
-  // A gang that lost a member cannot go on.
-  const Step& step =
-    job->occurrences[aRun.task.occurrence].steps[aRun.task.step];
-  return !step.gangDone && step.active < spec.tasks;
-}
-
 void
 Dispatcher::StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
 {
   for (auto& [run, view] : aLink.runs) {
-    if (HasStalled(run, view, aLink, aNow)) {
+    if (mWatch.HasStalled(run, view, aLink, mOptions.renewWait, aNow)) {
       view.stopWanted = true;
       ++mCounters.stalledRuns;
-      NoteRun("run_stalled",
-              aWorker.report.id,
-              run,
-              "percent=" + std::to_string(view.progress.Percent()) +
-                " still_ms=" +
-                std::to_string((aNow - *view.progress.GrewAt()).Count()));
+      NoteRun("run_stalled", aWorker.report.id, run)
+        .Add("percent", view.progress.Percent())
+        .Add("grew_ms_ago", aNow - *view.progress.GrewAt())
+        .Add("heard_ms_ago", aNow - aLink.lastHeard);
       mHealth.OnStalled(aWorker.report.id, aNow);
     }
-    if (!MustStop(run, view) || mProposedEnds.contains(run)) {
+    if (!mWatch.MustStop(run, view) || mProposals.IsEnding(run)) {
       continue;
     }
     // A stop that was answered needs no repetition until it should be over.
@@ -781,7 +640,7 @@
   std::vector<Candidate> excluded;
   for (const auto& [id, worker] : mState.Workers()) {
     bool usable = IsUsable(id, aNow) && !worker.report.draining &&
-                  !mProposedGone.contains(id);
+                  !mProposals.IsLeaving(id);
     if (!usable) {
       continue;
     }
@@ -800,52 +659,6 @@
   return out;
 }
 
-RunCost
-Dispatcher::CostOf(const WorkerId& aWorker,
-                   const RunRef& aRun,
-                   Millis aNow) const
-{
-  auto link = mLinks.find(aWorker);
-  if (link == mLinks.end()) {
-    return {};
-  }
-  auto it = link->second.runs.find(aRun);
-  if (it == link->second.runs.end()) {
-    return {};
-  }
-  const RunView& view = it->second;
-  const Job& job = *mState.FindJob(aRun.task.job);
-  RunCost out;
-  out.stopping = MustStop(aRun, view);
-  out.restarts = aRun.run.Value() - 1;
-  bool saves = job.spec.steps[aRun.task.step].savesCheckpoints;
-  if (view.progress.FirstAt() && !saves) {
-    out.lost = aNow - *view.progress.FirstAt();
-  }
-  return out;
-}
-
-Millis
-Dispatcher::RestOf(const WorkerId& aWorker,
-                   const RunRef& aRun,
-                   Millis aNow) const
-{
-  const QueueId& queue = mState.FindJob(aRun.task.job)->queue;
-  auto link = mLinks.find(aWorker);
-  if (link == mLinks.end()) {
-    return Millis::Max();
-  }
-  auto it = link->second.runs.find(aRun);
-  if (it == link->second.runs.end()) {
-    return Millis::Max();
-  }
-  const RunView& view = it->second;
-  if (MustStop(aRun, view)) {
-    return std::max(view.stopSentAt + mOptions.stopTime - aNow, Millis(0));
-  }
-  return mForecast.Rest(queue, view.progress, aNow);
-}
-
 void
 Dispatcher::RunPlan(Millis aNow, Millis aWallNow)
 {
@@ -856,9 +669,9 @@
     .state = &mState,
     .candidates = Candidates(aNow),
     .costOf = [&](const WorkerId& aWorker,
-                  const RunRef& aRun) { return CostOf(aWorker, aRun, aNow); },
+                  const RunRef& aRun) { return mWatch.CostOf(aWorker, aRun, aNow); },
     .restOf = [&](const WorkerId& aWorker,
-                  const RunRef& aRun) { return RestOf(aWorker, aRun, aNow); },
+                  const RunRef& aRun) { return mWatch.RestOf(aWorker, aRun, aNow); },
     .forecast = &mForecast,
     .now = aNow,
     .wallNow = aWallNow
@@ -870,35 +683,33 @@
     mNextPlan = std::min(mNextPlan, aNow + (plan.nextDue - aWallNow));
   }
   for (const PlannedStart& it : plan.starts) {
-    gen::RunStart start;
-    start.task = ToWire(it.run.task);
-    start.run = static_cast<int32_t>(it.run.run.Value());
-    start.worker = it.worker.Value();
-    start.incarnation = static_cast<int64_t>(it.incarnation.Value());
-    mCommand.starts.push_back(std::move(start));
+    mProposals.Start(it.run, it.worker, it.incarnation);
   }
   mStartsProposed = !plan.starts.empty();
   NoteStarts(plan);
-  for (const auto& [worker, run] : plan.victims) {
-    auto link = mLinks.find(worker);
-    if (link == mLinks.end()) {
-      continue;
-    }
-    auto it = link->second.runs.find(run);
-    if (it != link->second.runs.end() && !it->second.stopWanted) {
-      it->second.stopWanted = true;
-      ++mCounters.preemptions;
-      NoteRun("run_preempted",
-              worker,
-              run,
-              "percent=" + std::to_string(it->second.progress.Percent()));
-    }
+  for (const PlannedStop& it : plan.stops) {
+    Preempt(it, aNow);
   }
-  for (const auto& [worker, run] : plan.victims) {
-    if (const Worker* found = mState.FindWorker(worker)) {
-      StopRuns(*found, LinkOf(*found, aNow), aNow);
-    }
+}
+
+void
+Dispatcher::Preempt(const PlannedStop& aStop, Millis aNow)
+{
+  auto link = mLinks.find(aStop.worker);
+  const Worker* worker = mState.FindWorker(aStop.worker);
+  if (link == mLinks.end() || worker == nullptr) {
+    return;
+  }
+  auto run = link->second.runs.find(aStop.run);
+  if (run != link->second.runs.end() && !run->second.stopWanted) {
+    NoteRun("run_preempted", aStop.worker, aStop.run)
+      .Add("room_for", aStop.roomFor)
+      .Add("percent", run->second.progress.Percent())
+      .Add("lost_ms", mWatch.CostOf(aStop.worker, aStop.run, aNow).lost);
+    run->second.stopWanted = true;
+    ++mCounters.preemptions;
   }
+  StopRuns(*worker, link->second, aNow);
 }
 
 void
@@ -917,32 +728,21 @@
       ++count;
       ++n;
     }
-    mNotes.push_back("runs_started first=" + NameOf(first) +
-                     " tasks=" + std::to_string(count) + " workers=" + workers);
+    mEvents.emplace_back("runs_started")
+      .Add("first", NameOf(first))
+      .Add("tasks", count)
+      .Add("workers", workers)
+      .Add("blocked_units", aPlan.blocked);
   }
 }
 
-void
-Dispatcher::NoteRun(std::string_view aWhat,
+LogEvent&
+Dispatcher::NoteRun(std::string_view aName,
                     const WorkerId& aWorker,
-                    const RunRef& aRun,
-                    std::string aDetail)
-{
-  mNotes.push_back(std::string(aWhat) + " run=" + NameOf(aRun) +
-                   " worker=" + aWorker.Value() + " " + std::move(aDetail));
-}
-
-bool
-Dispatcher::HasCommand() const
-{
-  return !mCommand.workers.empty() || !mCommand.gone.empty() ||
-         !mCommand.ends.empty() || !mCommand.starts.empty();
-}
-
-gen::Command
-Dispatcher::TakeCommand()
+                    const RunRef& aRun)
 {
-  return std::exchange(mCommand, {});
+  LogEvent& event = mEvents.emplace_back(aName);
+  return event.Add("run", NameOf(aRun)).Add("worker", aWorker);
 }
 
 std::vector<Order>
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -17,15 +17,18 @@
 
 #pragma once
 
+#include "base/latency_histogram.h"
+#include "base/log_event.h"
 #include "fleet/health.h"
 #include "fleet/order.h"
 #include "fleet/planner.h"
+#include "fleet/proposals.h"
+#include "fleet/run_watch.h"
 #include "fleet/state.h"
+#include "fleet/worker_agenda.h"
 #include "fleet/worker_link.h"
 
 #include <array>
-#include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -59,13 +62,13 @@
   uint64_t stalledRuns = 0;
   uint64_t laggingRuns = 0;
   uint64_t unanswered = 0;
-  uint64_t refusedFenced = 0;
-  uint64_t refusedSuperseded = 0;
-  uint64_t refusedLate = 0;
-  uint64_t refusedNoRoom = 0;
-  uint64_t refusedUnhealthy = 0;
-  uint64_t refusedOther = 0;
+  // Starts that workers refused, by reason.
+  std::array<uint64_t, kRefusals> refusals{};
   uint64_t passes = 0;
+  // From a job's acceptance to its first start.
+  LatencyHistogram waits;
+  // From a start to its answer or its loss.
+  LatencyHistogram startAnswers;
 };
 
 class Dispatcher
@@ -93,12 +96,12 @@
   void Tick(Millis aNow, Millis aWallNow);
   Millis NextTick() const { return mNextTick; }
 
-  bool HasCommand() const;
-  gen::Command TakeCommand();
+  bool HasCommand() const { return !mProposals.Empty(); }
+  gen::Command TakeCommand() { return mProposals.Take(); }
   std::vector<Order> TakeOrders();
 
-  // Lines for the log on what was decided since the last call.
-  std::vector<std::string> TakeNotes() { return std::exchange(mNotes, {}); }
+  // What was decided since the last call, for the log.
+  std::vector<LogEvent> TakeEvents() { return std::exchange(mEvents, {}); }
 
   const DispatcherCounters& Counters() const { return mCounters; }
   // Units without room at the last pass.
@@ -122,45 +125,26 @@
                      const Worker& aWorker,
                      WorkerLink& aLink,
                      Millis aNow);
-  void CountRefusal(Refusal aRefusal);
   void NoteRunning(const OrderResult& aResult, WorkerLink& aLink, Millis aNow);
   void LearnFrom(const WorkerId& aWorker, const RunRef& aRun, Millis aNow);
   void JudgeProgress(const OrderResult& aResult,
                      const Worker& aWorker,
                      WorkerLink& aLink,
                      Millis aNow);
-  // Progress of the other members of a gang.
-  std::vector<const Progress*> PeersOf(const RunRef& aRun,
-                                       const StepSpec& aSpec) const;
   void SendStarts(const gen::Command& aCommand, Millis aNow);
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
-  // False if the run is not active or its end is proposed already.
-  bool ProposeEnd(const WorkerId& aWorker,
-                  const RunRef& aRun,
-                  EndKind aKind,
-                  const std::string& aCheckpoint);
-  void ProposeGone(const Worker& aWorker);
 
   void TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
-  bool HasStalled(const RunRef& aRun,
-                  const RunView& aView,
-                  const WorkerLink& aLink,
-                  Millis aNow) const;
-  bool MustStop(const RunRef& aRun, const RunView& aView) const;
   void EndLeases(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RunPlan(Millis aNow, Millis aWallNow);
   std::vector<Candidate> Candidates(Millis aNow) const;
-  RunCost CostOf(const WorkerId& aWorker,
-                 const RunRef& aRun,
-                 Millis aNow) const;
-  Millis RestOf(const WorkerId& aWorker, const RunRef& aRun, Millis aNow) const;
+  void Preempt(const PlannedStop& aStop, Millis aNow);
   void NoteStarts(const Plan& aPlan);
-  void NoteRun(std::string_view aWhat,
-               const WorkerId& aWorker,
-               const RunRef& aRun,
-               std::string aDetail);
+  LogEvent& NoteRun(std::string_view aName,
+                    const WorkerId& aWorker,
+                    const RunRef& aRun);
   // The workers of the other members of a gang, or of a step.
   void WakeGang(const RunRef& aRun, Millis aNow);
   void WakeStep(const Step& aStep, Millis aNow);
@@ -171,21 +155,17 @@
   const DispatcherOptions mOptions;
   const FleetState& mState;
   const FencingToken mToken;
+  // One for each worker of the state, with its incarnation.
+  WorkerLinks mLinks;
+  Forecast mForecast;
+  Proposals mProposals;
+  RunWatch mWatch;
   Planner mPlanner;
   Health mHealth;
-  Forecast mForecast;
-  // One for each worker of the state, with its incarnation.
-  std::map<WorkerId, WorkerLink> mLinks;
-  // When each worker is to be looked at next.
-  std::map<WorkerId, Millis> mWorkerDue;
-  std::set<std::pair<Millis, WorkerId>> mDue;
-  gen::Command mCommand;
-  // Ends in `mCommand` or on their way to the log.
-  std::set<RunRef> mProposedEnds;
-  std::set<WorkerId> mProposedGone;
+  WorkerAgenda mAgenda;
   std::vector<Order> mOrders;
-  std::vector<std::string> mNotes;
-  // Starts are in `mCommand` or on their way to the log; the next plan waits
+  std::vector<LogEvent> mEvents;
+  // Starts are proposed or on their way to the log; the next plan waits
   // for them, so that room is never given twice.
   bool mStartsProposed = false;
   bool mPlanDue = true;
--- a/packages/fleet/experiment/emulator.cc
+++ b/packages/fleet/experiment/emulator.cc
@@ -101,7 +101,7 @@
     for (const Order& it : mDispatcher.TakeOrders()) {
       Deliver(it);
     }
-    mDispatcher.TakeNotes();
+    mDispatcher.TakeEvents();
     mState.TakeChanges();
     Settle();
   }
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "fleet/admission.h"
+#include "fleet/change_event.h"
 #include "fleet/membership_plan.h"
 
 #include <algorithm>
@@ -26,30 +27,6 @@
          });
 }
 
-std::string
-Field(std::string_view aName, std::string_view aValue)
-{
-  return " " + std::string(aName) + "=" + std::string(aValue);
-}
-
-std::string_view
-StatusName(JobStatus aStatus)
-{
-  switch (aStatus) {
-    case JobStatus::kQueued:
-      return "queued";
-    case JobStatus::kRunning:
-      return "running";
-    case JobStatus::kCompleted:
-      return "completed";
-    case JobStatus::kFailed:
-      return "failed";
-    case JobStatus::kCancelled:
-      break;
-  }
-  return "cancelled";
-}
-
 } // namespace
 
 Node::Node(NodeOptions aOptions, NodeEnvironment& aEnvironment)
@@ -79,8 +56,8 @@
   auto command = Decode<gen::Command>(aCommand);
   if (!command) {
     // Every replica refuses the same bytes, so the states stay equal.
-    mEnvironment.Log("command_unreadable" +
-                     Field("error", command.Error().message()));
+    mEnvironment.Log(LogEvent("command_unreadable")
+                       .Add("error", command.Error().message()));
     return {};
   }
   mState.Apply(command.Value());
@@ -248,8 +225,15 @@
     gen::Reply reply = MakeReply(Outcome::kRejected);
     reply.retryAfterMs = verdict.retryAfter.Count();
     mEnvironment.Log(
-      "job_refused" + Field("job", job.id) + Field("queue", job.queue) +
-      Field("retry_after_ms", std::to_string(reply.retryAfterMs)));
+      LogEvent("job_refused")
+        .Add("job", job.id)
+        .Add("queue", job.queue)
+        .Add("reason", "late_beyond_worth")
+        .Add("expected_ms", verdict.expected)
+        .Add("worthless_after_ms", verdict.worthlessAfter)
+        .Add("usable_accelerators", mDispatcher->UsableAccelerators(mNow))
+        .Add("retry_after_ms", reply.retryAfterMs)
+        .Add("configuration", mState.Version()));
     Answer(aDone, std::move(reply));
     return;
   }
@@ -401,9 +385,11 @@
     mState.TakeChanges();
     mDispatcher = std::make_unique<Dispatcher>(
       mOptions.dispatcher, mState, FencingToken(mGroup->Term()), mNow);
-    mEnvironment.Log("leading" + Field("term", std::to_string(mGroup->Term())) +
-                     Field("jobs", std::to_string(mState.LiveJobs().size())) +
-                     Field("workers", std::to_string(mState.Workers().size())));
+    mEnvironment.Log(LogEvent("leading")
+                       .Add("term", mGroup->Term())
+                       .Add("jobs", mState.LiveJobs().size())
+                       .Add("workers", mState.Workers().size())
+                       .Add("configuration", mState.Version()));
   });
 }
 
@@ -416,8 +402,9 @@
     return;
   }
   mDispatcher.reset();
-  mEnvironment.Log("leadership_lost" +
-                   Field("term", std::to_string(mGroup->Term())));
+  mEnvironment.Log(LogEvent("leadership_lost")
+                     .Add("term", mGroup->Term())
+                     .Add("requests_unanswered", mBatch.waiting.size()));
   Batch unsent = std::exchange(mBatch, {});
   for (auto& it : unsent.waiting) {
     it(Verdict::kNotRun);
@@ -454,7 +441,8 @@
   mGroup->Propose(
     std::move(bytes),
     aNow,
-    [this, batch, generation = mGeneration](ProposeOutcome aOutcome) {
+    [this, batch, aNow, generation = mGeneration](ProposeOutcome aOutcome) {
+      mCounters.commits.Observe(mNow - aNow);
       if (aOutcome.verdict == Verdict::kAnswered && mDispatcher &&
           generation == mGeneration) {
         mDispatcher->OnCommitted(batch->command, mNow);
@@ -484,10 +472,10 @@
   for (Order& it : mDispatcher->TakeOrders()) {
     mEnvironment.SendOrder(std::move(it));
   }
-  for (const std::string& it : mDispatcher->TakeNotes()) {
+  for (const LogEvent& it : mDispatcher->TakeEvents()) {
     mEnvironment.Log(it);
   }
-  LogChanges();
+  HandleChanges();
   if (aNow >= mNextDuties) {
     mNextDuties = aNow + kDutiesInterval;
     RepairMembership(aNow);
@@ -509,56 +497,25 @@
 }
 
 void
-Node::LogChanges()
+Node::HandleChanges()
 {
   std::vector<Change> changes = mState.TakeChanges();
   if (!changes.empty()) {
     mDispatcher->OnChanged();
   }
   for (const Change& it : changes) {
-    switch (it.kind) {
-      case Change::Kind::kConfiguration:
-        mEnvironment.Log(
-          "configuration_in_force" +
-          Field("version", std::to_string(mState.Version().Value())));
-        break;
-      case Change::Kind::kJobAccepted:
-        ++mCounters.jobsAccepted;
-        if (const Job* job = mState.FindJob(it.run.task.job)) {
-          mEnvironment.Log("job_accepted" + Field("job", job->id.Value()) +
-                           Field("queue", job->queue.Value()) +
-                           Field("workspace", job->workspace.Value()));
-        }
-        break;
-      case Change::Kind::kJobEnded:
-        mDispatcher->OnJobEnded(it.run.task.job, mNow);
-        if (const Job* job = mState.FindJob(it.run.task.job)) {
-          mCounters.jobsCompleted += job->status == JobStatus::kCompleted;
-          mCounters.jobsFailed += job->status == JobStatus::kFailed;
-          mCounters.jobsCancelled += job->status == JobStatus::kCancelled;
-          mEnvironment.Log(
-            "job_ended" + Field("job", job->id.Value()) +
-            Field("status", StatusName(job->status)) +
-            Field("age_ms",
-                  std::to_string((job->endedAt - job->acceptedAt).Count())));
-        }
-        break;
-      case Change::Kind::kRunEnded:
-        if (it.end != EndKind::kDone) {
-          mEnvironment.Log("run_ended" + Field("run", NameOf(it.run)) +
-                           Field("how", EndName(it.end)) +
-                           Field("worker", it.worker.Value()));
-        }
-        break;
-      case Change::Kind::kWorkerJoined:
-      case Change::Kind::kWorkerDraining:
-      case Change::Kind::kWorkerGone:
-        mEnvironment.Log(
-          (it.kind == Change::Kind::kWorkerJoined ? "worker_joined"
-           : it.kind == Change::Kind::kWorkerGone ? "worker_gone"
-                                                  : "worker_draining") +
-          Field("worker", it.worker.Value()));
-        break;
+    if (auto event = EventOf(it, mState)) {
+      mEnvironment.Log(*event);
+    }
+    if (it.kind == Change::Kind::kJobAccepted) {
+      ++mCounters.jobsAccepted;
+    } else if (it.kind == Change::Kind::kJobEnded) {
+      mDispatcher->OnJobEnded(it.run.task.job, mNow);
+      if (const Job* job = mState.FindJob(it.run.task.job)) {
+        mCounters.jobsCompleted += job->status == JobStatus::kCompleted;
+        mCounters.jobsFailed += job->status == JobStatus::kFailed;
+        mCounters.jobsCancelled += job->status == JobStatus::kCancelled;
+      }
     }
   }
 }
@@ -604,10 +561,10 @@
       mGroup->Remove(step->member, aNow, done);
       break;
   }
-  mEnvironment.Log(
-    "membership_change" + Field("change", name) +
-    Field("instance", step->member.instance.Value()) +
-    Field("voters", std::to_string(status.membership.voters.size())));
+  mEnvironment.Log(LogEvent("membership_change")
+                     .Add("change", name)
+                     .Add("instance", step->member.instance)
+                     .Add("voters", status.membership.voters.size()));
 }
 
 void
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -13,6 +13,8 @@
 
 #pragma once
 
+#include "base/latency_histogram.h"
+#include "base/log_event.h"
 #include "base/result.h"
 #include "fleet/dispatcher.h"
 #include "fleet/request.h"
@@ -46,8 +48,8 @@
   virtual void SendReplication(const InstanceId& aTo, std::string aBytes) = 0;
   // The result comes back through `Node::OnOrderResult`.
   virtual void SendOrder(Order aOrder) = 0;
-  // One line for a decision or a change of state.
-  virtual void Log(const std::string& aLine) = 0;
+  // A decision or a change of what this replica believes.
+  virtual void Log(const LogEvent& aEvent) = 0;
 };
 
 struct NodeCounters
@@ -60,6 +62,8 @@
   uint64_t proposals = 0;
   uint64_t leaderships = 0;
   uint64_t membershipChanges = 0;
+  // From the proposal of an entry to its outcome.
+  LatencyHistogram commits;
 };
 
 using ReplyCallback = std::function<void(gen::Reply)>;
@@ -142,7 +146,8 @@
   void UpdateLeadership(Millis aNow);
   void LoseLeadership();
   void Propose(Millis aNow);
-  void LogChanges();
+  // Logs, counts and passes on what commits changed.
+  void HandleChanges();
   void ForgetJobs(Millis aWallNow);
   void RepairMembership(Millis aNow);
 
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -20,7 +20,7 @@
   {
   }
   void SendOrder(Order /*aOrder*/) override {}
-  void Log(const std::string& /*aLine*/) override {}
+  void Log(const LogEvent& /*aEvent*/) override {}
 };
 
 class NodeTest : public testing::Test
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -74,6 +75,11 @@
   kMalformed,
 };
 
+inline constexpr int kRefusals = 8;
+
+std::string_view
+RefusalName(Refusal aRefusal);
+
 struct OrderResult
 {
   enum class Outcome
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -425,8 +425,9 @@
   }
   mReclaims[aUnit.job->id] = { .workers = choice->workers,
                                .until = aView.now + mOptions.reclaimPatience };
-  for (auto& it : choice->victims) {
-    aPlan.victims.push_back(std::move(it));
+  for (const auto& [worker, run] : choice->victims) {
+    aPlan.stops.push_back(
+      { .run = run, .worker = worker, .roomFor = aUnit.job->id });
   }
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -107,11 +107,19 @@
   Incarnation incarnation{};
 };
 
+// A run to stop so that a more urgent unit gets its room.
+struct PlannedStop
+{
+  RunRef run{};
+  WorkerId worker{};
+  // The job of that unit.
+  JobId roomFor{};
+};
+
 struct Plan
 {
   std::vector<PlannedStart> starts{};
-  // Runs to stop so that a more urgent unit gets their room.
-  std::vector<std::pair<WorkerId, RunRef>> victims{};
+  std::vector<PlannedStop> stops{};
   // Units that wait for room.
   size_t blocked = 0;
   // The earliest due time of an occurrence (wall clock); `Millis::Max()` if
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -267,10 +267,10 @@
   fleet.Run(JobName(1), 1, "w2", Millis(100), Millis(9000));
   fleet.Submit(JobName(2), Step(1, 8, true), 0);
   Plan plan = fleet.Decide();
-  ASSERT_EQ(plan.victims.size(), 1U);
-  EXPECT_EQ(plan.victims[0].first, WorkerId("w2"));
+  ASSERT_EQ(plan.stops.size(), 1U);
+  EXPECT_EQ(plan.stops[0].worker, WorkerId("w2"));
   // The same reclaim is not ordered twice.
-  EXPECT_TRUE(fleet.Decide().victims.empty());
+  EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
 // Work is not thrown away for room that is about to come anyway.
@@ -282,7 +282,7 @@
   fleet.Submit(JobName(1), Step(1, 8, false), 2);
   fleet.Run(JobName(1), 0, "w1", Millis(5000), Millis(300));
   fleet.Submit(JobName(2), Step(1, 8, true), 0);
-  EXPECT_TRUE(fleet.Decide().victims.empty());
+  EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
 TEST(Planner, UrgentGangBeyondItsGuaranteeSparesLongWork)
@@ -294,7 +294,7 @@
   // The urgent task takes 4 s, so up to 8 s of the same room may be lost.
   fleet.Run(JobName(1), 0, "w1", Millis(9000), Millis(9000));
   fleet.Submit(JobName(2), Step(1, 8, true), 0);
-  EXPECT_TRUE(fleet.Decide().victims.empty());
+  EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
 // Two members of one gang end together, so stopping both costs no more than
--- /dev/null
+++ b/packages/fleet/proposals.cc
@@ -0,0 +1,64 @@
+#include "fleet/proposals.h"
+
+#include <utility>
+
+namespace limpetwood::fleet {
+
+void
+Proposals::Report(const WorkerReport& aReport)
+{
+  mCommand.workers.push_back(ToWire(aReport));
+}
+
+void
+Proposals::Gone(const Worker& aWorker)
+{
+  if (!mGone.insert(aWorker.report.id).second) {
+    return;
+  }
+  gen::WorkerGone gone;
+  gone.id = aWorker.report.id.Value();
+  gone.incarnation = static_cast<int64_t>(aWorker.report.incarnation.Value());
+  mCommand.gone.push_back(std::move(gone));
+}
+
+bool
+Proposals::End(const WorkerId& aWorker,
+               const RunRef& aRun,
+               EndKind aKind,
+               const std::string& aCheckpoint)
+{
+  if (!mState.IsActive(aRun, aWorker) || !mEnds.insert(aRun).second) {
+    return false;
+  }
+  gen::RunEnd end;
+  end.task = ToWire(aRun.task);
+  end.run = static_cast<int32_t>(aRun.run.Value());
+  end.worker = aWorker.Value();
+  end.kind = static_cast<int32_t>(aKind);
+  end.checkpoint = aCheckpoint;
+  mCommand.ends.push_back(std::move(end));
+  return true;
+}
+
+void
+Proposals::Start(const RunRef& aRun,
+                 const WorkerId& aWorker,
+                 Incarnation aIncarnation)
+{
+  gen::RunStart start;
+  start.task = ToWire(aRun.task);
+  start.run = static_cast<int32_t>(aRun.run.Value());
+  start.worker = aWorker.Value();
+  start.incarnation = static_cast<int64_t>(aIncarnation.Value());
+  mCommand.starts.push_back(std::move(start));
+}
+
+bool
+Proposals::Empty() const
+{
+  return mCommand.workers.empty() && mCommand.gone.empty() &&
+         mCommand.ends.empty() && mCommand.starts.empty();
+}
+
+} // namespace limpetwood::fleet
--- a/packages/fleet/request.cc
+++ b/packages/fleet/request.cc
@@ -2,6 +2,30 @@
 
 namespace limpetwood::fleet {
 
+std::string_view
+RequestKindName(RequestKind aKind)
+{
+  switch (aKind) {
+    case RequestKind::kPing:
+      return "ping";
+    case RequestKind::kSubmit:
+      return "submit";
+    case RequestKind::kRead:
+      return "read";
+    case RequestKind::kCancel:
+      return "cancel";
+    case RequestKind::kReport:
+      return "report";
+    case RequestKind::kLeave:
+      return "leave";
+    case RequestKind::kPutConfiguration:
+      return "put_configuration";
+    case RequestKind::kGetConfiguration:
+      break;
+  }
+  return "get_configuration";
+}
+
 std::string_view
 OutcomeName(Outcome aOutcome)
 {
--- a/packages/fleet/request.h
+++ b/packages/fleet/request.h
@@ -39,6 +39,9 @@
 
 inline constexpr int kOutcomes = 9;
 
+std::string_view
+RequestKindName(RequestKind aKind);
+
 std::string_view
 OutcomeName(Outcome aOutcome);
 
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -102,4 +102,6 @@
   Millis mEarlierOver;
 };
 
+using WorkerLinks = std::map<WorkerId, WorkerLink>;
+
 } // namespace limpetwood::fleet
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -144,6 +144,9 @@
 {
   auto request = fleet::Decode<gen::Request>(aRequest.body);
   if (!request) {
+    mLog(LogEvent("request_unreadable")
+           .Add("error", request.Error().message())
+           .Add("bytes", aRequest.body.size()));
     http::Response response;
     response.status = 400;
     aRespond(std::move(response));
@@ -185,7 +188,7 @@
   mNextDiskCheck = aNow + kDiskCheckInterval;
   std::error_code error = mNode->Status().diskError;
   if (error) {
-    mLog("disk_failed error=" + error.message());
+    mLog(LogEvent("disk_failed").Add("error", error.message()));
     // Whoever waits for an answer is left without one, as after a crash.
     mNode.reset();
     Reopen();
@@ -204,7 +207,7 @@
       Reopen();
       return;
     }
-    mLog("disk_works");
+    mLog(LogEvent("disk_works"));
     Schedule();
   });
 }
@@ -261,7 +264,10 @@
                        RelayCallback aDone)
 {
   if (mNode && mNode->IsLeading()) {
-    mNode->Handle(aRequest, MonotonicNow(), std::move(aDone));
+    auto done = [aDone = std::move(aDone)](gen::Reply aReply) {
+      aDone({ .reply = std::move(aReply) });
+    };
+    mNode->Handle(aRequest, MonotonicNow(), std::move(done));
     Schedule();
     return;
   }
@@ -315,7 +321,9 @@
     return;
   }
   mTicking = true;
-  mNode->Tick(MonotonicNow(), WallNow());
+  Millis begun = MonotonicNow();
+  mNode->Tick(begun, WallNow());
+  mTicks.Observe(MonotonicNow() - begun);
   mTicking = false;
   CheckDisk(MonotonicNow());
   Schedule();
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -11,6 +11,8 @@
 
 #pragma once
 
+#include "base/latency_histogram.h"
+#include "base/log_event.h"
 #include "fleet/node.h"
 #include "fleetd/relay.h"
 #include "fleetd/settings.h"
@@ -27,7 +29,6 @@
 
 using OrderCallback = std::function<void(fleet::OrderResult)>;
 using SendOrderFunction = std::function<void(fleet::Order, OrderCallback)>;
-using LogFunction = std::function<void(const std::string&)>;
 
 // Ports within an instance's internal range.
 constexpr uint16_t kReplicationPortOffset = 0;
@@ -59,6 +60,8 @@
   // Null while the disk does not work.
   const fleet::Node* Node() const { return mNode.get(); }
   const RelayCounters& Relayed() const { return mRelay.Counters(); }
+  // How long decisions and the disk kept the process from other events.
+  const LatencyHistogram& Ticks() const { return mTicks; }
   // Address of the instance that leads, if known.
   std::string LeaderAddress() const;
 
@@ -66,7 +69,7 @@
   // fleet::NodeEnvironment
   void SendReplication(const InstanceId& aTo, std::string aBytes) override;
   void SendOrder(fleet::Order aOrder) override;
-  void Log(const std::string& aLine) override { mLog(aLine); }
+  void Log(const LogEvent& aEvent) override { mLog(aEvent); }
 
   // Runs the node's tick when it is due.
   void Schedule();
@@ -90,6 +93,7 @@
   boost::asio::steady_timer mReopenTimer;
   std::vector<std::string> mSeeds;
   bool mTicking = false;
+  LatencyHistogram mTicks;
 };
 
 } // namespace limpetwood::fleetd
--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -37,19 +37,14 @@
   order("start", aCounters.starts);
   order("stop", aCounters.stops);
   order("renew", aCounters.renewals);
-  auto refusal = [&](const char* aReason, uint64_t aValue) {
+  for (int n = 0; n < fleet::kRefusals; ++n) {
+    std::string reason(fleet::RefusalName(static_cast<fleet::Refusal>(n)));
     daemon::AddCounter(aFamilies,
                        "limpetwood_starts_refused_total",
                        "Starts that workers refused by reason, in this term",
-                       static_cast<double>(aValue),
-                       { { "reason", aReason } });
-  };
-  refusal("fenced", aCounters.refusedFenced);
-  refusal("superseded", aCounters.refusedSuperseded);
-  refusal("late", aCounters.refusedLate);
-  refusal("no_room", aCounters.refusedNoRoom);
-  refusal("unhealthy", aCounters.refusedUnhealthy);
-  refusal("other", aCounters.refusedOther);
+                       static_cast<double>(aCounters.refusals[n]),
+                       { { "reason", reason } });
+  }
   auto stopped = [&](const char* aReason, uint64_t aValue) {
     daemon::AddCounter(aFamilies,
                        "limpetwood_runs_given_up_total",
@@ -68,6 +63,14 @@
                      "limpetwood_plans_total",
                      "Scheduling passes, in this term",
                      static_cast<double>(aCounters.passes));
+  AddHistogram(aFamilies,
+               "limpetwood_job_wait_seconds",
+               "From a job's acceptance to its first start, in this term",
+               aCounters.waits);
+  AddHistogram(aFamilies,
+               "limpetwood_start_answer_seconds",
+               "From a start to the worker's answer, in this term",
+               aCounters.startAnswers);
 }
 
 } // namespace
@@ -150,6 +153,10 @@
                      "limpetwood_proposals_total",
                      "Entries that were proposed",
                      static_cast<double>(counters.proposals));
+  AddHistogram(aFamilies,
+               "limpetwood_commit_seconds",
+               "From the proposal of an entry to its outcome",
+               counters.commits);
   if (const fleet::Dispatcher* dispatcher = aNode.Dispatch()) {
     AddDispatch(aFamilies, dispatcher->Counters());
     gauge("limpetwood_blocked_units",
--- a/packages/fleetd/metrics.h
+++ b/packages/fleetd/metrics.h
@@ -5,9 +5,9 @@
 
 #pragma once
 
+#include "base/latency_histogram.h"
 #include "daemon/metrics.h"
 #include "fleet/node.h"
-#include "fleetd/latency_histogram.h"
 #include "fleetd/relay.h"
 #include "http/server.h"
 
--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -43,6 +43,9 @@
   Millis begun;
   Millis deadline;
   RelayCallback done;
+  // Names the request in the log.
+  std::string path;
+  uint32_t attempts = 0;
   // An attempt got no answer.
   bool unknown = false;
 };
@@ -51,7 +54,7 @@
 {
   Impl(asio::io_context& aContext,
        RelayOptions aOptions,
-       std::function<void(const std::string&)> aLog)
+       LogFunction aLog)
     : options(aOptions)
     , client(aContext, PoolLimitsFor())
     , pingTimer(aContext)
@@ -91,7 +94,7 @@
   http::PooledClient client;
   asio::steady_timer pingTimer;
   asio::steady_timer waitTimer;
-  std::function<void(const std::string&)> log;
+  LogFunction log;
   std::vector<std::string> seeds;
   std::set<std::string> members;
   // Empty while none is known.
@@ -106,6 +109,7 @@
   // Requests that wait for a leader.
   std::deque<std::shared_ptr<PendingCall>> waiting;
   gen::Limits limits;
+  std::function<void(const gen::Limits&)> limitsChanged;
   RelayCounters counters;
 };
 
@@ -217,8 +221,11 @@
     members.clear();
   }
   members.insert(aReply.members.begin(), aReply.members.end());
-  if (aReply.__isset.limits) {
+  if (aReply.__isset.limits && !(aReply.limits == limits)) {
     limits = aReply.limits;
+    if (limitsChanged) {
+      limitsChanged(limits);
+    }
   }
 }
 
@@ -231,7 +238,7 @@
   }
   leader = aLeader;
   ++counters.leaderChanges;
-  log("leader_found instance=" + aLeader);
+  log(LogEvent("leader_found").Add("leader", aLeader));
   ResumeWaiting();
 }
 
@@ -241,7 +248,10 @@
   if (leader.empty()) {
     return;
   }
-  log("leader_lost instance=" + leader + " reason=" + std::string(aReason));
+  log(LogEvent("leader_lost")
+        .Add("leader", leader)
+        .Add("reason", aReason)
+        .Add("heard_ms_ago", MonotonicNow() - leaderHeard));
   leader.clear();
   Ping();
 }
@@ -260,6 +270,7 @@
     return;
   }
   std::string target = leader;
+  ++aCall->attempts;
   Fetch(target,
         aCall->bytes,
         std::min(left, options.attemptTimeout),
@@ -328,6 +339,14 @@
   } else {
     ++counters.retriesNotSent;
   }
+  if (!aCall->path.empty()) {
+    log(LogEvent("attempt_failed")
+          .Add("path", aCall->path)
+          .Add("leader", aTarget)
+          .Add("attempt", aCall->attempts)
+          .Add("verdict", VerdictName(aResult.verdict))
+          .Add("took_ms", MonotonicNow() - aCall->begun));
+  }
   if (aTarget == leader) {
     LoseLeader(aResult.verdict == Verdict::kAnswered ? "not_leading"
                                                      : "request_unanswered");
@@ -343,12 +362,15 @@
   if (aCall->unknown && fleet::CertainlyNotRun(outcome)) {
     aReply = ReplyOf(Outcome::kMayHaveRun);
   }
-  aCall->done(std::move(aReply));
+  aCall->done({ .reply = std::move(aReply),
+                .attempts = aCall->attempts,
+                .leader = leader,
+                .leaderHeardAgo = MonotonicNow() - leaderHeard });
 }
 
 Relay::Relay(asio::io_context& aContext,
              RelayOptions aOptions,
-             std::function<void(const std::string&)> aLog)
+             LogFunction aLog)
   : mImpl(std::make_shared<Impl>(aContext, aOptions, std::move(aLog)))
 {
 }
@@ -384,12 +406,19 @@
   ++mImpl->counters.calls;
   auto call = std::make_shared<PendingCall>();
   call->bytes = fleet::Encode(aRequest);
+  call->path = aRequest.path;
   call->begun = MonotonicNow();
   call->deadline = aDeadline;
   call->done = std::move(aDone);
   mImpl->Attempt(call);
 }
 
+void
+Relay::OnLimits(std::function<void(const gen::Limits&)> aChanged)
+{
+  mImpl->limitsChanged = std::move(aChanged);
+}
+
 bool
 Relay::HasLeader() const
 {
--- a/packages/fleetd/relay.h
+++ b/packages/fleetd/relay.h
@@ -13,6 +13,7 @@
 
 #pragma once
 
+#include "base/log_event.h"
 #include "base/time.h"
 #include "fleet/codec.h"
 #include "fleet/request.h"
@@ -55,15 +56,27 @@
   uint64_t leaderChanges = 0;
 };
 
-// Gets the outcome of a request.
-using RelayCallback = std::function<void(fleet::gen::Reply)>;
+// The outcome of a request, and what it rests on.
+struct RelayResult
+{
+  fleet::gen::Reply reply{};
+  // 0 if the request was refused without one.
+  uint32_t attempts = 0;
+  // The instance that was believed to lead at the end; empty if none was, and
+  // on the leader itself.
+  std::string leader{};
+  // How long ago it was last known to lead.
+  Millis leaderHeardAgo{};
+};
+
+using RelayCallback = std::function<void(RelayResult)>;
 
 class Relay
 {
 public:
   Relay(boost::asio::io_context& aContext,
         RelayOptions aOptions,
-        std::function<void(const std::string&)> aLog);
+        LogFunction aLog);
   ~Relay();
 
   void Start(const std::vector<std::string>& aSeeds);
@@ -76,6 +89,9 @@
             Millis aDeadline,
             RelayCallback aDone);
 
+  // Called when the leader reports other limits than before.
+  void OnLimits(std::function<void(const fleet::gen::Limits&)> aChanged);
+
   // Whether a leader answered lately.
   bool HasLeader() const;
   // The limits that the leader last reported.
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -46,6 +46,10 @@
   // Closes everything at once.
   void Close();
 
+  const ServerLimits& Limits() const { return mServer.Limits(); }
+  // For messages that a connection begins to wait for from now on.
+  void SetLimits(const ServerLimits& aLimits) { mServer.SetLimits(aLimits); }
+
   // Requests handed to the handler that have no complete response yet.
   size_t InFlight() const;
 
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <future>
 #include <thread>
 
 namespace limpetwood::http {
@@ -40,6 +41,18 @@
 
   const Endpoint& Address() const { return mEndpoint; }
 
+  ServerLimits Limits() const { return mServer.Limits(); }
+  // Waits until the limits are in force.
+  void SetLimits(const ServerLimits& aLimits)
+  {
+    std::promise<void> done;
+    boost::asio::post(mContext, [&] {
+      mServer.SetLimits(aLimits);
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
 private:
   boost::asio::io_context mContext;
   Server mServer;
@@ -109,6 +122,38 @@
   EXPECT_EQ(Exchange(server.Address(), "GET / HT"), "");
 }
 
+// New limits hold for open connections too, after the message that each of
+// them waits for.
+TEST(Server, ChangedLimitsHoldForOpenConnections)
+{
+  EchoServer server{ {} };
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect({ boost::asio::ip::make_address(server.Address().address),
+                   server.Address().port });
+  std::string request = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nmesh";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string answer(16, ' ');
+  boost::asio::read(socket, boost::asio::buffer(answer));
+  EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+
+  ServerLimits limits = server.Limits();
+  limits.maxHeaderBytes = 200;
+  limits.readTimeout = Millis(50);
+  server.SetLimits(limits);
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string longHeader =
+    "GET / HTTP/1.1\r\nA: " + std::string(1000, 'a') + "\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(longHeader));
+  std::string rest;
+  boost::system::error_code ec;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(rest), ec);
+  size_t second = rest.find("HTTP/1.1 200");
+  EXPECT_NE(second, std::string::npos) << rest;
+  EXPECT_NE(rest.find("HTTP/1.1 4", second), std::string::npos) << rest;
+  EXPECT_EQ(Exchange(server.Address(), "GET / HT"), "");
+}
+
 TEST(Client, RefusedConnectionDidNotRun)
 {
   Endpoint unused;
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -192,6 +192,18 @@
   }
 }
 
+const ServerLimits&
+StreamServer::Limits() const
+{
+  return mImpl->limits;
+}
+
+void
+StreamServer::SetLimits(const ServerLimits& aLimits)
+{
+  mImpl->limits = aLimits;
+}
+
 size_t
 StreamServer::InFlight() const
 {
--- a/packages/http/stream_server.h
+++ b/packages/http/stream_server.h
@@ -124,6 +124,10 @@
   // Closes everything at once.
   void Close();
 
+  const ServerLimits& Limits() const;
+  // For messages that a connection begins to wait for from now on.
+  void SetLimits(const ServerLimits& aLimits);
+
   // Requests handed to the handler that have no complete response yet.
   size_t InFlight() const;
 
