Keep the dispatcher while its term lasts; send starts in turn from it

Cause: on a slow disk the leader's lease lapsed at 9.883 s and was back at 9.890 s in the same term. Cause by reading: starts and stops waited in the HTTP client, one after the other for each worker, with up to 1 s for each unanswered one and stops repeated each 0.4 s; a start could be sent seconds after its job's cancellation. Ruled out: a second leader (one term, one instance); a lost cancellation (it was committed before the start was sent). Change: a node that loses its lease keeps the dispatcher until the term changes and refuses what is not proposed yet. The order of starts and stops is kept by the dispatcher (OrderLane): when its turn comes, a start whose job ended, whose gang lost a member or whose worker fell silent is withdrawn; stops of one run do not pile up.

--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -373,8 +373,7 @@
     return;
   }
   ++mCounters.authorityLosses;
-  mEnvironment.Log(
-    LogEvent("zone_authority_lost").Add("zone", mSettings.zone));
+  mEnvironment.Log(LogEvent("zone_authority_lost").Add("zone", mSettings.zone));
   mLeftoversEpoch = mAuthority->CurrentEpoch();
   for (gen::JobEvent& it : mAuthority->TakeUnreported()) {
     mLeftovers.push_back(std::move(it));
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -144,6 +144,8 @@
   WakeWorker(aOrder.worker, aNow);
   if (aOrder.kind == Order::Kind::kRenew) {
     link.renewInFlight = false;
+  } else {
+    link.lane.Done();
   }
   if (aResult.outcome == OrderResult::Outcome::kOtherIncarnation) {
     mProposals.Gone(*worker);
@@ -188,6 +190,7 @@
       }
       break;
   }
+  SendNext(*worker, link, aNow);
   mPlanDue = mPlanDue || usable != IsUsable(aOrder.worker, aNow);
 }
 
@@ -338,8 +341,56 @@
 {
   Order stop = MakeOrder(Order::Kind::kStop, aWorker, aNow);
   stop.run = aRun;
-  mOrders.push_back(std::move(stop));
-  ++mCounters.stops;
+  WorkerLink& link = LinkOf(aWorker, aNow);
+  link.lane.Add(std::move(stop));
+  SendNext(aWorker, link, aNow);
+}
+
+std::string_view
+Dispatcher::WhyWithdraw(const Order& aStart, const WorkerLink& aLink) const
+{
+  auto run = aLink.runs.find(aStart.run);
+  if (run == aLink.runs.end() || mProposals.IsEnding(aStart.run) ||
+      !mState.IsActive(aStart.run, aStart.worker)) {
+    return "ended";
+  }
+  if (mWatch.MustStop(aStart.run, run->second)) {
+    return "not_wanted";
+  }
+  // It would wait for a worker that may be gone, and elsewhere it need not.
+  return aLink.reachable ? "" : "worker_silent";
+}
+
+void
+Dispatcher::SendNext(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
+{
+  while (std::optional<Order> next = aLink.lane.Next()) {
+    if (next->kind == Order::Kind::kStart) {
+      std::string_view reason = WhyWithdraw(*next, aLink);
+      if (!reason.empty()) {
+        aLink.lane.Done();
+        ++mCounters.startsWithdrawn;
+        NoteRun("start_withdrawn", next->worker, next->run)
+          .Add("reason", reason)
+          .Add("waited_ms", aNow - next->sentAt);
+        mProposals.End(next->worker, next->run, EndKind::kRejected, {});
+        WakeAt(aNow);
+        continue;
+      }
+      next->leaseUntil = aLink.GrantUntil(aNow, mOptions.lease);
+      aLink.runs[next->run].startSentAt = aNow;
+      ++mCounters.starts;
+    } else {
+      ++mCounters.stops;
+      auto run = aLink.runs.find(next->run);
+      if (run != aLink.runs.end()) {
+        run->second.stopSentAt = aNow;
+      }
+    }
+    next->sentAt = aNow;
+    mOrders.push_back(std::move(*next));
+  }
+  WakeWorker(aWorker.report.id, aNow + kLookInterval);
 }
 
 void
@@ -457,16 +508,14 @@
     const Job& job = *mState.FindJob(run.task.job);
     WorkerLink& link = LinkOf(worker, aNow);
     link.runs[run] = {};
-    link.runs[run].startSentAt = aNow;
     Order start = MakeOrder(Order::Kind::kStart, worker, aNow);
     start.run = run;
     start.payload = job.spec.payload;
     start.checkpoint = mState.FindTask(run.task)->checkpoint;
-    start.leaseUntil = link.GrantUntil(aNow, mOptions.lease);
-    mOrders.push_back(std::move(start));
+    link.lane.Add(std::move(start));
+    SendNext(worker, link, aNow);
     link.renewDue = std::min(link.renewDue, aNow);
     WakeWorker(id, aNow);
-    ++mCounters.starts;
     bool first = run.run == Attempt(1) && run.task.index == 0 &&
                  run.task.step == 0 && job.spec.occurrences == 0;
     if (first) {
@@ -529,10 +578,10 @@
       aLink.suspects.push_back(it);
     }
     mProposals.End(aWorker.report.id,
-               it,
-               EndKind::kLost,
-               run == aLink.runs.end() ? std::string()
-                                       : run->second.checkpoint);
+                   it,
+                   EndKind::kLost,
+                   run == aLink.runs.end() ? std::string()
+                                           : run->second.checkpoint);
   }
 }
 
@@ -665,17 +714,19 @@
   ++mCounters.passes;
   mPlanDue = false;
   mEarliestPlan = aNow + kPlanPause;
-  FleetView view{
-    .state = &mState,
-    .candidates = Candidates(aNow),
-    .costOf = [&](const WorkerId& aWorker,
-                  const RunRef& aRun) { return mWatch.CostOf(aWorker, aRun, aNow); },
-    .restOf = [&](const WorkerId& aWorker,
-                  const RunRef& aRun) { return mWatch.RestOf(aWorker, aRun, aNow); },
-    .forecast = &mForecast,
-    .now = aNow,
-    .wallNow = aWallNow
-  };
+  FleetView view{ .state = &mState,
+                  .candidates = Candidates(aNow),
+                  .costOf =
+                    [&](const WorkerId& aWorker, const RunRef& aRun) {
+                      return mWatch.CostOf(aWorker, aRun, aNow);
+                    },
+                  .restOf =
+                    [&](const WorkerId& aWorker, const RunRef& aRun) {
+                      return mWatch.RestOf(aWorker, aRun, aNow);
+                    },
+                  .forecast = &mForecast,
+                  .now = aNow,
+                  .wallNow = aWallNow };
   Plan plan = mPlanner.Decide(std::move(view));
   mBlocked = plan.blocked;
   mNextPlan = aNow + (plan.blocked > 0 ? kPlanInterval : Seconds(1));
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -56,6 +56,8 @@
 {
   std::array<uint64_t, kEndKinds> ends{};
   uint64_t starts = 0;
+  // Starts that were not wanted any more when their turn came.
+  uint64_t startsWithdrawn = 0;
   uint64_t stops = 0;
   uint64_t renewals = 0;
   uint64_t preemptions = 0;
@@ -133,6 +135,11 @@
                      Millis aNow);
   void SendStarts(const gen::Command& aCommand, Millis aNow);
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
+  // Sends the next start or stop of a worker if none is on its way.
+  void SendNext(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  // Why a start must not be sent any more; empty if it may be.
+  std::string_view WhyWithdraw(const Order& aStart,
+                               const WorkerLink& aLink) const;
 
   void TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -121,6 +121,71 @@
   EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
 }
 
+// Half a worker's accelerators, so that two tasks share a worker.
+StepSpec
+HalfAWorker()
+{
+  StepSpec step = FleetFixture::GangOf(1);
+  step.need.accelerators = 4;
+  return step;
+}
+
+// Guards against tasks of cancelled jobs: starts used to wait in the client for
+// a worker that was slow to answer, and were sent long after the cancellation.
+TEST(Dispatcher, StartThatWaitsForItsTurnIsWithdrawnWithItsJob)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", HalfAWorker());
+  fleet.Submit("00000000000000a2", HalfAWorker());
+  Order first = fleet.ExpectOrder(Order::Kind::kStart);
+  EXPECT_EQ(first.run.task.job, JobId("00000000000000a1"));
+  fleet.Advance(Millis(300));
+  fleet.Cancel("00000000000000a2");
+  fleet.Answer(first, OrderResult::Outcome::kAnswered);
+  fleet.Advance(Millis(50));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  EXPECT_EQ(fleet.State().FindJob(JobId("00000000000000a2"))->activeRuns, 0U);
+  EXPECT_EQ(fleet.Subject().Counters().startsWithdrawn, 1U);
+}
+
+// Guards against gangs that wait for a worker that may be gone: a start that
+// was not sent yet is free to go elsewhere at once.
+TEST(Dispatcher, StartsBehindAnUnansweredOneAreWithdrawn)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", HalfAWorker());
+  fleet.Submit("00000000000000a2", HalfAWorker());
+  Order first = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.AddWorker("w2");
+  fleet.Answer(first, OrderResult::Outcome::kNoAnswer);
+  fleet.Advance(Millis(50));
+  Order second = fleet.ExpectOrder(Order::Kind::kStart);
+  EXPECT_EQ(second.run.task.job, JobId("00000000000000a2"));
+  EXPECT_EQ(second.worker, WorkerId("w2"));
+}
+
+// Guards against a queue of stops that delays whatever follows them.
+TEST(Dispatcher, StopsOfOneRunDoNotPileUp)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", HalfAWorker());
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.Cancel("00000000000000a1");
+  Order stop = fleet.ExpectOrder(Order::Kind::kStop);
+  fleet.Advance(Seconds(1));
+  fleet.Advance(Seconds(1));
+  fleet.Advance(Seconds(1));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStop).empty());
+  fleet.Answer(stop, OrderResult::Outcome::kNoAnswer);
+  stop = fleet.ExpectOrder(Order::Kind::kStop);
+  fleet.Answer(stop, OrderResult::Outcome::kAnswered);
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStop).empty());
+}
+
 // Guards against a gang that runs with some of its members only.
 TEST(Dispatcher, RefusedMemberStopsTheOthers)
 {
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -56,8 +56,8 @@
   auto command = Decode<gen::Command>(aCommand);
   if (!command) {
     // Every replica refuses the same bytes, so the states stay equal.
-    mEnvironment.Log(LogEvent("command_unreadable")
-                       .Add("error", command.Error().message()));
+    mEnvironment.Log(
+      LogEvent("command_unreadable").Add("error", command.Error().message()));
     return {};
   }
   mState.Apply(command.Value());
@@ -113,7 +113,7 @@
 {
   mNow = aNow;
   auto kind = static_cast<RequestKind>(aRequest.kind);
-  bool leading = mDispatcher != nullptr && mGroup->IsLeader(aNow);
+  bool leading = mLeading && mGroup->IsLeader(aNow);
   if (!leading || kind == RequestKind::kPing) {
     gen::Reply reply = MakeReply(leading ? Outcome::kOk : Outcome::kNotLeader);
     if (auto leader = mGroup->Leader()) {
@@ -362,12 +362,25 @@
 void
 Node::UpdateLeadership(Millis aNow)
 {
-  bool leads = mGroup->IsLeader(aNow);
-  if (!leads) {
-    LoseLeadership();
+  if (mDispatcher && mGroup->Term() != mTerm) {
+    StopLeading();
+    mDispatcher.reset();
+    ++mGeneration;
+  }
+  if (!mGroup->IsLeader(aNow)) {
+    StopLeading();
+    if (mConfirming) {
+      mConfirming = false;
+      ++mGeneration;
+    }
     return;
   }
-  if (mDispatcher || mConfirming) {
+  if (mLeading || mConfirming) {
+    return;
+  }
+  if (mDispatcher) {
+    // The lease lapsed within the term, so nobody else led since.
+    StartLeading();
     return;
   }
   // The state is the newest once a read of this term has succeeded.
@@ -381,30 +394,36 @@
     if (ec) {
       return;
     }
-    ++mCounters.leaderships;
     mState.TakeChanges();
+    mTerm = mGroup->Term();
     mDispatcher = std::make_unique<Dispatcher>(
-      mOptions.dispatcher, mState, FencingToken(mGroup->Term()), mNow);
-    mEnvironment.Log(LogEvent("leading")
-                       .Add("term", mGroup->Term())
-                       .Add("jobs", mState.LiveJobs().size())
-                       .Add("workers", mState.Workers().size())
-                       .Add("configuration", mState.Version()));
+      mOptions.dispatcher, mState, FencingToken(mTerm), mNow);
+    StartLeading();
   });
 }
 
 void
-Node::LoseLeadership()
+Node::StartLeading()
 {
-  mConfirming = false;
-  ++mGeneration;
-  if (!mDispatcher) {
+  mLeading = true;
+  ++mCounters.leaderships;
+  mEnvironment.Log(LogEvent("leading")
+                     .Add("term", mTerm)
+                     .Add("jobs", mState.LiveJobs().size())
+                     .Add("workers", mState.Workers().size())
+                     .Add("configuration", mState.Version()));
+}
+
+void
+Node::StopLeading()
+{
+  if (!mLeading) {
     return;
   }
-  mDispatcher.reset();
+  mLeading = false;
   mEnvironment.Log(LogEvent("leadership_lost")
-                     .Add("term", mGroup->Term())
-                     .Add("requests_unanswered", mBatch.waiting.size()));
+                     .Add("term", mTerm)
+                     .Add("requests_refused", mBatch.waiting.size()));
   Batch unsent = std::exchange(mBatch, {});
   for (auto& it : unsent.waiting) {
     it(Verdict::kNotRun);
@@ -459,7 +478,7 @@
   mNow = aNow;
   mWallNow = aWallNow;
   UpdateLeadership(aNow);
-  if (mDispatcher) {
+  if (mLeading) {
     mDispatcher->Tick(aNow, aWallNow);
     Propose(aNow);
   }
@@ -467,6 +486,8 @@
   UpdateLeadership(aNow);
   if (!mDispatcher) {
     mState.TakeChanges();
+  }
+  if (!mLeading) {
     return;
   }
   for (Order& it : mDispatcher->TakeOrders()) {
@@ -487,7 +508,7 @@
 Node::NextTick() const
 {
   Millis next = mGroup->NextTick();
-  if (mDispatcher) {
+  if (mLeading) {
     next = std::min({ next, mDispatcher->NextTick(), mNextDuties });
     if (mDispatcher->HasCommand() || !mBatch.waiting.empty()) {
       next = mNow;
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -93,12 +93,12 @@
   // Hands leadership to another replica if this one leads.
   void PrepareShutdown(Millis aNow);
 
-  bool IsLeading() const { return mDispatcher != nullptr; }
+  bool IsLeading() const { return mLeading; }
   std::optional<InstanceId> Leader() const { return mGroup->Leader(); }
   replication::GroupStatus Status() const { return mGroup->Status(); }
   const FleetState& State() const { return mState; }
   const NodeCounters& Counters() const { return mCounters; }
-  // Of this term; null while another replica leads.
+  // Of the last term that this replica led; null if there was none since.
   const Dispatcher* Dispatch() const { return mDispatcher.get(); }
 
 private:
@@ -144,7 +144,9 @@
   void AnswerAfterCommit(ReplyCallback aDone);
 
   void UpdateLeadership(Millis aNow);
-  void LoseLeadership();
+  void StartLeading();
+  // Refuses what is not proposed yet.
+  void StopLeading();
   void Propose(Millis aNow);
   // Logs, counts and passes on what commits changed.
   void HandleChanges();
@@ -158,8 +160,13 @@
 
   Millis mNow;
   Millis mWallNow;
-  // Set while this replica leads and its state is known to be the newest.
+  // The dispatcher of `mTerm`. It outlives a lapse of the lease within its
+  // term: its orders may still arrive, and workers cannot tell them from those
+  // of a new dispatcher with the same token.
   std::unique_ptr<Dispatcher> mDispatcher;
+  uint64_t mTerm = 0;
+  // The lease is held, and the state is known to be the newest.
+  bool mLeading = false;
   // Counts leaderships; callbacks of earlier ones do nothing.
   uint64_t mGeneration = 0;
   bool mConfirming = false;
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -1,4 +1,4 @@
-// A node that is a group of its own, on a disk in memory.
+// Nodes on disks in memory: one that is a group of its own, and three.
 
 #include "fleet/node.h"
 
@@ -7,11 +7,73 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+#include <iterator>
+
 namespace limpetwood::fleet {
 namespace {
 
 constexpr const char* kJob = "00000000000000a1";
 
+gen::Request
+ConfigurationRequest()
+{
+  gen::Request request;
+  request.kind = static_cast<int32_t>(RequestKind::kPutConfiguration);
+  gen::Configuration configuration;
+  configuration.version = 1;
+  configuration.text = "text";
+  gen::Queue queue;
+  queue.name = "queue";
+  queue.host = "host";
+  queue.prefix = "/q/";
+  queue.serviceId = "service";
+  queue.maxAttempts = 1;
+  configuration.queues.push_back(queue);
+  gen::Workspace workspace;
+  workspace.name = "workspace";
+  workspace.keys = { "key" };
+  configuration.workspaces.push_back(workspace);
+  request.__set_configuration(configuration);
+  return request;
+}
+
+gen::Request
+RequestFor(RequestKind aKind,
+           const std::string& aPath,
+           const std::string& aKey = "key")
+{
+  gen::Request request;
+  request.kind = static_cast<int32_t>(aKind);
+  request.host = "host";
+  request.path = aPath;
+  request.key = aKey;
+  if (aKind == RequestKind::kSubmit) {
+    gen::JobSpec job;
+    job.steps.emplace_back().tasks = 1;
+    request.__set_job(job);
+  }
+  return request;
+}
+
+gen::Request
+ReportRequest(Millis aNow)
+{
+  WorkerReport report;
+  report.id = WorkerId("w1");
+  report.incarnation = Incarnation(1);
+  report.address = "127.0.0.1:1";
+  report.service = ServiceId("service");
+  report.capacity = { .cpu = 64'000, .memoryMb = 256'000, .accelerators = 8 };
+  report.sequence = 1;
+  report.clock = aNow;
+  gen::Request request;
+  request.kind = static_cast<int32_t>(RequestKind::kReport);
+  request.__set_worker(ToWire(report));
+  return request;
+}
+
 class QuietEnvironment : public NodeEnvironment
 {
 public:
@@ -70,40 +132,7 @@
 
   void Configure()
   {
-    gen::Request request;
-    request.kind = static_cast<int32_t>(RequestKind::kPutConfiguration);
-    gen::Configuration configuration;
-    configuration.version = 1;
-    configuration.text = "text";
-    gen::Queue queue;
-    queue.name = "queue";
-    queue.host = "host";
-    queue.prefix = "/q/";
-    queue.maxAttempts = 1;
-    configuration.queues.push_back(queue);
-    gen::Workspace workspace;
-    workspace.name = "workspace";
-    workspace.keys = { "key" };
-    configuration.workspaces.push_back(workspace);
-    request.__set_configuration(configuration);
-    ASSERT_EQ(OutcomeOf(request), Outcome::kOk);
-  }
-
-  static gen::Request RequestFor(RequestKind aKind,
-                                 const std::string& aPath,
-                                 const std::string& aKey = "key")
-  {
-    gen::Request request;
-    request.kind = static_cast<int32_t>(aKind);
-    request.host = "host";
-    request.path = aPath;
-    request.key = aKey;
-    if (aKind == RequestKind::kSubmit) {
-      gen::JobSpec job;
-      job.steps.emplace_back().tasks = 1;
-      request.__set_job(job);
-    }
-    return request;
+    ASSERT_EQ(OutcomeOf(ConfigurationRequest()), Outcome::kOk);
   }
 
   replication::MemoryDisk mDisk;
@@ -185,5 +214,170 @@
   EXPECT_EQ(Ask(read)->text, "text");
 }
 
+// Three replicas whose messages can be held back, and a worker.
+class GroupTest : public testing::Test
+{
+protected:
+  struct Replica : NodeEnvironment
+  {
+    void SendReplication(const InstanceId& aTo, std::string aBytes) override
+    {
+      test->mMessages.push_back({ id, aTo, std::move(aBytes) });
+    }
+    void SendOrder(Order aOrder) override
+    {
+      orders.push_back(std::move(aOrder));
+    }
+    void Log(const LogEvent& /*aEvent*/) override {}
+
+    GroupTest* test = nullptr;
+    InstanceId id;
+    replication::MemoryDisk disk;
+    std::vector<Order> orders;
+    std::unique_ptr<Node> node;
+  };
+
+  void SetUp() override
+  {
+    for (Replica& it : mReplicas) {
+      it.test = this;
+      it.id = InstanceId(std::string(1, static_cast<char>('a' + mOpened++)));
+    }
+    for (Replica& it : mReplicas) {
+      NodeOptions options;
+      options.group.self = it.id;
+      options.group.folder = "folder";
+      options.group.voters = { InstanceId("a"),
+                               InstanceId("b"),
+                               InstanceId("c") };
+      options.group.disk = &it.disk;
+      it.node = std::move(Node::Open(options, it)).Value();
+    }
+    for (int n = 0; n < 500 && Leader() == nullptr; ++n) {
+      Advance();
+    }
+    ASSERT_NE(Leader(), nullptr);
+  }
+
+  Replica* Leader()
+  {
+    for (Replica& it : mReplicas) {
+      if (it.node->IsLeading()) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+
+  void Advance()
+  {
+    mNow += Millis(10);
+    for (Replica& it : mReplicas) {
+      it.node->Tick(mNow, mNow);
+    }
+    if (mHold) {
+      return;
+    }
+    for (const Message& it : std::exchange(mMessages, {})) {
+      for (Replica& to : mReplicas) {
+        if (to.id == it.to) {
+          to.node->OnReplication(it.from, it.bytes, mNow);
+        }
+      }
+    }
+  }
+
+  void Advance(Millis aTime)
+  {
+    for (Millis end = mNow + aTime; mNow < end;) {
+      Advance();
+    }
+  }
+
+  Outcome Ask(Replica& aLeader, const gen::Request& aRequest)
+  {
+    auto outcome = std::make_shared<Outcome>(Outcome::kMayHaveRun);
+    aLeader.node->Handle(aRequest, mNow, [outcome](const gen::Reply& aReply) {
+      *outcome = static_cast<Outcome>(aReply.outcome);
+    });
+    Advance(Millis(300));
+    return *outcome;
+  }
+
+  // The worker answers renewals at once and knows of no run.
+  void AnswerRenewals(Replica& aLeader)
+  {
+    std::vector<Order> orders = std::exchange(aLeader.orders, {});
+    for (const Order& it : orders) {
+      if (it.kind != Order::Kind::kRenew) {
+        aLeader.orders.push_back(it);
+        continue;
+      }
+      OrderResult result;
+      result.outcome = OrderResult::Outcome::kAnswered;
+      result.clock = mNow;
+      aLeader.node->OnOrderResult(it, result, mNow);
+    }
+  }
+
+  std::vector<Order> StartsOf(const Replica& aReplica) const
+  {
+    std::vector<Order> out;
+    std::copy_if(
+      aReplica.orders.begin(),
+      aReplica.orders.end(),
+      std::back_inserter(out),
+      [](const Order& aOrder) { return aOrder.kind == Order::Kind::kStart; });
+    return out;
+  }
+
+  struct Message
+  {
+    InstanceId from;
+    InstanceId to;
+    std::string bytes;
+  };
+
+  int mOpened = 0;
+  std::array<Replica, 3> mReplicas;
+  std::vector<Message> mMessages;
+  bool mHold = false;
+  Millis mNow{ 1'000'000 };
+};
+
+// A leader whose lease lapses for a moment keeps its term and so its token, and
+// starts that it sent before may still arrive. It must not take them for lost.
+TEST_F(GroupTest, StartsStayKnownWhenTheLeaseLapsesWithinATerm)
+{
+  Replica& leader = *Leader();
+  ASSERT_EQ(Ask(leader, ConfigurationRequest()), Outcome::kOk);
+  ASSERT_EQ(Ask(leader, ReportRequest(mNow)), Outcome::kOk);
+  AnswerRenewals(leader);
+  std::string path = std::string("/q/") + kJob;
+  ASSERT_EQ(Ask(leader, RequestFor(RequestKind::kSubmit, path)), Outcome::kOk);
+  std::vector<Order> starts = StartsOf(leader);
+  ASSERT_EQ(starts.size(), 1U);
+  uint64_t term = leader.node->Status().term;
+
+  mHold = true;
+  for (int n = 0; n < 200 && leader.node->IsLeading(); ++n) {
+    Advance();
+  }
+  ASSERT_FALSE(leader.node->IsLeading());
+  mHold = false;
+  for (int n = 0; n < 100 && !leader.node->IsLeading(); ++n) {
+    Advance();
+  }
+  ASSERT_TRUE(leader.node->IsLeading());
+  ASSERT_EQ(leader.node->Status().term, term);
+
+  for (int n = 0; n < 50; ++n) {
+    AnswerRenewals(leader);
+    Advance();
+  }
+  EXPECT_TRUE(leader.node->State().IsActive(starts[0].run, starts[0].worker));
+  EXPECT_EQ(StartsOf(leader).size(), 1U);
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/run_watch.cc
+++ b/packages/fleet/run_watch.cc
@@ -97,9 +97,7 @@
 }
 
 RunCost
-RunWatch::CostOf(const WorkerId& aWorker,
-                 const RunRef& aRun,
-                 Millis aNow) const
+RunWatch::CostOf(const WorkerId& aWorker, const RunRef& aRun, Millis aNow) const
 {
   const RunView* view = FindView(aWorker, aRun);
   if (view == nullptr) {
@@ -117,9 +115,7 @@
 }
 
 Millis
-RunWatch::RestOf(const WorkerId& aWorker,
-                 const RunRef& aRun,
-                 Millis aNow) const
+RunWatch::RestOf(const WorkerId& aWorker, const RunRef& aRun, Millis aNow) const
 {
   const RunView* view = FindView(aWorker, aRun);
   if (view == nullptr) {
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -102,6 +102,16 @@
   Advance(kPlanTime);
 }
 
+void
+FleetFixture::Cancel(const std::string& aId)
+{
+  gen::Command command;
+  command.cancelled.push_back(aId);
+  mState.Apply(command);
+  mDispatcher.OnJobEnded(JobId(aId), mNow);
+  Settle();
+}
+
 std::vector<Order>
 FleetFixture::TakeOrders(Order::Kind aKind)
 {
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -35,6 +35,9 @@
               const StepSpec& aStep,
               int32_t aPriority = 1);
 
+  // Cancels a job, as committed.
+  void Cancel(const std::string& aId);
+
   // Moves time on and lets the dispatcher act.
   void Advance(Millis aTime);
   void HoldCommits(bool aHold) { mHold = aHold; }
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "fleet/order.h"
+#include "fleet/order_lane.h"
 #include "fleet/progress.h"
 
 #include <map>
@@ -38,7 +39,8 @@
   bool stopWanted = false;
   bool stopAnswered = false;
   Millis stopSentAt{ -1'000'000 };
-  // Empty for runs that an earlier leader started.
+  // Empty for starts that wait for their turn, and for runs that an earlier
+  // leader started.
   std::optional<Millis> startSentAt{};
   Progress progress{};
   std::string checkpoint{};
@@ -74,6 +76,8 @@
   uint64_t sequence = 0;
   bool draining = false;
 
+  // Starts and stops; renewals do not wait for them, nor they for renewals.
+  OrderLane lane{};
   bool renewInFlight = false;
   Millis renewDue{};
   // Ends up to here are in the replicated state; the second one counts those
--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -52,6 +52,7 @@
                        static_cast<double>(aValue),
                        { { "reason", aReason } });
   };
+  stopped("start_withdrawn", aCounters.startsWithdrawn);
   stopped("preempted", aCounters.preemptions);
   stopped("stalled", aCounters.stalledRuns);
   stopped("lagging", aCounters.laggingRuns);
--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -52,9 +52,7 @@
 
 struct Relay::Impl : std::enable_shared_from_this<Relay::Impl>
 {
-  Impl(asio::io_context& aContext,
-       RelayOptions aOptions,
-       LogFunction aLog)
+  Impl(asio::io_context& aContext, RelayOptions aOptions, LogFunction aLog)
     : options(aOptions)
     , client(aContext, PoolLimitsFor())
     , pingTimer(aContext)
