Add limpetctl log explain: the story of one request from all logs

Cause: an engineer with a complaint had to search the logs of all processes by hand and to know which events belong together. Change: LogStory collects the lines that name a request, what the processes believed meanwhile, and what happened to its workers; it counts setbacks, names workers that failed other jobs too, and says which lines are missing. The field of a membership change is named member, since instance names the writer. Ruled out: a group-less command; all commands of limpetctl have a group.

--- a/packages/control/control_group.cc
+++ b/packages/control/control_group.cc
@@ -495,7 +495,7 @@
   if (voters > wanted && lost != nullptr) {
     mEnvironment.Log(LogEvent("membership_change")
                        .Add("change", "remove")
-                       .Add("instance", lost->member.instance));
+                       .Add("member", lost->member.instance));
     mMembershipInFlight = true;
     mGroup->Remove(lost->member, aNow, done);
     return;
@@ -504,7 +504,7 @@
   if (needed && learner != nullptr) {
     mEnvironment.Log(LogEvent("membership_change")
                        .Add("change", "promote")
-                       .Add("instance", learner->member.instance));
+                       .Add("member", learner->member.instance));
     ++mCounters.repairsStarted;
     mMembershipInFlight = true;
     mGroup->Promote(learner->member, aNow, done);
@@ -525,7 +525,7 @@
     const replication::Member& applicant = status.applicants.front();
     mEnvironment.Log(LogEvent("membership_change")
                        .Add("change", "admit")
-                       .Add("instance", applicant.instance));
+                       .Add("member", applicant.instance));
     mMembershipInFlight = true;
     mGroup->AddLearner(applicant, aNow, done);
   }
--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -72,6 +72,8 @@
 const std::vector<Command>&
 JobCommands();
 const std::vector<Command>&
+LogCommands();
+const std::vector<Command>&
 SystemCommands();
 
 // Adds `--key`, for commands that change something.
--- /dev/null
+++ b/packages/ctl/log_story.cc
@@ -0,0 +1,301 @@
+#include "ctl/log_story.h"
+
+#include "ctl/table.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <map>
+#include <optional>
+
+namespace limpetwood::ctl {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+// What a process believed this long before a request still mattered to it;
+// about two elections.
+constexpr Millis kAround = Seconds(3);
+
+// Events that change what a process believes, whomever they concern.
+constexpr std::array kBeliefs = { "leading",
+                                  "leadership_lost",
+                                  "leader_found",
+                                  "leader_lost",
+                                  "membership_change",
+                                  "disk_failed",
+                                  "disk_works",
+                                  "configuration_in_force",
+                                  "started",
+                                  "stopping",
+                                  "stopped" };
+
+std::string
+TextOf(const Json& aValue)
+{
+  return aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
+}
+
+std::optional<int64_t>
+NumberAt(std::string_view aText, size_t aAt, size_t aLength)
+{
+  if (aText.size() < aAt + aLength) {
+    return std::nullopt;
+  }
+  int64_t value = 0;
+  const char* end = aText.data() + aAt + aLength;
+  auto [stop, ec] = std::from_chars(aText.data() + aAt, end, value);
+  return ec == std::errc() && stop == end ? std::optional(value) : std::nullopt;
+}
+
+// "2026-12-04T10:00:00.000Z", as the log writes it.
+std::optional<Millis>
+ParseTime(std::string_view aText)
+{
+  auto year = NumberAt(aText, 0, 4);
+  auto month = NumberAt(aText, 5, 2);
+  auto day = NumberAt(aText, 8, 2);
+  auto hour = NumberAt(aText, 11, 2);
+  auto minute = NumberAt(aText, 14, 2);
+  auto second = NumberAt(aText, 17, 2);
+  auto milli = NumberAt(aText, 20, 3);
+  if (!year || !month || !day || !hour || !minute || !second || !milli) {
+    return std::nullopt;
+  }
+  std::chrono::sys_days date =
+    std::chrono::year(static_cast<int>(*year)) /
+    std::chrono::month(static_cast<unsigned>(*month)) /
+    std::chrono::day(static_cast<unsigned>(*day));
+  auto days = std::chrono::duration_cast<std::chrono::milliseconds>(
+    date.time_since_epoch());
+  return Millis(days.count()) + Minutes(*hour * 60 + *minute) +
+         Seconds(*second) + Millis(*milli);
+}
+
+// Value of a text field; empty if there is none.
+std::string
+FieldOf(const Json& aFields, const char* aName)
+{
+  auto it = aFields.find(aName);
+  return it == aFields.end() ? std::string() : TextOf(*it);
+}
+
+// Lists of workers are separated by commas.
+void
+AddWorkers(const std::string& aList, std::set<std::string>& aWorkers)
+{
+  for (size_t at = 0; at < aList.size();) {
+    size_t end = std::min(aList.find(',', at), aList.size());
+    aWorkers.insert(aList.substr(at, end - at));
+    at = end + 1;
+  }
+}
+
+std::string
+DetailsOf(const Json& aFields)
+{
+  std::string out;
+  for (const auto& [name, value] : aFields.items()) {
+    if (name != "time" && name != "instance" && name != "event" &&
+        name != "level" && name != "dropped_lines_before") {
+      out += (out.empty() ? "" : " ") + name + "=" + TextOf(value);
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+void
+LogStory::Add(std::string_view aText)
+{
+  while (!aText.empty()) {
+    size_t end = std::min(aText.find('\n'), aText.size());
+    std::string_view text = aText.substr(0, end);
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+    size_t brace = text.find('{');
+    if (brace == std::string_view::npos) {
+      mUnreadable += text.empty() ? 0 : 1;
+      continue;
+    }
+    Line line;
+    line.fields = Json::parse(text.substr(brace), nullptr, false);
+    if (!line.fields.is_object()) {
+      ++mUnreadable;
+      continue;
+    }
+    line.time = FieldOf(line.fields, "time");
+    line.instance = FieldOf(line.fields, "instance");
+    line.event = FieldOf(line.fields, "event");
+    auto at = ParseTime(line.time);
+    if (!at || line.event.empty()) {
+      ++mUnreadable;
+      continue;
+    }
+    line.at = *at;
+    line.own = std::any_of(
+      line.fields.begin(), line.fields.end(), [&](const Json& aValue) {
+        return aValue.is_string() && aValue.get_ref<const std::string&>().find(
+                                       mId) != std::string::npos;
+      });
+    mLines.push_back(std::move(line));
+  }
+}
+
+bool
+LogStory::Found() const
+{
+  return std::any_of(
+    mLines.begin(), mLines.end(), [](const Line& it) { return it.own; });
+}
+
+std::set<std::string>
+LogStory::WorkersOf() const
+{
+  std::set<std::string> out;
+  for (const Line& it : mLines) {
+    if (it.own) {
+      AddWorkers(FieldOf(it.fields, "worker"), out);
+      AddWorkers(FieldOf(it.fields, "workers"), out);
+    }
+  }
+  return out;
+}
+
+std::pair<Millis, Millis>
+LogStory::Span() const
+{
+  Millis first = Millis::Max();
+  Millis last;
+  for (const Line& it : mLines) {
+    if (it.own) {
+      first = std::min(first, it.at);
+      last = std::max(last, it.at);
+    }
+  }
+  return { first - kAround, last + kAround };
+}
+
+std::vector<const LogStory::Line*>
+LogStory::Selected() const
+{
+  auto [from, to] = Span();
+  std::set<std::string> workers = WorkersOf();
+  std::vector<const Line*> out;
+  for (const Line& it : mLines) {
+    bool near = it.at >= from && it.at <= to;
+    bool belief =
+      std::find(kBeliefs.begin(), kBeliefs.end(), it.event) != kBeliefs.end();
+    bool ofWorker = it.event.starts_with("worker_") &&
+                    workers.contains(FieldOf(it.fields, "worker"));
+    if (it.own || (near && (belief || ofWorker))) {
+      out.push_back(&it);
+    }
+  }
+  std::stable_sort(out.begin(), out.end(), [](const Line* x, const Line* y) {
+    return x->at < y->at;
+  });
+  return out;
+}
+
+void
+LogStory::Print(std::ostream& aOut) const
+{
+  std::vector<std::vector<std::string>> rows;
+  for (const Line* it : Selected()) {
+    rows.push_back({ it->time,
+                     it->instance,
+                     (it->own ? "" : "- ") + it->event,
+                     DetailsOf(it->fields) });
+  }
+  PrintTable(aOut, { "TIME", "INSTANCE", "EVENT", "DETAILS" }, rows);
+  aOut << '\n';
+  PrintFindings(aOut);
+  PrintGaps(aOut);
+}
+
+void
+LogStory::PrintFindings(std::ostream& aOut) const
+{
+  std::optional<Millis> accepted;
+  std::optional<Millis> started;
+  bool ended = false;
+  uint64_t starts = 0;
+  std::map<std::string, uint64_t> setbacks;
+  // Failures of other jobs on the workers of this one.
+  std::set<std::string> workers = WorkersOf();
+  std::map<std::string, uint64_t> others;
+  for (const Line& it : mLines) {
+    std::string worker = FieldOf(it.fields, "worker");
+    bool failed =
+      it.event == "run_ended" && FieldOf(it.fields, "how") == "failed";
+    if (!it.own) {
+      others[worker] += failed && workers.contains(worker) ? 1 : 0;
+      continue;
+    }
+    if (it.event == "job_accepted") {
+      accepted = it.at;
+    } else if (it.event == "runs_started") {
+      started = started.value_or(it.at);
+      ++starts;
+    } else if (it.event == "run_ended") {
+      ++setbacks["run_ended " + FieldOf(it.fields, "how")];
+    } else if (it.event.starts_with("run_") || it.event.starts_with("start_")) {
+      ++setbacks[it.event];
+    }
+    ended = ended || it.event == "job_ended";
+  }
+  if (accepted && started) {
+    aOut << "waited " << (*started - *accepted).Count()
+         << " ms for its first start; " << starts << " starts of steps\n";
+  } else if (accepted) {
+    aOut << "accepted, never started in these lines\n";
+  }
+  for (const auto& [what, count] : setbacks) {
+    aOut << what << ": " << count << '\n';
+  }
+  for (const auto& [worker, count] : others) {
+    if (count > 0) {
+      aOut << "worker " << worker << " also failed " << count
+           << " runs of other jobs\n";
+    }
+  }
+  if (accepted && !ended) {
+    aOut << "no end in these lines\n";
+  }
+  if (!accepted && (started || ended)) {
+    aOut
+      << "no line of its acceptance: lines of the instance that led then are "
+         "missing\n";
+  }
+}
+
+void
+LogStory::PrintGaps(std::ostream& aOut) const
+{
+  auto [from, to] = Span();
+  for (const Line& it : mLines) {
+    std::string dropped = FieldOf(it.fields, "dropped_lines_before");
+    if (!dropped.empty() && it.at >= from && it.at <= to) {
+      aOut << dropped << " lines of " << it.instance << " are missing before "
+           << it.time << '\n';
+    }
+  }
+  if (mUnreadable > 0) {
+    aOut << mUnreadable << " lines could not be read\n";
+  }
+}
+
+Json
+LogStory::AsJson() const
+{
+  Json out = Json::array();
+  for (const Line* it : Selected()) {
+    out.push_back(it->fields);
+  }
+  return out;
+}
+
+} // namespace limpetwood::ctl
--- /dev/null
+++ b/packages/ctl/log_story_test.cc
@@ -0,0 +1,127 @@
+// Guards the story of a request: which lines belong to it, in which order, and
+// what it says about lines that are missing.
+
+#include "ctl/log_story.h"
+
+#include "ctl/run.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace limpetwood::ctl {
+namespace {
+
+constexpr const char* kId = "00000000000000a1";
+
+std::string
+LineAt(const std::string& aTime,
+       const std::string& aInstance,
+       const std::string& aRest)
+{
+  return R"({"time":"2026-12-04T10:00:)" + aTime +
+         R"(Z","level":"INFO","instance":")" + aInstance + R"(",)" + aRest +
+         "}\n";
+}
+
+std::string
+StoryOf(const std::string& aText)
+{
+  LogStory story(kId);
+  story.Add(aText);
+  std::ostringstream out;
+  story.Print(out);
+  return out.str();
+}
+
+const std::string kAccepted =
+  LineAt("01.000",
+         "core-1",
+         R"("event":"job_accepted","job":"00000000000000a1")");
+const std::string kStarted =
+  LineAt("01.250",
+         "core-1",
+         R"("event":"runs_started","first":"00000000000000a1.0.0.0#1",)"
+         R"("workers":"w1,w2")");
+const std::string kEnded = LineAt(
+  "09.000",
+  "core-1",
+  R"("event":"job_ended","job":"00000000000000a1","status":"completed")");
+
+TEST(LogStory, OrdersLinesOfAllProcesses)
+{
+  std::string text = StoryOf(
+    kEnded + kStarted + kAccepted +
+    LineAt("01.010",
+           "entry-1",
+           R"("event":"request","path":"/q/00000000000000a1","took_ms":12)"));
+  size_t accepted = text.find("job_accepted");
+  size_t answered = text.find("took_ms=12");
+  size_t started = text.find("runs_started");
+  ASSERT_NE(started, std::string::npos);
+  EXPECT_LT(accepted, answered);
+  EXPECT_LT(answered, started);
+  EXPECT_NE(text.find("waited 250 ms for its first start"), std::string::npos);
+}
+
+TEST(LogStory, ShowsBeliefsAndWorkersOfItsTimeOnly)
+{
+  std::string text = StoryOf(
+    kAccepted + kStarted + kEnded +
+    LineAt("05.000", "core-1", R"("event":"worker_gone","worker":"w2")") +
+    LineAt("05.000", "core-1", R"("event":"worker_gone","worker":"w9")") +
+    LineAt("06.000", "entry-1", R"("event":"leader_lost","leader":"core-1")") +
+    LineAt("40.000", "entry-1", R"("event":"leader_found","leader":"x")"));
+  EXPECT_NE(text.find("worker=w2"), std::string::npos);
+  EXPECT_EQ(text.find("worker=w9"), std::string::npos);
+  EXPECT_NE(text.find("leader_lost"), std::string::npos);
+  EXPECT_EQ(text.find("leader_found"), std::string::npos);
+}
+
+TEST(LogStory, CountsSetbacksAndFailuresOfOthersOnItsWorkers)
+{
+  std::string text =
+    StoryOf(kAccepted + kStarted +
+            LineAt("03.000",
+                   "core-1",
+                   R"("event":"run_ended","run":"00000000000000a1.0.0.0#1",)"
+                   R"("how":"failed","worker":"w1")") +
+            LineAt("04.000",
+                   "core-1",
+                   R"("event":"run_ended","run":"00000000000000b7.0.0.0#1",)"
+                   R"("how":"failed","worker":"w1")"));
+  EXPECT_NE(text.find("run_ended failed: 1"), std::string::npos);
+  EXPECT_NE(text.find("worker w1 also failed 1 runs of other jobs"),
+            std::string::npos);
+  EXPECT_NE(text.find("no end in these lines"), std::string::npos);
+}
+
+TEST(LogStory, SaysWhatIsMissing)
+{
+  std::string text = StoryOf(
+    kStarted + kEnded + "half a line {\"time\":\"2026-\n" +
+    LineAt(
+      "02.000", "core-1", R"("event":"leading","dropped_lines_before":17)"));
+  EXPECT_NE(text.find("no line of its acceptance"), std::string::npos);
+  EXPECT_NE(text.find("17 lines of core-1 are missing before"),
+            std::string::npos);
+  EXPECT_NE(text.find("1 lines could not be read"), std::string::npos);
+}
+
+TEST(LogStory, SkipsWhatCollectorsPutInFront)
+{
+  EXPECT_NE(
+    StoryOf("Dec  4 host limpetwoodd[7]: " + kAccepted).find("job_accepted"),
+    std::string::npos);
+}
+
+TEST(LogStory, CommandReportsAnUnknownRequest)
+{
+  std::ostringstream out;
+  std::ostringstream err;
+  EXPECT_EQ(ctl::Run({ "log", "explain", kId, "/dev/null" }, out, err), 6);
+  EXPECT_NE(err.str().find("no line names"), std::string::npos);
+}
+
+} // namespace
+} // namespace limpetwood::ctl
--- a/packages/ctl/run.cc
+++ b/packages/ctl/run.cc
@@ -16,7 +16,8 @@
 AllCommands()
 {
   std::vector<Command> all = ConfigCommands();
-  for (const auto* more : { &JobCommands(), &SystemCommands() }) {
+  for (const auto* more :
+       { &JobCommands(), &LogCommands(), &SystemCommands() }) {
     all.insert(all.end(), more->begin(), more->end());
   }
   return all;
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -584,7 +584,7 @@
   }
   mEnvironment.Log(LogEvent("membership_change")
                      .Add("change", name)
-                     .Add("instance", step->member.instance)
+                     .Add("member", step->member.instance)
                      .Add("voters", status.membership.voters.size()));
 }
 
