--- /dev/null
+++ b/packages/fleetd/relay_test.cc
@@ -0,0 +1,221 @@
+// Guards the way from an instance to the leader: it is found over any instance,
+// a lost one is replaced without losing requests, and no request of which an
+// attempt got no answer is said not to have run.
+
+#include "fleetd/relay.h"
+
+#include "http/server.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace limpetwood::fleetd {
+namespace {
+
+using fleet::Outcome;
+using fleet::RequestKind;
+namespace gen = fleet::gen;
+
+// An instance at an address of the loopback network.
+class FakeInstance
+{
+public:
+  enum class Role
+  {
+    kLeads,
+    kFollows,
+    // Takes requests and answers nothing.
+    kSilent,
+  };
+
+  FakeInstance(boost::asio::io_context& aContext, std::string aAddress)
+    : mAddress(std::move(aAddress))
+    , mServer(
+        aContext,
+        {},
+        [this](const http::Request& aRequest, const http::Responder& aRespond) {
+          Serve(aRequest, aRespond);
+        })
+  {
+  }
+
+  uint16_t Listen(uint16_t aPort)
+  {
+    return mServer.Listen({ mAddress, aPort }).Value().port;
+  }
+
+  void Close() { mServer.Close(); }
+
+  const std::string& Address() const { return mAddress; }
+
+  Role role = Role::kFollows;
+  // Named as the leader by a follower.
+  std::string leader;
+  int submissions = 0;
+  gen::Limits limits;
+
+private:
+  void Serve(const http::Request& aRequest, const http::Responder& aRespond)
+  {
+    auto request = fleet::Decode<gen::Request>(aRequest.body).Value();
+    bool ping = request.kind == static_cast<int32_t>(RequestKind::kPing);
+    submissions += ping ? 0 : 1;
+    if (role == Role::kSilent && !ping) {
+      mHeld.push_back(aRespond);
+      return;
+    }
+    gen::Reply reply;
+    reply.outcome = static_cast<int32_t>(
+      role == Role::kFollows ? Outcome::kNotLeader : Outcome::kOk);
+    reply.leader = leader;
+    reply.members = { "127.0.0.1", "127.0.0.2", "127.0.0.3" };
+    reply.__set_limits(limits);
+    http::Response response;
+    response.body = fleet::Encode(reply);
+    aRespond(response);
+  }
+
+  const std::string mAddress;
+  http::Server mServer;
+  std::vector<http::Responder> mHeld;
+};
+
+class RelayTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    RelayOptions options;
+    options.port = mOne.Listen(0);
+    mTwo.Listen(options.port);
+    mThree.Listen(options.port);
+    options.pingInterval = Millis(40);
+    options.pingTimeout = Millis(100);
+    options.attemptTimeout = Millis(150);
+    options.leaderWait = Millis(400);
+    options.outageAfter = Millis(600);
+    mRelay = std::make_unique<Relay>(
+      mContext, options, [this](const LogEvent& aEvent) {
+        mLog += aEvent.Members() + "\n";
+      });
+  }
+
+  void Run(Millis aTime)
+  {
+    mContext.run_for(std::chrono::milliseconds(aTime.Count()));
+    mContext.restart();
+  }
+
+  RelayResult Call(Millis aTime = Millis(1500))
+  {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(RequestKind::kSubmit);
+    request.path = "/q/00000000000000a1";
+    std::optional<RelayResult> result;
+    mRelay->Call(request, MonotonicNow() + aTime, [&](RelayResult aResult) {
+      result = std::move(aResult);
+      mContext.stop();
+    });
+    if (!result) {
+      Run(aTime + Millis(200));
+    }
+    EXPECT_TRUE(result);
+    return result.value_or(RelayResult{});
+  }
+
+  static Outcome OutcomeOf(const RelayResult& aResult)
+  {
+    return static_cast<Outcome>(aResult.reply.outcome);
+  }
+
+  boost::asio::io_context mContext{ 1 };
+  FakeInstance mOne{ mContext, "127.0.0.1" };
+  FakeInstance mTwo{ mContext, "127.0.0.2" };
+  FakeInstance mThree{ mContext, "127.0.0.3" };
+  std::string mLog;
+  std::unique_ptr<Relay> mRelay;
+};
+
+TEST_F(RelayTest, FindsTheLeaderThroughAnInstanceThatIsNoSeed)
+{
+  mThree.role = FakeInstance::Role::kLeads;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(300));
+  RelayResult result = Call();
+  EXPECT_EQ(OutcomeOf(result), Outcome::kOk);
+  EXPECT_EQ(result.leader, "127.0.0.3");
+  EXPECT_EQ(result.attempts, 1U);
+  EXPECT_EQ(mThree.submissions, 1);
+}
+
+TEST_F(RelayTest, RequestFollowsTheLeadershipWithinItsDeadline)
+{
+  mOne.role = FakeInstance::Role::kLeads;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  mOne.role = FakeInstance::Role::kFollows;
+  mOne.leader = "127.0.0.2";
+  mTwo.role = FakeInstance::Role::kLeads;
+  RelayResult result = Call();
+  EXPECT_EQ(OutcomeOf(result), Outcome::kOk);
+  EXPECT_EQ(result.leader, "127.0.0.2");
+  EXPECT_EQ(result.attempts, 2U);
+  EXPECT_EQ(mRelay->Counters().retriesNotLeader, 1U);
+  EXPECT_NE(mLog.find("\"event\":\"attempt_failed\""), std::string::npos);
+}
+
+TEST_F(RelayTest, UnansweredAttemptIsNeverReportedAsNotRun)
+{
+  mOne.role = FakeInstance::Role::kSilent;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  ASSERT_TRUE(mRelay->HasLeader());
+  RelayResult result = Call(Millis(700));
+  EXPECT_EQ(OutcomeOf(result), Outcome::kMayHaveRun);
+  EXPECT_GE(mOne.submissions, 1);
+  EXPECT_GE(mRelay->Counters().retriesNoAnswer, 1U);
+}
+
+// A long outage is answered at once: waiting for it would hold callers in vain.
+TEST_F(RelayTest, OutageIsRefusedAtOnce)
+{
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(20));
+  Millis begun = MonotonicNow();
+  RelayResult result = Call();
+  EXPECT_EQ(OutcomeOf(result), Outcome::kUnavailable);
+  EXPECT_EQ(result.attempts, 0U);
+  EXPECT_LT(MonotonicNow() - begun, Millis(100));
+  EXPECT_EQ(mRelay->Counters().refusedNoLeader, 1U);
+}
+
+TEST_F(RelayTest, LostLeaderIsWaitedForDuringAnElection)
+{
+  mOne.role = FakeInstance::Role::kLeads;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  mOne.Close();
+  boost::asio::steady_timer elected(mContext, std::chrono::milliseconds(200));
+  elected.async_wait([this](auto) { mTwo.role = FakeInstance::Role::kLeads; });
+  RelayResult result = Call();
+  EXPECT_EQ(OutcomeOf(result), Outcome::kOk);
+  EXPECT_EQ(mTwo.submissions, 1);
+}
+
+TEST_F(RelayTest, ReportsChangedLimitsOnce)
+{
+  int changes = 0;
+  mRelay->OnLimits([&](const gen::Limits& aLimits) {
+    ++changes;
+    EXPECT_EQ(aLimits.headerBytes, 4096);
+  });
+  mOne.role = FakeInstance::Role::kLeads;
+  mOne.limits.headerBytes = 4096;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(200));
+  EXPECT_EQ(changes, 1);
+}
+
+} // namespace
+} // namespace limpetwood::fleetd
--- /dev/null
+++ b/packages/fleetd/settings_test.cc
@@ -0,0 +1,89 @@
+// Guards the settings of fleet processes: every fault is found, with its path.
+
+#include "fleetd/settings.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace limpetwood::fleetd {
+namespace {
+
+nlohmann::json
+Valid()
+{
+  return nlohmann::json::parse(R"({
+    "instance": "core-1", "zone": "sogn", "address": "10.1.0.7",
+    "firstInternalPort": 9000, "seeds": ["10.1.0.7:8080"], "firstStart": true,
+    "dataFolder": "/data", "controlAddress": "10.1.0.7:8081",
+    "bounds": { "longestLeaseMs": 10000, "stopTimeMs": 900,
+                "heartbeatMs": 1500, "shutdownMs": 6000,
+                "toleratedInstances": 1 } })");
+}
+
+bool
+HasFaultAt(const nlohmann::json& aSettings, const std::string& aPath)
+{
+  model::Faults faults = ParseSettings(aSettings.dump()).faults;
+  return std::any_of(faults.begin(), faults.end(), [&](const auto& it) {
+    return it.path == aPath && !it.expected.empty();
+  });
+}
+
+TEST(FleetSettings, ReadsAllValues)
+{
+  SettingsResult result = ParseSettings("// a comment\n" + Valid().dump());
+  ASSERT_TRUE(result.Ok()) << result.faults.front().path;
+  EXPECT_EQ(result.value.instance, InstanceId("core-1"));
+  EXPECT_EQ(result.value.bindAddress, "10.1.0.7");
+  EXPECT_EQ(result.value.firstPort, 9000);
+  EXPECT_EQ(result.value.seeds, std::vector<std::string>{ "10.1.0.7" });
+  EXPECT_EQ(result.value.dataFolder, "/data");
+  EXPECT_EQ(result.value.bounds.longestLease, Seconds(10));
+  EXPECT_EQ(result.value.control->port, 8081);
+}
+
+TEST(FleetSettings, MissingValuesAreFaults)
+{
+  for (const char* key : { "instance",
+                           "zone",
+                           "address",
+                           "firstInternalPort",
+                           "seeds",
+                           "firstStart",
+                           "bounds" }) {
+    nlohmann::json settings = Valid();
+    settings.erase(key);
+    EXPECT_TRUE(HasFaultAt(settings, std::string("/") + key)) << key;
+  }
+}
+
+TEST(FleetSettings, ValuesOutOfRangeAreFaults)
+{
+  nlohmann::json settings = Valid();
+  settings["firstInternalPort"] = 70000;
+  settings["bounds"]["stopTimeMs"] = 0;
+  settings["bounds"]["toleratedInstances"] = -1;
+  settings["controlAddress"] = "somewhere";
+  settings["seeds"].push_back(7);
+  settings["extra"] = 1;
+  for (const char* path : { "/firstInternalPort",
+                            "/bounds/stopTimeMs",
+                            "/bounds/toleratedInstances",
+                            "/controlAddress",
+                            "/seeds",
+                            "/extra" }) {
+    EXPECT_TRUE(HasFaultAt(settings, path)) << path;
+  }
+}
+
+TEST(FleetSettings, TextThatIsNoObjectIsAFault)
+{
+  EXPECT_FALSE(ParseSettings("[]").Ok());
+  EXPECT_FALSE(ParseSettings("{").Ok());
+  EXPECT_FALSE(LoadSettings("/does/not/exist").Ok());
+}
+
+} // namespace
+} // namespace limpetwood::fleetd
