Answer reads whose attempt got no answer as unavailable, not as unknown

Cause: a read that waited for a lost leader ended as may_have_run (504), which tells callers that repeating may do harm; a read leaves no trace. Change: the relay keeps the unknown end for requests that change something. Ruled out: repeating the read after its deadline; the caller has left by then. Measured: RelayTest.UnansweredReadChangedNothing failed before and passes.

--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -46,8 +46,10 @@
   // Names the request in the log.
   std::string path;
   uint32_t attempts = 0;
-  // An attempt got no answer.
+  // An attempt got no answer and may have changed something.
   bool unknown = false;
+  // Leaves no trace, so an attempt without an answer counts as not run.
+  bool readsOnly = false;
 };
 
 struct Relay::Impl : std::enable_shared_from_this<Relay::Impl>
@@ -333,7 +335,7 @@
     }
   } else if (aResult.verdict == Verdict::kMayHaveRun) {
     ++counters.retriesNoAnswer;
-    aCall->unknown = true;
+    aCall->unknown = !aCall->readsOnly;
   } else {
     ++counters.retriesNotSent;
   }
@@ -405,6 +407,9 @@
   auto call = std::make_shared<PendingCall>();
   call->bytes = fleet::Encode(aRequest);
   call->path = aRequest.path;
+  auto kind = static_cast<RequestKind>(aRequest.kind);
+  call->readsOnly =
+    kind == RequestKind::kRead || kind == RequestKind::kGetConfiguration;
   call->begun = MonotonicNow();
   call->deadline = aDeadline;
   call->done = std::move(aDone);
--- a/packages/fleetd/relay_test.cc
+++ b/packages/fleetd/relay_test.cc
@@ -107,10 +107,11 @@
     mContext.restart();
   }
 
-  RelayResult Call(Millis aTime = Millis(1500))
+  RelayResult Call(Millis aTime = Millis(1500),
+                   RequestKind aKind = RequestKind::kSubmit)
   {
     gen::Request request;
-    request.kind = static_cast<int32_t>(RequestKind::kSubmit);
+    request.kind = static_cast<int32_t>(aKind);
     request.path = "/q/00000000000000a1";
     std::optional<RelayResult> result;
     mRelay->Call(request, MonotonicNow() + aTime, [&](RelayResult aResult) {
@@ -177,6 +178,17 @@
   EXPECT_GE(mRelay->Counters().retriesNoAnswer, 1U);
 }
 
+// Callers may repeat what certainly changed nothing.
+TEST_F(RelayTest, UnansweredReadChangedNothing)
+{
+  mOne.role = FakeInstance::Role::kSilent;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  RelayResult result = Call(Millis(700), RequestKind::kRead);
+  EXPECT_EQ(OutcomeOf(result), Outcome::kUnavailable);
+  EXPECT_GE(mOne.submissions, 1);
+}
+
 // A long outage is answered at once: waiting for it would hold callers in vain.
 TEST_F(RelayTest, OutageIsRefusedAtOnce)
 {
