Send requests that hang at a lost leader to the next one

A 504 tells callers that they must not repeat. Change: requests with an attempt on its way are sent again as soon as another leader is found; jobs and configurations carry their identity, so the leader takes the copy for the same. A success of the earlier attempt still counts, a refusal does not. A request that may have run is repeated until its deadline. Ruled out: shorter attempts for all (a commit over a slow disk takes longer); refusing early (only another attempt can tell what became of the request).

--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -93,6 +93,7 @@
   retry("not_leader", aCounters.retriesNotLeader);
   retry("not_sent", aCounters.retriesNotSent);
   retry("no_answer", aCounters.retriesNoAnswer);
+  retry("leader_moved", aCounters.retriesMoved);
   daemon::AddCounter(aFamilies,
                      "limpetwood_relay_refused_no_leader_total",
                      "Requests refused because no leader was known",
--- a/packages/fleetd/metrics_test.cc
+++ b/packages/fleetd/metrics_test.cc
@@ -65,7 +65,8 @@
       "limpetwood_leader_requests_total{outcome=\"" +
       std::string(fleet::OutcomeName(static_cast<fleet::Outcome>(n))) + "\"}");
   }
-  for (const char* reason : { "not_leader", "not_sent", "no_answer" }) {
+  for (const char* reason :
+       { "not_leader", "not_sent", "no_answer", "leader_moved" }) {
     labels.push_back(std::string("limpetwood_relay_retries_total{reason=\"") +
                      reason + "\"}");
   }
--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -45,7 +45,11 @@
   RelayCallback done;
   // Names the request in the log.
   std::string path;
+  // Numbers the attempts; only the last one decides.
   uint32_t attempts = 0;
+  // The instance that the last attempt went to, while it has no result.
+  std::string target;
+  bool ended = false;
   // An attempt got no answer and may have changed something.
   bool unknown = false;
   // Leaves no trace, so an attempt without an answer counts as not run.
@@ -85,8 +89,12 @@
   void Attempt(const std::shared_ptr<PendingCall>& aCall);
   void Wait(const std::shared_ptr<PendingCall>& aCall);
   void OnAttempt(const std::shared_ptr<PendingCall>& aCall,
+                 uint32_t aAttempt,
                  const std::string& aTarget,
                  const http::FetchResult& aResult);
+  // Sends the requests that wait for an answer of an earlier leader again.
+  void MoveToLeader();
+  bool MayWait(const PendingCall& aCall) const;
   void Finish(const std::shared_ptr<PendingCall>& aCall, gen::Reply aReply);
   void ResumeWaiting();
 
@@ -108,6 +116,8 @@
   bool stopped = false;
   // Requests that wait for a leader.
   std::deque<std::shared_ptr<PendingCall>> waiting;
+  // Requests with an attempt on its way.
+  std::set<std::shared_ptr<PendingCall>> sent;
   gen::Limits limits;
   std::function<void(const gen::Limits&)> limitsChanged;
   RelayCounters counters;
@@ -240,6 +250,7 @@
   ++counters.leaderChanges;
   log(LogEvent("leader_found").Add("leader", aLeader));
   ResumeWaiting();
+  MoveToLeader();
 }
 
 void
@@ -269,24 +280,53 @@
     Finish(aCall, ReplyOf(Outcome::kUnavailable));
     return;
   }
-  std::string target = leader;
-  ++aCall->attempts;
-  Fetch(target,
+  aCall->target = leader;
+  uint32_t attempt = ++aCall->attempts;
+  sent.insert(aCall);
+  Fetch(leader,
         aCall->bytes,
         std::min(left, options.attemptTimeout),
-        [self = shared_from_this(), aCall, target](http::FetchResult aResult) {
-          self->OnAttempt(aCall, target, aResult);
+        [self = shared_from_this(), aCall, attempt, target = leader](
+          http::FetchResult aResult) {
+          self->OnAttempt(aCall, attempt, target, aResult);
         });
 }
 
 void
-Relay::Impl::Wait(const std::shared_ptr<PendingCall>& aCall)
+Relay::Impl::MoveToLeader()
+{
+  std::vector<std::shared_ptr<PendingCall>> moved;
+  for (const auto& it : sent) {
+    if (it->target != leader) {
+      moved.push_back(it);
+    }
+  }
+  for (const auto& it : moved) {
+    ++counters.retriesMoved;
+    it->unknown = !it->readsOnly;
+    Attempt(it);
+  }
+}
+
+bool
+Relay::Impl::MayWait(const PendingCall& aCall) const
 {
   Millis now = MonotonicNow();
-  bool outage = now - leaderHeard > options.outageAfter;
-  bool late =
-    now - aCall->begun >= options.leaderWait || now >= aCall->deadline;
-  if (stopped || outage || late) {
+  if (stopped || now >= aCall.deadline) {
+    return false;
+  }
+  // Only another attempt can tell what became of a request that may have run.
+  if (aCall.unknown) {
+    return true;
+  }
+  return now - leaderHeard <= options.outageAfter &&
+         now - aCall.begun < options.leaderWait;
+}
+
+void
+Relay::Impl::Wait(const std::shared_ptr<PendingCall>& aCall)
+{
+  if (!MayWait(*aCall)) {
     ++counters.refusedNoLeader;
     Finish(aCall, ReplyOf(Outcome::kUnavailable));
     return;
@@ -314,14 +354,28 @@
 
 void
 Relay::Impl::OnAttempt(const std::shared_ptr<PendingCall>& aCall,
+                       uint32_t aAttempt,
                        const std::string& aTarget,
                        const http::FetchResult& aResult)
 {
+  if (aCall->ended) {
+    return;
+  }
+  bool last = aAttempt == aCall->attempts;
+  if (last) {
+    sent.erase(aCall);
+    aCall->target.clear();
+  }
   if (aResult.verdict == Verdict::kAnswered) {
     auto reply = fleet::Decode<gen::Reply>(aResult.response.body);
     bool leads = reply && static_cast<Outcome>(reply.Value().outcome) !=
                             Outcome::kNotLeader;
-    if (leads) {
+    // An earlier leader's success holds; what it refused, a later attempt may
+    // have got done.
+    bool decides =
+      last ||
+      (reply && static_cast<Outcome>(reply.Value().outcome) == Outcome::kOk);
+    if (leads && decides) {
       leaderHeard = MonotonicNow();
       Finish(aCall, std::move(reply).Value());
       return;
@@ -339,6 +393,9 @@
   } else {
     ++counters.retriesNotSent;
   }
+  if (!last) {
+    return;
+  }
   if (!aCall->path.empty()) {
     log(LogEvent("attempt_failed")
           .Add("path", aCall->path)
@@ -358,6 +415,8 @@
 Relay::Impl::Finish(const std::shared_ptr<PendingCall>& aCall,
                     gen::Reply aReply)
 {
+  aCall->ended = true;
+  sent.erase(aCall);
   auto outcome = static_cast<Outcome>(aReply.outcome);
   if (aCall->unknown && fleet::CertainlyNotRun(outcome)) {
     aReply = ReplyOf(Outcome::kMayHaveRun);
--- a/packages/fleetd/relay.h
+++ b/packages/fleetd/relay.h
@@ -6,8 +6,10 @@
 //
 // The leader is looked for with pings at the seeds and at the instances that
 // replies name. All requests may be repeated: jobs and configurations carry
-// their own identity. A request of which an attempt got no answer never ends
-// with an outcome that says that nothing was done.
+// their own identity. A request that waits for a leader's answer when another
+// leader is found is sent to that one too. A request of which an attempt got no
+// answer never ends with an outcome that says that nothing was done, and is
+// repeated until its deadline.
 //
 // All calls and callbacks happen on the thread that runs the io_context.
 
@@ -38,8 +40,8 @@
   Millis pingTimeout = Millis(400);
   // One attempt of a request.
   Millis attemptTimeout = Millis(1200);
-  // How long a request waits for a leader that was lost a moment ago; about
-  // one election.
+  // How long a request that certainly did not run waits for a leader that was
+  // lost a moment ago; about one election.
   Millis leaderWait = Millis(1200);
   // A loss that is longer ago than this is an outage, and requests are refused
   // at once.
@@ -52,6 +54,8 @@
   uint64_t retriesNotLeader = 0;
   uint64_t retriesNotSent = 0;
   uint64_t retriesNoAnswer = 0;
+  // Sent again because another leader was found before the answer.
+  uint64_t retriesMoved = 0;
   uint64_t refusedNoLeader = 0;
   uint64_t leaderChanges = 0;
 };
--- a/packages/fleetd/relay_test.cc
+++ b/packages/fleetd/relay_test.cc
@@ -50,6 +50,10 @@
   const std::string& Address() const { return mAddress; }
 
   Role role = Role::kFollows;
+  // What pings are told, if not the role.
+  std::optional<Role> pingRole;
+  // Of requests, as the leader.
+  Outcome outcome = Outcome::kOk;
   // Named as the leader by a follower.
   std::string leader;
   int submissions = 0;
@@ -65,9 +69,11 @@
       mHeld.push_back(aRespond);
       return;
     }
+    Role told = ping ? pingRole.value_or(role) : role;
+    Outcome leading = ping ? Outcome::kOk : outcome;
     gen::Reply reply;
     reply.outcome = static_cast<int32_t>(
-      role == Role::kFollows ? Outcome::kNotLeader : Outcome::kOk);
+      told == Role::kFollows ? Outcome::kNotLeader : leading);
     reply.leader = leader;
     reply.members = { "127.0.0.1", "127.0.0.2", "127.0.0.3" };
     reply.__set_limits(limits);
@@ -86,17 +92,22 @@
 protected:
   void SetUp() override
   {
-    RelayOptions options;
-    options.port = mOne.Listen(0);
-    mTwo.Listen(options.port);
-    mThree.Listen(options.port);
-    options.pingInterval = Millis(40);
-    options.pingTimeout = Millis(100);
-    options.attemptTimeout = Millis(150);
-    options.leaderWait = Millis(400);
-    options.outageAfter = Millis(600);
+    mOptions.port = mOne.Listen(0);
+    mTwo.Listen(mOptions.port);
+    mThree.Listen(mOptions.port);
+    mOptions.pingInterval = Millis(40);
+    mOptions.pingTimeout = Millis(100);
+    mOptions.attemptTimeout = Millis(150);
+    mOptions.leaderWait = Millis(400);
+    mOptions.outageAfter = Millis(600);
+    Reopen();
+  }
+
+  // Makes the relay anew with `mOptions`.
+  void Reopen()
+  {
     mRelay = std::make_unique<Relay>(
-      mContext, options, [this](const LogEvent& aEvent) {
+      mContext, mOptions, [this](const LogEvent& aEvent) {
         mLog += aEvent.Members() + "\n";
       });
   }
@@ -135,6 +146,7 @@
   FakeInstance mTwo{ mContext, "127.0.0.2" };
   FakeInstance mThree{ mContext, "127.0.0.3" };
   std::string mLog;
+  RelayOptions mOptions;
   std::unique_ptr<Relay> mRelay;
 };
 
@@ -178,6 +190,45 @@
   EXPECT_GE(mRelay->Counters().retriesNoAnswer, 1U);
 }
 
+// An attempt that hangs at a lost leader must not cost the caller its deadline.
+TEST_F(RelayTest, RequestThatHangsIsSentToTheNextLeader)
+{
+  mOptions.attemptTimeout = Seconds(5);
+  Reopen();
+  mOne.role = FakeInstance::Role::kSilent;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  ASSERT_TRUE(mRelay->HasLeader());
+  boost::asio::steady_timer elected(mContext, std::chrono::milliseconds(200));
+  elected.async_wait([this](auto) {
+    mOne.pingRole = FakeInstance::Role::kFollows;
+    mTwo.role = FakeInstance::Role::kLeads;
+  });
+  Millis begun = MonotonicNow();
+  RelayResult result = Call();
+  EXPECT_EQ(OutcomeOf(result), Outcome::kOk);
+  EXPECT_EQ(result.leader, "127.0.0.2");
+  EXPECT_LT(MonotonicNow() - begun, Millis(800));
+  EXPECT_EQ(mRelay->Counters().retriesMoved, 1U);
+}
+
+// A refusal by the next leader says nothing about the first attempt.
+TEST_F(RelayTest, RefusalAfterAMoveIsNotReportedAsNotRun)
+{
+  mOptions.attemptTimeout = Seconds(5);
+  Reopen();
+  mOne.role = FakeInstance::Role::kSilent;
+  mTwo.outcome = Outcome::kRejected;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  boost::asio::steady_timer elected(mContext, std::chrono::milliseconds(200));
+  elected.async_wait([this](auto) {
+    mOne.pingRole = FakeInstance::Role::kFollows;
+    mTwo.role = FakeInstance::Role::kLeads;
+  });
+  EXPECT_EQ(OutcomeOf(Call()), Outcome::kMayHaveRun);
+}
+
 // Callers may repeat what certainly changed nothing.
 TEST_F(RelayTest, UnansweredReadChangedNothing)
 {
