Start failed tasks on another worker where one has room

Change: the planner remembers on which workers runs of a live job failed, and placement takes those last, like workers under suspicion. Ruled out: excluding them (a job whose fault it is would wait for ever). Measured: Planner.FailedTaskGoesToAnotherWorker; fleet_test 54, fleet_node_test 5 pass.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -408,6 +408,10 @@
       LearnFrom(worker, run, aNow);
     } else if (kind == EndKind::kFailed) {
       mHealth.OnFailed(worker, run.task.job, aNow);
+      const Job* job = mState.FindJob(run.task.job);
+      if (job != nullptr && !job->Ended()) {
+        mPlanner.OnFailed(run.task.job, worker);
+      }
     }
     auto link = mLinks.find(worker);
     if (link == mLinks.end()) {
@@ -441,6 +445,7 @@
 Dispatcher::OnJobEnded(const JobId& aJob, Millis aNow)
 {
   mPlanDue = true;
+  mPlanner.OnJobEnded(aJob);
   const Job* job = mState.FindJob(aJob);
   if (job == nullptr) {
     return;
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -54,11 +54,19 @@
                     share(room.accelerators, all.accelerators) });
 }
 
+int
+SuspicionOf(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  bool avoided = aRequest.avoids && aRequest.avoids(aCandidate.id);
+  return aCandidate.suspicion + (avoided ? 1 : 0);
+}
+
 // Fullest workers first and, of equal ones, those in the fullest racks, so that
 // empty workers and racks stay whole.
 void
-SortFullestFirst(std::vector<Fit>& aFits,
-                 const std::vector<Candidate>& aCandidates)
+SortFullestFirst(const PlacementRequest& aRequest,
+                 const std::vector<Candidate>& aCandidates,
+                 std::vector<Fit>& aFits)
 {
   std::vector<int64_t> racks;
   for (const Candidate& it : aCandidates) {
@@ -70,7 +78,7 @@
   order.reserve(aFits.size());
   for (const Fit& it : aFits) {
     const Candidate& candidate = aCandidates[it.candidate];
-    order.emplace_back(Key{ candidate.suspicion,
+    order.emplace_back(Key{ SuspicionOf(aRequest, candidate),
                             FreeShare(candidate),
                             racks[candidate.rack],
                             it.candidate },
@@ -115,14 +123,14 @@
   std::vector<size_t> best;
   std::tuple<bool, int, int64_t> bestKey;
   for (auto& [rack, fits] : racks) {
-    SortFullestFirst(fits, aCandidates);
+    SortFullestFirst(aRequest, aCandidates, fits);
     std::vector<size_t> chosen = Fill(fits, aRequest.tasks);
     if (chosen.size() < aRequest.tasks) {
       continue;
     }
     int suspicion = 0;
     for (size_t it : chosen) {
-      suspicion += aCandidates[it].suspicion;
+      suspicion += SuspicionOf(aRequest, aCandidates[it]);
     }
     int64_t room = 0;
     for (const Fit& it : fits) {
@@ -193,7 +201,7 @@
     }
   }
   if (aRequest.bestFit) {
-    SortFullestFirst(fits, aCandidates);
+    SortFullestFirst(aRequest, aCandidates, fits);
   }
   if (!step.rack.empty()) {
     std::stable_partition(fits.begin(), fits.end(), [&](const Fit& it) {
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -37,6 +37,8 @@
   uint32_t tasks = 0;
   // Tasks of the step that already run on a worker; used with a limit.
   std::function<uint32_t(const WorkerId&)> placed{};
+  // Workers that come after the others; may be empty.
+  std::function<bool(const WorkerId&)> avoids{};
   // Whether tasks that are slower across racks may be spread all the same.
   bool maySpread = false;
   // Fullest workers first; otherwise the first that fit.
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -320,6 +320,11 @@
     .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
     .placed =
       [&aUnit](const WorkerId& aWorker) { return TasksOn(aUnit, aWorker); },
+    .avoids =
+      [this, &job = aUnit.job->id](const WorkerId& aWorker) {
+        auto failed = mFailedOn.find(job);
+        return failed != mFailedOn.end() && failed->second.contains(aWorker);
+      },
     .maySpread = MaySpread(aUnit, aView),
     .bestFit = mOptions.bestFit,
   };
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -16,6 +16,7 @@
 #include "fleet/state.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -150,6 +151,15 @@
 
   Plan Decide(FleetView aView);
 
+  // A run of the job failed on the worker. Its next runs go elsewhere if they
+  // can: the worker may be faulty before others have noticed, and a job has few
+  // attempts.
+  void OnFailed(const JobId& aJob, const WorkerId& aWorker)
+  {
+    mFailedOn[aJob].insert(aWorker);
+  }
+  void OnJobEnded(const JobId& aJob) { mFailedOn.erase(aJob); }
+
 private:
   // Room that is being made for a job's unit.
   struct Reclaim
@@ -198,6 +208,8 @@
     const Unit* unit = nullptr;
   };
   std::vector<FailedShape> mFailed;
+  // Workers on which runs of live jobs failed.
+  std::map<JobId, std::set<WorkerId>> mFailedOn;
   // Since when units that could start have waited.
   std::map<UnitKey, Millis> mWaitingSince;
 };
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -64,6 +64,11 @@
   }
 
   // Starts a task of a job by hand, with what it would lose and need.
+  void FailOn(const std::string& aId, const std::string& aWorker)
+  {
+    mPlanner.OnFailed(JobId(aId), WorkerId(aWorker));
+  }
+
   void Run(const std::string& aId,
            uint32_t aIndex,
            const std::string& aWorker,
@@ -273,6 +278,23 @@
   EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
+// A job has few attempts; a worker that failed one of them gets no second one
+// while another has room.
+TEST(Planner, FailedTaskGoesToAnotherWorker)
+{
+  Fleet fleet;
+  fleet.AddWorker("w1", "r1");
+  fleet.Submit(JobName(1), Step(1, 8, false), 1);
+  fleet.FailOn(JobName(1), "w1");
+  Plan alone = fleet.Decide();
+  ASSERT_EQ(alone.starts.size(), 1U);
+  EXPECT_EQ(alone.starts[0].worker, WorkerId("w1"));
+  fleet.AddWorker("w2", "r1");
+  Plan plan = fleet.Decide();
+  ASSERT_EQ(plan.starts.size(), 1U);
+  EXPECT_EQ(plan.starts[0].worker, WorkerId("w2"));
+}
+
 // Work is not thrown away for room that is about to come anyway.
 TEST(Planner, UrgentGangWaitsForRoomThatComesInTime)
 {
