Decode replication and routing messages with the shared compact codec

Cause: three copies of the same decoder with its limits. Change: DecodeCompact takes limits on bytes, texts, elements and depth; a container has no more elements than the message has bytes, so a small message cannot make the decoder allocate a large list. Ruled out: one limit for all (routing bounds texts and lists much tighter). Measured: routing, replication, control, fleet and fleetd tests pass.

--- a/packages/base/compact_codec.h
+++ b/packages/base/compact_codec.h
@@ -1,7 +1,7 @@
 // Encoding of generated Thrift structures in the compact protocol.
 //
 //   std::string bytes = EncodeCompact(value);
-//   Result<gen::Command> decoded = DecodeCompact<gen::Command>(bytes, limit);
+//   auto decoded = DecodeCompact<gen::Command>(bytes, { .maxBytes = 4096 });
 //
 // For codec sources only: it brings in Thrift's headers, and whoever includes
 // it links Thrift.
@@ -15,14 +15,25 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace limpetwood {
 
-// Elements of a list or map, far above any message of the design size.
-constexpr int32_t kMaxEncodedContainer = 1'000'000;
+// What a decoder accepts. It allocates containers before it reads their
+// elements, so the limits bound its memory.
+struct CompactLimits
+{
+  size_t maxBytes = 0;
+  // Of one text; 0 for `maxBytes`.
+  size_t maxStringBytes = 0;
+  // Elements of a list or map, far above any message of the design size.
+  size_t maxElements = 1'000'000;
+  // Structures within structures.
+  int32_t maxDepth = 16;
+};
 
 template<typename T>
 std::string
@@ -35,19 +46,23 @@
   return buffer->getBufferAsString();
 }
 
-// Fails with `Errc::kTooLarge` above `aMaxBytes` and with `Errc::kCorrupt` on
+// Fails with `Errc::kTooLarge` above `maxBytes` and with `Errc::kCorrupt` on
 // anything that is not one complete encoding.
 template<typename T>
 Result<T>
-DecodeCompact(std::string_view aBytes, size_t aMaxBytes)
+DecodeCompact(std::string_view aBytes, const CompactLimits& aLimits)
 {
   using apache::thrift::TConfiguration;
   using apache::thrift::transport::TMemoryBuffer;
-  if (aBytes.size() > aMaxBytes) {
+  if (aBytes.size() > aLimits.maxBytes) {
     return make_error_code(Errc::kTooLarge);
   }
-  auto limits = std::make_shared<TConfiguration>(static_cast<int>(aMaxBytes),
-                                                 static_cast<int>(aMaxBytes));
+  auto most = static_cast<int>(aLimits.maxBytes);
+  auto limits = std::make_shared<TConfiguration>(most, most, aLimits.maxDepth);
+  size_t longest =
+    aLimits.maxStringBytes > 0 ? aLimits.maxStringBytes : aLimits.maxBytes;
+  // Each element takes a byte at least.
+  size_t elements = std::min(aLimits.maxElements, aBytes.size());
   try {
     // The buffer is only read; Thrift's interface lacks a const variant.
     auto* data =
@@ -58,7 +73,7 @@
                                       TMemoryBuffer::OBSERVE,
                                       limits);
     apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
-      buffer, static_cast<int32_t>(aMaxBytes), kMaxEncodedContainer);
+      buffer, static_cast<int32_t>(longest), static_cast<int32_t>(elements));
     T value;
     value.read(&protocol);
     if (buffer->available_read() != 0) {
--- a/packages/control/codec.cc
+++ b/packages/control/codec.cc
@@ -15,7 +15,7 @@
 Result<T>
 Decode(std::string_view aBytes)
 {
-  return DecodeCompact<T>(aBytes, kMaxMessageBytes);
+  return DecodeCompact<T>(aBytes, { .maxBytes = kMaxMessageBytes });
 }
 
 template std::string
--- a/packages/fleet/codec.cc
+++ b/packages/fleet/codec.cc
@@ -135,7 +135,7 @@
 Result<T>
 Decode(std::string_view aBytes)
 {
-  return DecodeCompact<T>(aBytes, kMaxEncodedBytes);
+  return DecodeCompact<T>(aBytes, { .maxBytes = kMaxEncodedBytes });
 }
 
 template std::string
--- a/packages/replication/codec.cc
+++ b/packages/replication/codec.cc
@@ -1,60 +1,36 @@
 #include "replication/codec.h"
 
+#include "base/compact_codec.h"
 #include "base/error.h"
 #include "replication/gen-cpp/replication_types.h"
 
-#include <thrift/TConfiguration.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
-#include <exception>
 
 namespace limpetwood::replication {
 namespace {
 
-using apache::thrift::TConfiguration;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
-// More than any list that this code writes. The decoder allocates a list
-// before it reads the elements, so this also bounds its memory.
-constexpr int kMaxListLength = 4096;
-constexpr int kRecursionLimit = 16;
+// More than any list that this code writes.
+constexpr size_t kMaxListLength = 4096;
+// Records of a log file are checked against their own length before.
+constexpr size_t kMaxBytes = 1U << 30U;
 
 std::string
 Write(const auto& aValue)
 {
-  auto buf = std::make_shared<TMemoryBuffer>(256);
-  TCompactProtocolT<TMemoryBuffer> protocol(buf);
-  aValue.write(&protocol);
-  return buf->getBufferAsString();
+  return EncodeCompact(aValue);
 }
 
-// The Thrift library reports bad input by exceptions, which end here.
 template<typename T>
 bool
 Read(std::string_view aBytes, T& aValue)
 {
-  if (aBytes.empty() || aBytes.size() > (1U << 30U)) {
-    return false;
-  }
-  try {
-    auto size = static_cast<int>(aBytes.size());
-    auto config = std::make_shared<TConfiguration>(size, size, kRecursionLimit);
-    auto buf = std::make_shared<TMemoryBuffer>(
-      // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
-      reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
-      static_cast<uint32_t>(aBytes.size()),
-      TMemoryBuffer::OBSERVE,
-      config);
-    int listLimit = std::min(kMaxListLength, size);
-    TCompactProtocolT<TMemoryBuffer> protocol(buf, size, listLimit);
-    aValue.read(&protocol);
-    return buf->available_read() == 0;
-  } catch (const std::exception&) {
+  auto decoded = DecodeCompact<T>(
+    aBytes, { .maxBytes = kMaxBytes, .maxElements = kMaxListLength });
+  if (!decoded) {
     return false;
   }
+  aValue = std::move(decoded).Value();
+  return true;
 }
 
 int64_t
--- a/packages/routing/codec.cc
+++ b/packages/routing/codec.cc
@@ -1,21 +1,13 @@
 #include "routing/codec.h"
 
+#include "base/compact_codec.h"
 #include "base/error.h"
 #include "routing/gen-cpp/routing_types.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
-#include <exception>
-
 namespace limpetwood::routing {
 
 namespace {
 
-using apache::thrift::TConfiguration;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 // Nested structures in a message, with room for unknown fields.
 constexpr int kMaxDepth = 16;
 
@@ -365,13 +357,6 @@
          int(set.keyOutcome);
 }
 
-std::shared_ptr<TConfiguration>
-Limits()
-{
-  constexpr int kMax = static_cast<int>(kMaxPeerMessageBytes);
-  return std::make_shared<TConfiguration>(kMax, kMax, kMaxDepth);
-}
-
 } // namespace
 
 std::string
@@ -379,43 +364,30 @@
 {
   wire::PeerMessage out;
   std::visit(Writer{ out }, aMessage);
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  out.write(&protocol);
-  return buffer->getBufferAsString();
+  return EncodeCompact(out);
 }
 
 Result<PeerMessage>
 DecodePeerMessage(std::string_view aBytes)
 {
-  if (aBytes.size() > kMaxPeerMessageBytes) {
-    return make_error_code(Errc::kTooLarge);
-  }
-  try {
-    std::string copy(aBytes);
-    auto buffer =
-      std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(copy.data()),
-                                      static_cast<uint32_t>(copy.size()),
-                                      TMemoryBuffer::OBSERVE,
-                                      Limits());
-    TCompactProtocolT<TMemoryBuffer> protocol(
-      buffer,
-      static_cast<int32_t>(kMaxPeerStringBytes),
-      static_cast<int32_t>(kMaxPeerListEntries));
-    wire::PeerMessage in;
-    in.read(&protocol);
-    if (buffer->available_read() != 0 || FieldsSet(in) != 1) {
-      return make_error_code(Errc::kCorrupt);
-    }
-    Reader reader;
-    PeerMessage message = ReadUnion(reader, in);
-    if (!reader.InRange()) {
-      return make_error_code(Errc::kCorrupt);
-    }
-    return message;
-  } catch (const std::exception&) {
+  auto in =
+    DecodeCompact<wire::PeerMessage>(aBytes,
+                                     { .maxBytes = kMaxPeerMessageBytes,
+                                       .maxStringBytes = kMaxPeerStringBytes,
+                                       .maxElements = kMaxPeerListEntries,
+                                       .maxDepth = kMaxDepth });
+  if (!in) {
+    return in.Error();
+  }
+  if (FieldsSet(in.Value()) != 1) {
+    return make_error_code(Errc::kCorrupt);
+  }
+  Reader reader;
+  PeerMessage message = ReadUnion(reader, in.Value());
+  if (!reader.InRange()) {
     return make_error_code(Errc::kCorrupt);
   }
+  return message;
 }
 
 } // namespace limpetwood::routing
