Propose again what the log certainly refused

Change: a command that was certainly not proposed goes back in front of the next one. Ruled out: a new dispatcher (it would reuse the token of the term). Measured: Dispatcher.CommandThatWasNotProposedIsProposedAgain; fleet_test 55, fleet_node_test 5 pass.

--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -101,6 +101,11 @@
 
   bool HasCommand() const { return !mProposals.Empty(); }
   gen::Command TakeCommand() { return mProposals.Take(); }
+  // A command that came from `TakeCommand` was certainly not proposed.
+  void PutBack(gen::Command aCommand)
+  {
+    mProposals.PutBack(std::move(aCommand));
+  }
   std::vector<Order> TakeOrders();
 
   // What was decided since the last call, for the log.
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -121,6 +121,22 @@
   EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
 }
 
+// Guards against a scheduler that stands still: a log that takes no more
+// entries for a moment must not make it wait for starts that were never
+// proposed.
+TEST(Dispatcher, CommandThatWasNotProposedIsProposedAgain)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.HoldCommits(true);
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  fleet.RefuseCommand();
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  fleet.HoldCommits(false);
+  fleet.Advance(Millis(20));
+  fleet.ExpectOrder(Order::Kind::kStart);
+}
+
 // Half a worker's accelerators, so that two tasks share a worker.
 StepSpec
 HalfAWorker()
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -462,9 +462,11 @@
     aNow,
     [this, batch, aNow, generation = mGeneration](ProposeOutcome aOutcome) {
       mCounters.commits.Observe(mNow - aNow);
-      if (aOutcome.verdict == Verdict::kAnswered && mDispatcher &&
-          generation == mGeneration) {
+      bool current = mDispatcher && generation == mGeneration;
+      if (current && aOutcome.verdict == Verdict::kAnswered) {
         mDispatcher->OnCommitted(batch->command, mNow);
+      } else if (current && aOutcome.verdict == Verdict::kNotRun) {
+        mDispatcher->PutBack(std::move(batch->command));
       }
       for (auto& it : batch->waiting) {
         it(aOutcome.verdict);
--- a/packages/fleet/proposals.cc
+++ b/packages/fleet/proposals.cc
@@ -1,5 +1,7 @@
 #include "fleet/proposals.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace limpetwood::fleet {
@@ -54,6 +56,19 @@
   mCommand.starts.push_back(std::move(start));
 }
 
+void
+Proposals::PutBack(gen::Command aCommand)
+{
+  auto prepend = [](auto& aInto, auto& aEarlier) {
+    std::move(aInto.begin(), aInto.end(), std::back_inserter(aEarlier));
+    aInto = std::move(aEarlier);
+  };
+  prepend(mCommand.workers, aCommand.workers);
+  prepend(mCommand.gone, aCommand.gone);
+  prepend(mCommand.ends, aCommand.ends);
+  prepend(mCommand.starts, aCommand.starts);
+}
+
 bool
 Proposals::Empty() const
 {
--- a/packages/fleet/proposals.h
+++ b/packages/fleet/proposals.h
@@ -40,6 +40,9 @@
   bool Empty() const;
   gen::Command Take() { return std::exchange(mCommand, {}); }
 
+  // What was taken was certainly not proposed; `Take` returns it again.
+  void PutBack(gen::Command aCommand);
+
   // Committed; the same may be proposed again.
   void OnEndCommitted(const RunRef& aRun) { mEnds.erase(aRun); }
   void OnGoneCommitted(const WorkerId& aWorker) { mGone.erase(aWorker); }
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -41,6 +41,8 @@
   // Moves time on and lets the dispatcher act.
   void Advance(Millis aTime);
   void HoldCommits(bool aHold) { mHold = aHold; }
+  // The log refuses what is to be proposed now.
+  void RefuseCommand() { mDispatcher.PutBack(mDispatcher.TakeCommand()); }
 
   std::vector<Order> TakeOrders(Order::Kind aKind);
   // The only order of a kind; the test fails if there is not exactly one.
