--- a/packages/fleetd/metrics_test.cc
+++ b/packages/fleetd/metrics_test.cc
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace limpetwood::fleetd {
 namespace {
 
@@ -49,31 +51,31 @@
   AddFamilies(families, *node);
   AddFamilies(families, RelayCounters{});
   std::string text = Render(std::move(families));
-  std::vector<std::string> labels;
+  std::set<std::string> labels;
   for (int n = 0; n < fleet::kRefusals; ++n) {
-    labels.push_back(
+    labels.insert(
       "limpetwood_starts_refused_total{reason=\"" +
       std::string(fleet::RefusalName(static_cast<fleet::Refusal>(n))) + "\"}");
   }
   for (int n = 0; n < fleet::kEndKinds; ++n) {
-    labels.push_back(
-      "limpetwood_runs_ended_total{how=\"" +
-      std::string(fleet::EndName(static_cast<fleet::EndKind>(n))) + "\"}");
+    labels.insert("limpetwood_runs_ended_total{how=\"" +
+                  std::string(fleet::EndName(static_cast<fleet::EndKind>(n))) +
+                  "\"}");
   }
   for (int n = 0; n < fleet::kOutcomes; ++n) {
-    labels.push_back(
+    labels.insert(
       "limpetwood_leader_requests_total{outcome=\"" +
       std::string(fleet::OutcomeName(static_cast<fleet::Outcome>(n))) + "\"}");
   }
   for (const char* reason :
        { "not_leader", "not_sent", "no_answer", "leader_moved" }) {
-    labels.push_back(std::string("limpetwood_relay_retries_total{reason=\"") +
-                     reason + "\"}");
+    labels.insert(std::string("limpetwood_relay_retries_total{reason=\"") +
+                  reason + "\"}");
   }
   for (const char* reason :
        { "preempted", "stalled", "lagging", "start_withdrawn" }) {
-    labels.push_back(std::string("limpetwood_runs_given_up_total{reason=\"") +
-                     reason + "\"}");
+    labels.insert(std::string("limpetwood_runs_given_up_total{reason=\"") +
+                  reason + "\"}");
   }
   for (const std::string& it : labels) {
     EXPECT_NE(text.find(it), std::string::npos) << it;
