Bound texts of replication messages by the bytes that are there

Ruled out: load of the machine; the fuzzer's input decodes the same each time. Measured: replication_codec_fuzz failed before and passes; replication tests pass. fleet and control keep their limit of the largest message; open.

--- a/packages/replication/codec.cc
+++ b/packages/replication/codec.cc
@@ -24,8 +24,13 @@
 bool
 Read(std::string_view aBytes, T& aValue)
 {
+  if (aBytes.size() > kMaxBytes) {
+    return false;
+  }
+  // The decoder allocates a text before it reads it, so none may be longer than
+  // what is there.
   auto decoded = DecodeCompact<T>(
-    aBytes, { .maxBytes = kMaxBytes, .maxElements = kMaxListLength });
+    aBytes, { .maxBytes = aBytes.size(), .maxElements = kMaxListLength });
   if (!decoded) {
     return false;
   }
