Commit the ends of a worker's runs before its removal

An answer of an earlier incarnation was dropped as well, and a list of ends cut off at its limit counted as proof of loss. Change: a worker that is gone is removed only when no renewal is in flight and no end is proposed; until then it is committed as draining. What the state applies is unchanged, so replicas of two builds agree. Ruled out: applying ends first, which would make such replicas differ.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -6,14 +6,10 @@
 
 namespace {
 
-// Delay before an unanswered order is repeated.
+// Delay before an unanswered stop is repeated.
 constexpr Millis kRetryDelay(400);
-// Minimum time between two renewals of one worker.
-constexpr Millis kMinRenewalInterval(100);
 // A worker without runs that is silent for this long is removed.
 constexpr Millis kIdleWorkerTimeout = Seconds(20);
-// Time for which a worker that reported itself unhealthy receives no tasks.
-constexpr Millis kUnhealthyPause = Seconds(2);
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
 // Minimum time between two planning passes, which bounds their processor use.
@@ -122,224 +118,38 @@
 }
 
 bool
-Dispatcher::OnLeave(const WorkerId& aWorker)
+Dispatcher::OnLeave(const WorkerId& aWorker, Millis aNow)
 {
   const Worker* known = mState.FindWorker(aWorker);
   if (known == nullptr) {
     return false;
   }
-  mProposals.ProposeRemoval(*known);
-  return true;
-}
-
-void
-Dispatcher::OnResult(const Order& aOrder,
-                     const OrderResult& aResult,
-                     Millis aNow)
-{
-  const Worker* worker = mState.FindWorker(aOrder.worker);
-  if (worker == nullptr || worker->report.incarnation != aOrder.incarnation) {
-    return;
-  }
-  WorkerLink& link = LinkOf(*worker, aNow);
-  bool wasUsable = mPool.IsUsable(aOrder.worker, aNow);
-  ScheduleWorker(aOrder.worker, aNow);
-  if (aOrder.kind == Order::Kind::kRenew) {
-    link.renewalInFlight = false;
-  } else {
-    link.orderQueue.Done();
-  }
-  if (aResult.outcome == OrderResult::Outcome::kOtherIncarnation) {
-    mProposals.ProposeRemoval(*worker);
-    return;
-  }
-  bool unanswered = aResult.outcome == OrderResult::Outcome::kNotSent ||
-                    aResult.outcome == OrderResult::Outcome::kNoAnswer;
-  link.reachable = !unanswered;
-  if (unanswered) {
-    ++mCounters.unansweredOrders;
-    link.nextRenewalAt = std::max(link.nextRenewalAt, aNow + kRetryDelay);
-  } else {
-    link.lastHeard = aNow;
-  }
-  if (aResult.clock) {
-    link.OnClock(*aResult.clock, aNow);
-  }
-  switch (aOrder.kind) {
-    case Order::Kind::kStart:
-      mCounters.startResponseTimes.Observe(aNow - aOrder.sentAt);
-      OnStartResult(aOrder, aResult, link, aNow);
-      break;
-    case Order::Kind::kStop: {
-      auto run = link.runs.find(aOrder.run);
-      if (!unanswered && run != link.runs.end()) {
-        RunView& view = run->second;
-        view.phase = RunView::Phase::kConfirmed;
-        view.stopAnswered = true;
-        // The time of the first answer is kept: a renewal sent after it lists
-        // the run if and only if the run exists. A later time would postpone
-        // that proof with each repeated stop.
-        view.conclusiveAfter = std::min(view.conclusiveAfter, aNow);
-        link.nextRenewalAt = aNow;
-      }
-      if (!unanswered) {
-        std::erase(link.unconfirmedStarts, aOrder.run);
-      }
-      break;
-    }
-    case Order::Kind::kRenew:
-      if (aResult.outcome == OrderResult::Outcome::kAnswered) {
-        OnRenewResult(aOrder, aResult, *worker, link, aNow);
-      }
-      break;
-  }
-  SendNext(*worker, link, aNow);
-  mPlanDue = mPlanDue || wasUsable != mPool.IsUsable(aOrder.worker, aNow);
-}
-
-void
-Dispatcher::OnStartResult(const Order& aOrder,
-                          const OrderResult& aResult,
-                          WorkerLink& aLink,
-                          Millis aNow)
-{
-  auto it = aLink.runs.find(aOrder.run);
-  if (it == aLink.runs.end()) {
-    return;
-  }
-  RunView& run = it->second;
-  switch (aResult.outcome) {
-    case OrderResult::Outcome::kAnswered:
-      if (run.phase == RunView::Phase::kStarting) {
-        run.phase = RunView::Phase::kConfirmed;
-        run.conclusiveAfter = aNow;
-      }
-      break;
-    case OrderResult::Outcome::kRefused:
-      ++mCounters.refusals[static_cast<size_t>(aResult.refusal)];
-      if (aResult.refusal == OrderRefusal::kUnhealthy) {
-        aLink.unhealthyUntil = aNow + kUnhealthyPause;
-      }
-      [[fallthrough]];
-    case OrderResult::Outcome::kNotSent:
-      LogRunEvent("start_refused", aOrder.worker, aOrder.run)
-        .Add("reason",
-             aResult.outcome == OrderResult::Outcome::kNotSent
-               ? "not_sent"
-               : OrderRefusalName(aResult.refusal))
-        .Add("sent_ms_ago", aNow - aOrder.sentAt);
-      mProposals.ProposeEnd(aOrder.worker, aOrder.run, EndKind::kRejected, {});
-      break;
-    case OrderResult::Outcome::kNoAnswer:
-      LogRunEvent("start_unanswered", aOrder.worker, aOrder.run)
-        .Add("sent_ms_ago", aNow - aOrder.sentAt)
-        .Add("heard_ms_ago", aNow - aLink.lastHeard);
-      run.phase = RunView::Phase::kUnresolved;
-      run.stopRequested = true;
-      break;
-    case OrderResult::Outcome::kOtherIncarnation:
-      break;
-  }
-}
-
-void
-Dispatcher::RecordRunningRuns(const OrderResult& aResult,
-                              WorkerLink& aLink,
-                              Millis aNow)
-{
-  for (const RunningRun& it : aResult.running) {
-    auto found = aLink.runs.find(it.run);
-    if (found == aLink.runs.end()) {
-      continue;
-    }
-    RunView& run = found->second;
-    if (run.phase != RunView::Phase::kUnresolved) {
-      run.phase = RunView::Phase::kConfirmed;
-    }
-    run.conclusiveAfter = std::min(run.conclusiveAfter, aNow);
-    run.progress.Observe(it.percent, aNow);
-    if (!it.checkpoint.empty()) {
-      run.checkpoint = it.checkpoint;
-    }
+  WorkerLink& link = LinkOf(*known, aNow);
+  link.gone = true;
+  if (RemoveIfSettled(*known, link)) {
+    return true;
   }
-}
-
-void
-Dispatcher::CheckPace(const OrderResult& aResult,
-                      const Worker& aWorker,
-                      WorkerLink& aLink,
-                      Millis aNow)
-{
-  for (const RunningRun& it : aResult.running) {
-    auto found = aLink.runs.find(it.run);
-    if (found == aLink.runs.end() || found->second.stopRequested) {
-      continue;
-    }
-    RunView& view = found->second;
-    switch (mMonitor.PaceOf(it.run, view)) {
-      case Pace::kUnknown:
-        break;
-      case Pace::kNormal:
-        mHealth.OnNormalPace(aWorker.report.id);
-        break;
-      case Pace::kTooSlow:
-        view.stopRequested = true;
-        ++mCounters.laggingRuns;
-        LogRunEvent("run_lagging", aWorker.report.id, it.run)
-          .Add("percent", it.percent)
-          .Add("seen_for_ms",
-               aNow - view.progress.FirstObservedAt().value_or(aNow));
-        [[fallthrough]];
-      case Pace::kSlow:
-        mHealth.OnSlow(aWorker.report.id, aNow);
-        break;
-    }
+  if (known->report.draining) {
+    return false;
   }
+  WorkerReport report = known->report;
+  report.draining = true;
+  mProposals.ProposeReport(report);
+  return true;
 }
 
-void
-Dispatcher::OnRenewResult(const Order& aOrder,
-                          const OrderResult& aResult,
-                          const Worker& aWorker,
-                          WorkerLink& aLink,
-                          Millis aNow)
+bool
+Dispatcher::RemoveIfSettled(const Worker& aWorker, const WorkerLink& aLink)
 {
-  aLink.tokenAcknowledged = true;
-  aLink.endsAcknowledged =
-    std::max(aLink.endsAcknowledged, aOrder.acknowledgedEnds);
-  RecordRunningRuns(aResult, aLink, aNow);
-  std::set<RunRef> listed;
-  for (const EndedRun& it : aResult.ended) {
-    listed.insert(it.run);
-    if (it.number > aLink.endsProposed) {
-      aLink.endsProposed = it.number;
-      if (mProposals.ProposeEnd(
-            aOrder.worker, it.run, it.kind, it.checkpoint)) {
-        aLink.uncommittedEnds.insert(it.run);
-      }
-    }
-  }
-  for (const RunningRun& it : aResult.running) {
-    listed.insert(it.run);
-    if (!aWorker.active.contains(it.run)) {
-      SendStop(aWorker, it.run, aNow);
-    }
-  }
-  for (const RunRef& it : aWorker.active) {
-    auto run = aLink.runs.find(it);
-    if (!listed.contains(it) && run != aLink.runs.end() &&
-        run->second.conclusiveAfter < aOrder.sentAt) {
-      mProposals.ProposeEnd(
-        aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
-    }
-  }
-  CheckPace(aResult, aWorker, aLink, aNow);
-  // Ends that change nothing are acknowledged without a commit.
-  if (aLink.uncommittedEnds.empty()) {
-    aLink.endsCommitted = aLink.endsProposed;
+  bool endProposed = std::any_of(
+    aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
+      return mProposals.HasProposedEnd(it);
+    });
+  if (aLink.renewalInFlight || endProposed) {
+    return false;
   }
-  // Bounds the rate of renewals that workers answer without a wait.
-  aLink.nextRenewalAt = std::max(aNow, aOrder.sentAt + kMinRenewalInterval);
+  mProposals.ProposeRemoval(aWorker);
+  return true;
 }
 
 void
@@ -363,6 +173,9 @@
   if (mMonitor.MustStop(aStart.run, run->second)) {
     return "not_wanted";
   }
+  if (aLink.gone) {
+    return "worker_gone";
+  }
   // The worker may be lost, and a start that was not sent can go to another
   // worker.
   return aLink.reachable ? "" : "worker_silent";
@@ -573,6 +386,10 @@
   std::erase_if(aLink.runs, [&](const auto& aEntry) {
     return !aWorker.active.contains(aEntry.first);
   });
+  if (aLink.gone) {
+    RemoveIfSettled(aWorker, aLink);
+    return;
+  }
   EndExpiredRuns(aWorker, aLink, aNow);
   StopRuns(aWorker, aLink, aNow);
   RenewWorker(aWorker, aLink, aNow);
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -95,8 +95,10 @@
   // only after the pending command is committed. Returns false if the report
   // changes nothing or is older than a known one.
   bool OnReport(const WorkerReport& aReport, Millis aNow);
-  // Returns true if the worker is known; acknowledge it like a report.
-  bool OnLeave(const WorkerId& aWorker);
+  // Handles the end of a worker's process. Returns like `OnReport`. Once it is
+  // acknowledged, every later leader knows that the worker takes no tasks; the
+  // worker is removed when the ends that it reported are committed.
+  bool OnLeave(const WorkerId& aWorker, Millis aNow);
 
   // The result of an order that `TakeOrders` returned, including `kNotSent` and
   // `kNoAnswer`.
@@ -154,6 +156,8 @@
                      const Worker& aWorker,
                      WorkerLink& aLink,
                      Millis aNow);
+  // Proposes the ends as done that a worker reported before it was restarted.
+  void RecordEarlierEnds(const Order& aOrder, const OrderResult& aResult);
   void RecordRunningRuns(const OrderResult& aResult,
                          WorkerLink& aLink,
                          Millis aNow);
@@ -173,6 +177,9 @@
   void TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  // Proposes the removal of a worker that is gone unless ends of its runs may
+  // still be reported or committed. Returns true if the removal is proposed.
+  bool RemoveIfSettled(const Worker& aWorker, const WorkerLink& aLink);
   void EndExpiredRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RunPlanningPass(Millis aNow, Millis aWallNow);
   void Preempt(const PlannedStop& aStop, Millis aNow);
--- /dev/null
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -0,0 +1,326 @@
+// Tests of workers that leave or restart while ends of their runs are on their
+// way: a run that was reported as done is never started again.
+
+#include "base/random.h"
+#include "fleet/testing/fleet_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace limpetwood::fleet {
+namespace {
+
+using testing::FleetFixture;
+
+constexpr const char* kJob = "00000000000000a1";
+
+OrderResult
+DoneResult(const FleetFixture& aFleet, const RunRef& aRun)
+{
+  OrderResult out = aFleet.EmptyRenewalResult();
+  out.ended.push_back({ .number = 1, .run = aRun, .kind = EndKind::kDone });
+  return out;
+}
+
+JobStatus
+StatusOf(const FleetFixture& aFleet)
+{
+  return aFleet.State().FindJob(JobId(kJob))->status;
+}
+
+// Guards against starting a task again after its end was reported: the end and
+// the removal of its worker wait for the same commit.
+TEST(DispatcherRemoval, EndReportedBeforeItsWorkerLeavesCounts)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.HoldCommits(true);
+  fleet.AnswerRenewal("w1", DoneResult(fleet, start.run));
+  fleet.Leave("w1");
+  fleet.HoldCommits(false);
+  fleet.Advance(Millis(20));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+  EXPECT_EQ(fleet.State().FindWorker(WorkerId("w1")), nullptr);
+}
+
+// Guards against the same if the end arrives after the worker has left, in the
+// answer to a renewal that was sent before.
+TEST(DispatcherRemoval, EndReportedAfterItsWorkerLeftCounts)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.Leave(start.worker.Value());
+  fleet.Advance(Millis(50));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  fleet.AnswerRenewal(start.worker.Value(), DoneResult(fleet, start.run));
+  fleet.Advance(Millis(50));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+  EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+}
+
+// Guards against a worker that stays known, and its tasks waiting, because the
+// last renewal to it never gets an answer.
+TEST(DispatcherRemoval, UnansweredRenewalDoesNotKeepAWorkerThatLeft)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+    if (it.worker == start.worker) {
+      fleet.Answer(it, OrderResult::Outcome::kNoAnswer);
+    }
+  }
+  fleet.Advance(Millis(50));
+  EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+  Order second = fleet.ExpectOrder(Order::Kind::kStart);
+  EXPECT_EQ(second.run.task, start.run.task);
+  EXPECT_NE(second.worker, start.worker);
+}
+
+// Guards against new tasks for a worker whose removal waits for a renewal, also
+// from a later leader.
+TEST(DispatcherRemoval, WorkerThatLeftGetsNoTasks)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  StepSpec half = FleetFixture::GangOf(1);
+  half.resources.accelerators = 4;
+  fleet.Submit(kJob, half);
+  fleet.Answer(fleet.ExpectOrder(Order::Kind::kStart),
+               OrderResult::Outcome::kAnswered);
+  fleet.Leave("w1");
+  EXPECT_TRUE(fleet.State().FindWorker(WorkerId("w1"))->report.draining);
+  fleet.Submit("00000000000000a2", half);
+  fleet.Advance(Millis(500));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+}
+
+// Guards against losing an end that the earlier process of a restarted worker
+// reported, when its answer arrives after the new process was registered.
+TEST(DispatcherRemoval, EndReportedByAnEarlierIncarnationCounts)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order renewal = fleet.ExpectOrder(Order::Kind::kRenew);
+  fleet.Restart("w1", Incarnation(2));
+  fleet.Deliver(renewal, DoneResult(fleet, start.run));
+  fleet.Advance(Millis(50));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+}
+
+// Guards against treating a run as lost because a long list of ends was cut
+// off before it.
+TEST(DispatcherRemoval, IncompleteListOfEndsProvesNoLoss)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+  fleet.Advance(Millis(200));
+  OrderResult cut = fleet.EmptyRenewalResult();
+  cut.endsTruncated = true;
+  fleet.AnswerRenewal("w1", cut);
+  EXPECT_TRUE(fleet.IsActive(start));
+}
+
+// A worker process that executes the orders it receives.
+struct ModelWorker
+{
+  Incarnation incarnation{ 1 };
+  bool gone = false;
+  std::set<RunRef> running{};
+  std::vector<EndedRun> ended{};
+  uint64_t lastEnd = 0;
+
+  OrderResult Execute(const Order& aOrder, Millis aNow)
+  {
+    OrderResult out;
+    bool reached = !gone && aOrder.incarnation == incarnation;
+    if (!reached) {
+      out.outcome = OrderResult::Outcome::kNoAnswer;
+      return out;
+    }
+    out.outcome = OrderResult::Outcome::kAnswered;
+    out.clock = aNow;
+    if (aOrder.kind == Order::Kind::kStart) {
+      running.insert(aOrder.run);
+    } else if (aOrder.kind == Order::Kind::kStop) {
+      if (running.erase(aOrder.run) > 0) {
+        ended.push_back({ ++lastEnd, aOrder.run, EndKind::kStopped, "" });
+      }
+    } else {
+      std::erase_if(ended, [&](const EndedRun& it) {
+        return it.number <= aOrder.acknowledgedEnds;
+      });
+      for (const RunRef& it : running) {
+        out.running.push_back({ .run = it });
+      }
+      out.ended = ended;
+    }
+    return out;
+  }
+
+  void FinishOne()
+  {
+    if (!gone && !running.empty()) {
+      RunRef run = *running.begin();
+      running.erase(running.begin());
+      ended.push_back({ ++lastEnd, run, EndKind::kDone, "" });
+    }
+  }
+};
+
+struct Response
+{
+  Order order;
+  OrderResult result;
+};
+
+// Plays random interleavings of orders, answers, commits, refused commands,
+// leaving and restarting workers within one lease.
+class RemovalScenario
+{
+public:
+  explicit RemovalScenario(uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+    for (const char* it : { "w1", "w2", "w3" }) {
+      mFleet.AddWorker(it);
+      mWorkers[it] = {};
+    }
+    StepSpec step = FleetFixture::GangOf(1);
+    step.gang = false;
+    step.resources.accelerators = 4;
+    for (int n = 0; n < 8; ++n) {
+      mFleet.Submit("00000000000000b" + std::to_string(n), step);
+    }
+  }
+
+  // Returns the tasks that were started after an end as done was reported.
+  std::set<TaskRef> Play()
+  {
+    // At most 300 steps of 30 ms, less than a lease of 10 s.
+    for (int n = 0; n < 300; ++n) {
+      Step();
+      CollectOrders();
+    }
+    return mStartedAgain;
+  }
+
+private:
+  size_t Below(size_t aLimit) { return mRandom.Below(aLimit); }
+
+  void Step()
+  {
+    size_t kind = Below(100);
+    std::string worker = "w" + std::to_string(1 + Below(3));
+    if (kind < 35) {
+      ExecuteOrder();
+    } else if (kind < 65) {
+      DeliverResponse();
+    } else if (kind < 78) {
+      mWorkers[worker].FinishOne();
+    } else if (kind < 80) {
+      mWorkers[worker].gone = true;
+      mFleet.Leave(worker);
+    } else if (kind < 82) {
+      uint64_t next = mWorkers[worker].incarnation.Value() + 1;
+      mWorkers[worker] = { .incarnation = Incarnation(next) };
+      mFleet.Restart(worker, Incarnation(next));
+    } else if (kind < 88) {
+      mHeld = !mHeld;
+      mFleet.HoldCommits(mHeld);
+    } else if (kind < 90 && mHeld) {
+      mFleet.RefuseCommand();
+    } else {
+      mFleet.Advance(Millis(static_cast<int64_t>(Below(31))));
+    }
+  }
+
+  void CollectOrders()
+  {
+    for (Order::Kind kind :
+         { Order::Kind::kStart, Order::Kind::kStop, Order::Kind::kRenew }) {
+      for (Order& it : mFleet.TakeOrders(kind)) {
+        if (kind == Order::Kind::kStart && mDone.contains(it.run.task)) {
+          mStartedAgain.insert(it.run.task);
+        }
+        mOrders.push_back(std::move(it));
+      }
+    }
+  }
+
+  void ExecuteOrder()
+  {
+    if (mOrders.empty()) {
+      return;
+    }
+    size_t n = Below(mOrders.size());
+    Order order = mOrders[n];
+    mOrders.erase(mOrders.begin() + static_cast<ptrdiff_t>(n));
+    OrderResult result =
+      mWorkers[order.worker.Value()].Execute(order, mFleet.Now());
+    mResponses.push_back({ std::move(order), std::move(result) });
+  }
+
+  void DeliverResponse()
+  {
+    if (mResponses.empty()) {
+      return;
+    }
+    size_t n = Below(mResponses.size());
+    Response response = mResponses[n];
+    mResponses.erase(mResponses.begin() + static_cast<ptrdiff_t>(n));
+    for (const EndedRun& it : response.result.ended) {
+      bool active = mFleet.State().IsActive(it.run, response.order.worker);
+      // After a restart, a renewal to the new process may have shown first that
+      // the run is gone.
+      bool earlierProcess = response.order.incarnation !=
+                            mWorkers[response.order.worker.Value()].incarnation;
+      if (it.kind == EndKind::kDone && active && !earlierProcess) {
+        mDone.insert(it.run.task);
+      }
+    }
+    mFleet.Deliver(response.order, response.result);
+  }
+
+  Random mRandom;
+  FleetFixture mFleet;
+  std::map<std::string, ModelWorker> mWorkers;
+  std::vector<Order> mOrders;
+  std::vector<Response> mResponses;
+  bool mHeld = false;
+  std::set<TaskRef> mDone;
+  std::set<TaskRef> mStartedAgain;
+};
+
+// Guards against any order of reports, commits and removals in which a task
+// that was reported as done starts again.
+TEST(DispatcherRemoval, NoInterleavingStartsADoneTaskAgain)
+{
+  constexpr uint64_t kSeeds = 1500;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    EXPECT_TRUE(RemovalScenario(seed).Play().empty()) << "seed " << seed;
+  }
+}
+
+} // namespace
+} // namespace limpetwood::fleet
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -313,7 +313,7 @@
   }
   WorkerReport report = FromWire(aRequest.worker);
   bool leave = static_cast<RequestKind>(aRequest.kind) == RequestKind::kLeave;
-  bool changes = leave ? mDispatcher->OnLeave(report.id)
+  bool changes = leave ? mDispatcher->OnLeave(report.id, mNow)
                        : mDispatcher->OnReport(report, mNow);
   if (changes) {
     AnswerAfterCommit(std::move(aDone));
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -109,6 +109,9 @@
   // Set for renewals.
   std::vector<RunningRun> running{};
   std::vector<EndedRun> ended{};
+  // The worker may have more ends than it listed, so the list does not show
+  // that a run is unknown to it.
+  bool endsTruncated = false;
 };
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -46,13 +46,13 @@
 }
 
 void
-FleetFixture::AddWorker(const std::string& aId,
-                        Fencing aFencing,
-                        const std::string& aRack)
+FleetFixture::Report(const std::string& aId,
+                     Incarnation aIncarnation,
+                     const std::string& aRack)
 {
   WorkerReport report;
   report.id = WorkerId(aId);
-  report.incarnation = Incarnation(1);
+  report.incarnation = aIncarnation;
   report.address = "127.0.0.1:1";
   report.service = kService;
   report.rack = RackId(aRack);
@@ -62,6 +62,28 @@
   report.clock = WorkerClock();
   mDispatcher.OnReport(report, mNow);
   RunUntilIdle();
+}
+
+void
+FleetFixture::Restart(const std::string& aId, Incarnation aIncarnation)
+{
+  Report(aId, aIncarnation, "r1");
+}
+
+bool
+FleetFixture::Leave(const std::string& aId)
+{
+  bool waits = mDispatcher.OnLeave(WorkerId(aId), mNow);
+  RunUntilIdle();
+  return waits;
+}
+
+void
+FleetFixture::AddWorker(const std::string& aId,
+                        Fencing aFencing,
+                        const std::string& aRack)
+{
+  Report(aId, Incarnation(1), aRack);
   if (aFencing == Fencing::kAnswered) {
     AnswerRenewal(aId, EmptyRenewalResult());
   }
@@ -155,6 +177,13 @@
   RunUntilIdle();
 }
 
+void
+FleetFixture::Deliver(const Order& aOrder, const OrderResult& aResult)
+{
+  mDispatcher.OnResult(aOrder, aResult, mNow);
+  RunUntilIdle();
+}
+
 OrderResult
 FleetFixture::EmptyRenewalResult() const
 {
@@ -177,8 +206,7 @@
   }
   Order order = *it;
   mOrders.erase(it);
-  mDispatcher.OnResult(order, aResult, mNow);
-  RunUntilIdle();
+  Deliver(order, aResult);
 }
 
 void
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -31,6 +31,12 @@
                  Fencing aFencing = Fencing::kAnswered,
                  const std::string& aRack = "r1");
 
+  // Reports a new process of the worker under the same id.
+  void Restart(const std::string& aId, Incarnation aIncarnation);
+  // Reports that the worker has left. Returns true if the answer has to wait
+  // for the next commit.
+  bool Leave(const std::string& aId);
+
   // Returns a gang step with `aTasks` tasks that each need all accelerators of
   // a worker.
   static StepSpec GangOf(uint32_t aTasks);
@@ -57,6 +63,7 @@
   void DropOrders() { mOrders.clear(); }
 
   void Answer(const Order& aOrder, OrderResult::Outcome aOutcome);
+  void Deliver(const Order& aOrder, const OrderResult& aResult);
   void Refuse(const Order& aOrder, OrderRefusal aRefusal);
   // Returns a successful result that lists no runs.
   OrderResult EmptyRenewalResult() const;
@@ -75,6 +82,9 @@
 
 private:
   void RunUntilIdle();
+  void Report(const std::string& aId,
+              Incarnation aIncarnation,
+              const std::string& aRack);
   Millis WorkerClock() const { return mNow; }
 
   DispatcherOptions mOptions;
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -82,6 +82,10 @@
   // Highest sequence number of the worker's reports.
   uint64_t sequence = 0;
   bool draining = false;
+  // The worker has left, or another one listens at its address. Its removal is
+  // proposed once nothing is outstanding that may report the end of a run, so
+  // that no end is proposed beside or after the removal.
+  bool gone = false;
 
   // Starts and stops. Renewals are sent independently of this queue.
   OrderQueue orderQueue{};
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -24,7 +24,8 @@
   }
   const WorkerLink& link = it->second;
   return link.tokenAcknowledged && link.reachable && !link.draining &&
-         link.unconfirmedStarts.empty() && aNow >= link.unhealthyUntil &&
+         !link.gone && link.unconfirmedStarts.empty() &&
+         aNow >= link.unhealthyUntil &&
          aNow - link.lastHeard < mHeartbeatInterval * kMaxMissedReports &&
          link.ClockLowerBound(aNow).has_value();
 }
