Keep a leader that works, and bound what a relay sends to it

Cause: every failed attempt, also one that found no free connection, cleared the leader, and finding it again resent all that was in flight; an unreadable answer to a change counted as not run; a late success could end a waiting call twice. Change: a leader is given up when it says that it does not lead, refuses connections, or answered nothing for 700 ms; retries at the same leader take tokens, waiting requests are resumed 16 at a time, at most 64 are in flight, pings have connections of their own. One retry budget in base.

--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -97,6 +97,15 @@
   addRetries("not_sent", aCounters.retriesNotSent);
   addRetries("no_answer", aCounters.retriesNoAnswer);
   addRetries("leader_moved", aCounters.retriesLeaderChanged);
+  auto addWaits = [&](const char* aReason, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_relay_waits_total",
+                       "Checks at which a request had to wait, by reason",
+                       static_cast<double>(aValue),
+                       { { "reason", aReason } });
+  };
+  addWaits("in_flight_limit", aCounters.waitedForSlot);
+  addWaits("retry_budget", aCounters.waitedForBudget);
   daemon::AddCounter(aFamilies,
                      "limpetwood_relay_refused_no_leader_total",
                      "Requests refused because no leader was known",
--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -1,5 +1,9 @@
 #include "fleetd/relay.h"
 
+#include "base/random.h"
+#include "base/retry_budget.h"
+#include "fleetd/leader_evidence.h"
+
 #include <algorithm>
 #include <chrono>
 #include <deque>
@@ -15,9 +19,16 @@
 
 // Large enough for a reply that contains a configuration (16 MiB).
 constexpr uint64_t kMaxReplyBytes = 16U << 20U;
-// While no leader is known, waiting requests are retried at three times this
-// interval.
-constexpr Millis kRetryDelay(30);
+// Interval at which waiting requests are checked while no leader is known.
+constexpr Millis kLeaderCheckInterval(90);
+// Interval at which waiting requests are sent while a leader is known, half of
+// it at random, and the number sent at once.
+constexpr Millis kResumeInterval(20);
+constexpr size_t kMaxResumedAtOnce = 16;
+// Connections for pings, apart from those of requests, so that requests in
+// flight cannot delay the pings.
+constexpr uint32_t kMaxPingConnections = 2;
+constexpr Millis kConnectTimeout(400);
 // Number of instances learned from replies above which the set is cleared
 // before the next reply's members are added, so that it does not grow without
 // bound.
@@ -52,9 +63,11 @@
   // Number of attempts so far. A reply to an earlier attempt ends the request
   // only if it reports success.
   uint32_t attempts = 0;
-  // The instance that the latest attempt was sent to; empty once that attempt
-  // has a result.
-  std::string inFlightTarget;
+  // The instance that the latest attempt was sent to.
+  std::string target;
+  // In `waiting`. A result of an earlier attempt ends the request only if it is
+  // a success.
+  bool waiting = false;
   bool finished = false;
   // An attempt that may have changed state got no answer.
   bool mayHaveRun = false;
@@ -66,18 +79,22 @@
 {
   Impl(asio::io_context& aContext, RelayOptions aOptions, LogFunction aLog)
     : options(aOptions)
-    , client(aContext, ClientPoolLimits())
+    , client(aContext,
+             ClientPoolLimits(static_cast<uint32_t>(aOptions.maxInFlight)))
+    , pingClient(aContext, ClientPoolLimits(kMaxPingConnections))
+    , budget(aOptions.retryShare, aOptions.maxSavedRetries)
+    , random(static_cast<uint64_t>(WallNow().Count()))
     , pingTimer(aContext)
     , waitTimer(aContext)
     , log(std::move(aLog))
   {
   }
 
-  static http::PoolLimits ClientPoolLimits()
+  static http::PoolLimits ClientPoolLimits(uint32_t aMaxConnections)
   {
     http::PoolLimits limits;
-    limits.maxConnections = 256;
-    limits.connectTimeout = Millis(400);
+    limits.maxConnections = aMaxConnections;
+    limits.connectTimeout = kConnectTimeout;
     return limits;
   }
 
@@ -86,29 +103,43 @@
   std::string NextTarget();
   void SetLeader(const std::string& aLeader);
   void ClearLeader(std::string_view aReason);
+  // Gives up the leader if the failed attempt at it shows that it is lost.
+  void CheckLeader(const FailedLeaderAttempt& aAttempt);
   void ApplyMembersAndLimits(const gen::Reply& aReply);
   // Posts an encoded request to the request server of `aTarget`, an address
   // without a port.
-  void Fetch(const std::string& aTarget,
+  void Fetch(http::PooledClient& aClient,
+             const std::string& aTarget,
              std::string aBytes,
              Millis aTimeout,
              http::FetchCallback aDone);
 
+  // Sends the request if a leader, a connection and, for a retry at the same
+  // leader, a token of the budget are available; otherwise lets it wait.
   void StartAttempt(const std::shared_ptr<PendingCall>& aCall);
-  void WaitForLeader(const std::shared_ptr<PendingCall>& aCall);
+  bool MayStartAttempt(const PendingCall& aCall);
+  void SendAttempt(const std::shared_ptr<PendingCall>& aCall);
+  void Wait(const std::shared_ptr<PendingCall>& aCall);
   void OnAttemptResult(const std::shared_ptr<PendingCall>& aCall,
                        uint32_t aAttempt,
                        const std::string& aTarget,
                        const http::FetchResult& aResult);
-  // Sends the requests that are in flight to an earlier leader to the current
-  // one as well.
+  // Lets the requests that are in flight to an earlier leader wait for an
+  // attempt at the current one.
   void ResendToLeader();
-  bool ShouldWaitForLeader(const PendingCall& aCall) const;
+  bool MayWait(const PendingCall& aCall) const;
   void Finish(const std::shared_ptr<PendingCall>& aCall, gen::Reply aReply);
+  // Sends waiting requests, a few at a time, and ends those that may not wait
+  // any longer.
   void ResumeWaiting();
+  // Calls `ResumeWaiting` after `aDelay`, or earlier if already scheduled.
+  void ScheduleResume(Millis aDelay);
 
   RelayOptions options;
   http::PooledClient client;
+  http::PooledClient pingClient;
+  RetryBudget budget;
+  Random random;
   asio::steady_timer pingTimer;
   asio::steady_timer waitTimer;
   LogFunction log;
@@ -126,8 +157,10 @@
   std::string leaderHint;
   bool pingInFlight = false;
   bool stopped = false;
-  // Requests that wait for a leader.
-  std::deque<std::shared_ptr<PendingCall>> waitingForLeader;
+  // Requests that wait for a leader, a connection or a token.
+  std::deque<std::shared_ptr<PendingCall>> waiting;
+  // When `waitTimer` fires; `Max` while it is not armed.
+  Millis resumeDueAt = Millis::Max();
   // Requests with an attempt in flight.
   std::set<std::shared_ptr<PendingCall>> inFlight;
   gen::Limits limits;
@@ -136,7 +169,8 @@
 };
 
 void
-Relay::Impl::Fetch(const std::string& aTarget,
+Relay::Impl::Fetch(http::PooledClient& aClient,
+                   const std::string& aTarget,
                    std::string aBytes,
                    Millis aTimeout,
                    http::FetchCallback aDone)
@@ -145,10 +179,10 @@
   request.method = "POST";
   request.target = "/fleet";
   request.body = std::move(aBytes);
-  client.Fetch({ aTarget, options.port },
-               std::move(request),
-               { .timeout = aTimeout, .maxBodyBytes = kMaxReplyBytes },
-               std::move(aDone));
+  aClient.Fetch({ aTarget, options.port },
+                std::move(request),
+                { .timeout = aTimeout, .maxBodyBytes = kMaxReplyBytes },
+                std::move(aDone));
 }
 
 std::string
@@ -183,7 +217,8 @@
     pingInFlight = true;
     gen::Request request;
     request.kind = static_cast<int32_t>(RequestKind::kPing);
-    Fetch(target,
+    Fetch(pingClient,
+          target,
           fleet::Encode(request),
           options.pingTimeout,
           [self = shared_from_this(), target](http::FetchResult aResult) {
@@ -209,14 +244,16 @@
   if (stopped) {
     return;
   }
-  // Only the presence of an error matters; its code is not used.
+  // Only the presence of an error matters here; its code is not used.
   auto reply =
     aResult.verdict == Verdict::kAnswered
       ? fleet::Decode<gen::Reply>(aResult.response.body)
       : Result<gen::Reply>(std::make_error_code(std::errc::connection_refused));
   if (!reply) {
     if (aTarget == leader) {
-      ClearLeader("ping_unanswered");
+      CheckLeader({ .verdict = aResult.verdict,
+                    .error = aResult.error,
+                    .lastHeardAt = lastLeaderContact });
     }
     return;
   }
@@ -265,7 +302,6 @@
   leader = aLeader;
   ++counters.leaderChanges;
   log(LogEvent("leader_found").Add("leader", aLeader));
-  ResumeWaiting();
   ResendToLeader();
 }
 
@@ -284,22 +320,57 @@
 }
 
 void
-Relay::Impl::StartAttempt(const std::shared_ptr<PendingCall>& aCall)
+Relay::Impl::CheckLeader(const FailedLeaderAttempt& aAttempt)
+{
+  LeaderLoss loss =
+    JudgeLeader(aAttempt, options.maxLeaderSilence, MonotonicNow());
+  if (loss != LeaderLoss::kNone) {
+    ClearLeader(LeaderLossName(loss));
+  }
+}
+
+bool
+Relay::Impl::MayStartAttempt(const PendingCall& aCall)
 {
-  Millis now = MonotonicNow();
   if (leader.empty()) {
-    WaitForLeader(aCall);
-    return;
+    return false;
+  }
+  if (inFlight.size() >= options.maxInFlight) {
+    ++counters.waitedForSlot;
+    return false;
+  }
+  bool sameLeader = aCall.attempts > 0 && aCall.target == leader;
+  if (sameLeader && !budget.TryTake()) {
+    ++counters.waitedForBudget;
+    return false;
+  }
+  return true;
+}
+
+void
+Relay::Impl::StartAttempt(const std::shared_ptr<PendingCall>& aCall)
+{
+  if (MayStartAttempt(*aCall)) {
+    SendAttempt(aCall);
+  } else {
+    Wait(aCall);
   }
-  Millis remaining = aCall->deadline - now;
+}
+
+void
+Relay::Impl::SendAttempt(const std::shared_ptr<PendingCall>& aCall)
+{
+  aCall->waiting = false;
+  Millis remaining = aCall->deadline - MonotonicNow();
   if (remaining <= Millis(0)) {
     Finish(aCall, MakeReply(RequestOutcome::kUnavailable));
     return;
   }
-  aCall->inFlightTarget = leader;
+  aCall->target = leader;
   uint32_t attempt = ++aCall->attempts;
   inFlight.insert(aCall);
-  Fetch(leader,
+  Fetch(client,
+        leader,
         aCall->bytes,
         std::min(remaining, options.attemptTimeout),
         [self = shared_from_this(), aCall, attempt, target = leader](
@@ -313,19 +384,23 @@
 {
   std::vector<std::shared_ptr<PendingCall>> toResend;
   for (const auto& it : inFlight) {
-    if (it->inFlightTarget != leader) {
+    if (it->target != leader) {
       toResend.push_back(it);
     }
   }
   for (const auto& it : toResend) {
     ++counters.retriesLeaderChanged;
     it->mayHaveRun = !it->readOnly;
-    StartAttempt(it);
+    inFlight.erase(it);
+    Wait(it);
+  }
+  if (!waiting.empty()) {
+    ResumeWaiting();
   }
 }
 
 bool
-Relay::Impl::ShouldWaitForLeader(const PendingCall& aCall) const
+Relay::Impl::MayWait(const PendingCall& aCall) const
 {
   Millis now = MonotonicNow();
   if (stopped || now >= aCall.deadline) {
@@ -341,20 +416,32 @@
 }
 
 void
-Relay::Impl::WaitForLeader(const std::shared_ptr<PendingCall>& aCall)
+Relay::Impl::Wait(const std::shared_ptr<PendingCall>& aCall)
 {
-  if (!ShouldWaitForLeader(*aCall)) {
+  if (!MayWait(*aCall)) {
     ++counters.refusedNoLeader;
     Finish(aCall, MakeReply(RequestOutcome::kUnavailable));
     return;
   }
-  waitingForLeader.push_back(aCall);
-  if (waitingForLeader.size() > 1) {
+  aCall->waiting = true;
+  waiting.push_back(aCall);
+  ScheduleResume(leader.empty()
+                   ? kLeaderCheckInterval
+                   : random.Between(kResumeInterval / 2, kResumeInterval));
+}
+
+void
+Relay::Impl::ScheduleResume(Millis aDelay)
+{
+  Millis dueAt = MonotonicNow() + aDelay;
+  if (dueAt >= resumeDueAt) {
     return;
   }
-  waitTimer.expires_after(ToChrono(kRetryDelay * 3));
+  resumeDueAt = dueAt;
+  waitTimer.expires_after(ToChrono(aDelay));
   waitTimer.async_wait([self = shared_from_this()](auto ec) {
     if (!ec) {
+      self->resumeDueAt = Millis::Max();
       self->ResumeWaiting();
     }
   });
@@ -363,9 +450,18 @@
 void
 Relay::Impl::ResumeWaiting()
 {
-  auto calls = std::exchange(waitingForLeader, {});
+  auto calls = std::exchange(waiting, {});
+  size_t resumed = 0;
   for (const auto& it : calls) {
-    StartAttempt(it);
+    if (it->finished) {
+      continue;
+    }
+    if (resumed < kMaxResumedAtOnce && MayStartAttempt(*it)) {
+      ++resumed;
+      SendAttempt(it);
+    } else {
+      Wait(it);
+    }
   }
 }
 
@@ -378,11 +474,11 @@
   if (aCall->finished) {
     return;
   }
-  bool isLatest = aAttempt == aCall->attempts;
+  bool isLatest = aAttempt == aCall->attempts && !aCall->waiting;
   if (isLatest) {
     inFlight.erase(aCall);
-    aCall->inFlightTarget.clear();
   }
+  bool notLeading = false;
   if (aResult.verdict == Verdict::kAnswered) {
     auto reply = fleet::Decode<gen::Reply>(aResult.response.body);
     bool fromLeader =
@@ -393,17 +489,23 @@
     bool isFinal =
       isLatest || (reply && static_cast<RequestOutcome>(
                               reply.Value().outcome) == RequestOutcome::kOk);
-    if (fromLeader && isFinal) {
+    if (fromLeader && aTarget == leader) {
       lastLeaderContact = MonotonicNow();
+    }
+    if (fromLeader && isFinal) {
       Finish(aCall, std::move(reply).Value());
       return;
     }
     ++counters.retriesNotLeader;
     if (reply) {
+      notLeading = !fromLeader;
       ApplyMembersAndLimits(reply.Value());
       if (reply.Value().leader != aTarget) {
         leaderHint = reply.Value().leader;
       }
+    } else {
+      // The answer may have reported a success.
+      aCall->mayHaveRun = !aCall->readOnly;
     }
   } else if (aResult.verdict == Verdict::kMayHaveRun) {
     ++counters.retriesNoAnswer;
@@ -423,8 +525,10 @@
           .Add("took_ms", MonotonicNow() - aCall->startTime));
   }
   if (aTarget == leader) {
-    ClearLeader(aResult.verdict == Verdict::kAnswered ? "not_leading"
-                                                      : "request_unanswered");
+    CheckLeader({ .verdict = aResult.verdict,
+                  .error = aResult.error,
+                  .answeredNotLeading = notLeading,
+                  .lastHeardAt = lastLeaderContact });
   }
   StartAttempt(aCall);
 }
@@ -443,6 +547,9 @@
                 .attempts = aCall->attempts,
                 .leader = leader,
                 .timeSinceLeaderContact = MonotonicNow() - lastLeaderContact });
+  if (!waiting.empty() && !leader.empty()) {
+    ScheduleResume(Millis(0));
+  }
 }
 
 Relay::Relay(asio::io_context& aContext,
@@ -481,6 +588,7 @@
 Relay::Call(const gen::Request& aRequest, Millis aDeadline, RelayCallback aDone)
 {
   ++mImpl->counters.calls;
+  mImpl->budget.OnRequest();
   auto call = std::make_shared<PendingCall>();
   call->bytes = fleet::Encode(aRequest);
   call->path = aRequest.path;
--- a/packages/fleetd/relay.h
+++ b/packages/fleetd/relay.h
@@ -12,6 +12,10 @@
 // request is retried until its deadline, and `kMayHaveRun` replaces any outcome
 // that means that the request was not executed.
 //
+// Retries at the same leader take tokens from a budget, requests that waited
+// for a leader are resent a few at a time, and the number of requests in flight
+// is bounded, so that a slow leader is not sent more than it already has.
+//
 // All calls and callbacks happen on the thread that runs the io_context.
 
 #pragma once
@@ -41,6 +45,9 @@
   // known.
   Millis pingInterval = Millis(400);
   Millis pingTimeout = Millis(400);
+  // A leader that has answered nothing for this long is given up at the next
+  // failed ping or attempt.
+  Millis maxLeaderSilence = Millis(700);
   // Timeout of a single attempt of a request.
   Millis attemptTimeout = Millis(1200);
   // How long a request that is known not to have run waits for a new leader;
@@ -49,6 +56,13 @@
   // If the last contact with a leader is longer ago than this, requests that
   // are known not to have run are refused without waiting.
   Millis outageThreshold = Millis(1500);
+  // Maximum number of requests in flight, each of which uses a connection to
+  // the leader. Further requests wait like those without a leader.
+  size_t maxInFlight = 64;
+  // Retries at the same leader that each fresh request allows, and the maximum
+  // number that can be saved up.
+  double retryShare = 0.2;
+  double maxSavedRetries = 20;
 };
 
 struct RelayCounters
@@ -62,8 +76,12 @@
   uint64_t retriesNoAnswer = 0;
   // Requests resent because the leader changed while an attempt was in flight.
   uint64_t retriesLeaderChanged = 0;
-  // Calls that ended because no leader was found, including those that ended
-  // with `kMayHaveRun`.
+  // Requests that had to wait because `maxInFlight` was reached, and retries
+  // that had to wait because the budget was used up.
+  uint64_t waitedForSlot = 0;
+  uint64_t waitedForBudget = 0;
+  // Calls that ended because no leader was found in time or could take them,
+  // including those that ended with `kMayHaveRun`.
   uint64_t refusedNoLeader = 0;
   uint64_t leaderChanges = 0;
 };
--- a/packages/fleetd/relay_test.cc
+++ b/packages/fleetd/relay_test.cc
@@ -30,7 +30,8 @@
   };
 
   FakeInstance(boost::asio::io_context& aContext, std::string aAddress)
-    : mAddress(std::move(aAddress))
+    : mContext(aContext)
+    , mAddress(std::move(aAddress))
     , mServer(
         aContext,
         {},
@@ -47,6 +48,14 @@
 
   void Close() { mServer.Close(); }
 
+  // Answers all requests that got no answer so far.
+  void AnswerHeldRequests()
+  {
+    for (const http::Responder& it : std::exchange(mUnansweredRequests, {})) {
+      Answer(false, it);
+    }
+  }
+
   const std::string& Address() const { return mAddress; }
 
   Role role = Role::kFollower;
@@ -58,6 +67,15 @@
   std::string leader;
   // Requests received, except pings.
   int requestCount = 0;
+  // While the instance leads, it does not answer every n-th request; 0 if it
+  // answers all.
+  int dropEvery = 0;
+  // Answers requests with bytes that are no reply.
+  bool garbled = false;
+  // Time until a request is answered.
+  Millis answerDelay{};
+  // Highest number of requests that waited for their answer at the same time.
+  int maxConcurrent = 0;
   gen::Limits limits;
 
 private:
@@ -66,10 +84,33 @@
     auto request = fleet::Decode<gen::Request>(aRequest.body).Value();
     bool ping = request.kind == static_cast<int32_t>(RequestKind::kPing);
     requestCount += ping ? 0 : 1;
-    if (role == Role::kSilent && !ping) {
+    bool dropped = dropEvery > 0 && requestCount % dropEvery == 0;
+    if ((role == Role::kSilent || dropped) && !ping) {
       mUnansweredRequests.push_back(aRespond);
       return;
     }
+    if (ping || answerDelay == Millis(0)) {
+      Answer(ping, aRespond);
+      return;
+    }
+    maxConcurrent = std::max(maxConcurrent, ++mConcurrent);
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      mContext, std::chrono::milliseconds(answerDelay.Count()));
+    timer->async_wait([this, timer, aRespond](auto) {
+      --mConcurrent;
+      Answer(false, aRespond);
+    });
+  }
+
+  void Answer(bool aPing, const http::Responder& aRespond)
+  {
+    if (garbled && !aPing) {
+      http::Response response;
+      response.body = "?";
+      aRespond(response);
+      return;
+    }
+    bool ping = aPing;
     Role reportedRole = ping ? pingRole.value_or(role) : role;
     RequestOutcome leaderOutcome = ping ? RequestOutcome::kOk : outcome;
     gen::Reply reply;
@@ -84,8 +125,10 @@
     aRespond(response);
   }
 
+  boost::asio::io_context& mContext;
   const std::string mAddress;
   http::Server mServer;
+  int mConcurrent = 0;
   std::vector<http::Responder> mUnansweredRequests;
 };
 
@@ -99,6 +142,7 @@
     mThree.Listen(mOptions.port);
     mOptions.pingInterval = Millis(40);
     mOptions.pingTimeout = Millis(100);
+    mOptions.maxLeaderSilence = Millis(120);
     mOptions.attemptTimeout = Millis(150);
     mOptions.leaderWaitTimeout = Millis(400);
     mOptions.outageThreshold = Millis(600);
@@ -275,6 +319,101 @@
   EXPECT_EQ(mTwo.requestCount, 1);
 }
 
+// Guards against giving up a leader that works but leaves a part of the
+// requests unanswered, as under a burst, and against retries that multiply the
+// load on it.
+TEST_F(RelayTest, LeaderThatDropsRequestsIsKeptAndNotFlooded)
+{
+  constexpr int kCalls = 60;
+  mOne.role = FakeInstance::Role::kLeader;
+  mOne.dropEvery = 2;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  int ended = 0;
+  for (int n = 0; n < kCalls; ++n) {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(RequestKind::kSubmit);
+    mRelay->Call(
+      request, MonotonicNow() + Millis(1500), [&](RelayResult) { ++ended; });
+    Run(Millis(10));
+  }
+  Run(Millis(1800));
+  EXPECT_EQ(ended, kCalls);
+  EXPECT_EQ(mLog.find("leader_lost"), std::string::npos);
+  EXPECT_LE(mOne.requestCount,
+            kCalls * (1 + mOptions.retryShare) + mOptions.maxSavedRetries);
+  EXPECT_GT(mRelay->Counters().waitedForBudget, 0U);
+}
+
+// Guards against taking all connections of the leader: requests above the limit
+// wait, and all of them are answered.
+TEST_F(RelayTest, RequestsInFlightAreBounded)
+{
+  mOptions.maxInFlight = 4;
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kLeader;
+  mOne.answerDelay = Millis(20);
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  int succeeded = 0;
+  for (int n = 0; n < 20; ++n) {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(RequestKind::kSubmit);
+    mRelay->Call(
+      request, MonotonicNow() + Seconds(2), [&](const RelayResult& aResult) {
+        succeeded += OutcomeOf(aResult) == RequestOutcome::kOk;
+      });
+  }
+  Run(Millis(1500));
+  EXPECT_EQ(succeeded, 20);
+  EXPECT_LE(mOne.maxConcurrent, 4);
+  EXPECT_GT(mRelay->Counters().waitedForSlot, 0U);
+}
+
+// Guards against a request that ends twice, or is sent again, because an
+// earlier attempt succeeds while it waits for another one.
+TEST_F(RelayTest, LateSuccessEndsAWaitingRequestOnce)
+{
+  mOptions.attemptTimeout = Seconds(5);
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kSilent;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  int ended = 0;
+  gen::Request request;
+  request.kind = static_cast<int32_t>(RequestKind::kSubmit);
+  mRelay->Call(request, MonotonicNow() + Millis(700), [&](RelayResult aResult) {
+    ++ended;
+    EXPECT_EQ(OutcomeOf(aResult), RequestOutcome::kOk);
+  });
+  Run(Millis(20));
+  // The second instance claims to lead and then refuses the request.
+  mOne.pingRole = FakeInstance::Role::kFollower;
+  mTwo.pingRole = FakeInstance::Role::kLeader;
+  Run(Millis(150));
+  EXPECT_GE(mTwo.requestCount, 1);
+  mTwo.pingRole = FakeInstance::Role::kFollower;
+  Run(Millis(60));
+  int requestsBefore = mTwo.requestCount;
+  mOne.role = FakeInstance::Role::kLeader;
+  mOne.AnswerHeldRequests();
+  mTwo.role = FakeInstance::Role::kLeader;
+  Run(Millis(1000));
+  EXPECT_EQ(ended, 1);
+  EXPECT_EQ(mTwo.requestCount, requestsBefore);
+}
+
+// Guards against "not run" for a request that may have run: an answer that
+// cannot be read may have reported a success.
+TEST_F(RelayTest, UnreadableAnswerIsNotReportedAsNotRun)
+{
+  mOne.role = FakeInstance::Role::kLeader;
+  mOne.garbled = true;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  EXPECT_EQ(OutcomeOf(Call(Millis(500))), RequestOutcome::kMayHaveRun);
+}
+
 // Guards against a callback for each ping reply instead of for each change.
 TEST_F(RelayTest, ReportsChangedLimitsOnce)
 {
--- a/packages/routing/components_test.cc
+++ b/packages/routing/components_test.cc
@@ -158,10 +158,10 @@
 // Guards against retries that multiply the load on failing servers.
 TEST(RetryPolicy, BudgetLimitsRetriesToTheirShare)
 {
-  RetryBudget budget(0.1);
+  RetryBudget budget(0.1, kMaxSavedRetries);
   int retries = 0;
   for (int n = 0; n < 1000; ++n) {
-    budget.OnRequestAdmitted();
+    budget.OnRequest();
     retries += budget.TryTake() ? 1 : 0;
   }
   EXPECT_LE(retries, 101);
--- a/packages/routing/internal/router_requests.cc
+++ b/packages/routing/internal/router_requests.cc
@@ -90,7 +90,7 @@
       RequestEnd{ aInfo.id, Verdict::kNotRun, reason });
     return;
   }
-  mRetryBudget.OnRequestAdmitted();
+  mRetryBudget.OnRequest();
   RequestRecord& request = mRequests[aInfo.id];
   request.service = service;
   request.workspace = workspace;
--- a/packages/routing/retry_policy.h
+++ b/packages/routing/retry_policy.h
@@ -1,13 +1,12 @@
 // Decides whether and when a failed attempt is retried.
 //
-// The retry budget limits retries to a share of the admitted requests, so that
-// an outage does not multiply the load: each admitted request adds a fraction
-// of a token, a retry takes one token, and the number of saved tokens is
-// bounded.
+// Retries also need a token of a `RetryBudget`, to which each admitted request
+// adds.
 
 #pragma once
 
 #include "base/random.h"
+#include "base/retry_budget.h"
 #include "base/time.h"
 #include "base/verdict.h"
 #include "routing/options.h"
@@ -18,33 +17,9 @@
 
 namespace limpetwood::routing {
 
-class RetryBudget
-{
-public:
-  explicit RetryBudget(double aShare)
-    : mShare(aShare)
-  {
-  }
-
-  void OnRequestAdmitted() { mTokens = std::min(mTokens + mShare, kMaxTokens); }
-
-  bool TryTake()
-  {
-    if (mTokens < 1) {
-      return false;
-    }
-    mTokens -= 1;
-    return true;
-  }
-
-private:
-  // Allows a retry of all requests in progress on one server with 8 slots when
-  // it fails.
-  static constexpr double kMaxTokens = 10;
-
-  double mShare;
-  double mTokens = 1;
-};
+// Allows a retry of all requests in progress on one server with 8 slots when it
+// fails.
+inline constexpr double kMaxSavedRetries = 10;
 
 struct FailedAttempt
 {
--- a/packages/routing/router.cc
+++ b/packages/routing/router.cc
@@ -18,7 +18,7 @@
   , mServers(mOptions, aZone)
   , mPeers(mOptions, aSelf, aZone)
   , mBorrower(mOptions, mRandom())
-  , mRetryBudget(mOptions.retryRatio)
+  , mRetryBudget(mOptions.retryRatio, kMaxSavedRetries)
   , mKeys(mOptions)
 {
 }
