Serve requests that have arrived when a server begins to drain

Change: Drain accepts what is established, idle connections stay open for 200 ms, and a connection with input is never closed as idle.

--- a/packages/http/internal/session.cc
+++ b/packages/http/internal/session.cc
@@ -327,7 +327,7 @@
     return;
   }
   if (mKeepAlive && mReader.Done()) {
-    if (mServer->draining && mReader.Buffered() == 0) {
+    if (mServer->drainGraceOver && mReader.Buffered() == 0 && !HasInput()) {
       Close();
       return;
     }
@@ -433,11 +433,18 @@
 void
 Session::CloseIfIdle()
 {
-  if (mIdle) {
+  if (mIdle && !HasInput()) {
     Close();
   }
 }
 
+bool
+Session::HasInput()
+{
+  char byte = 0;
+  return ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void
 Session::Reset()
 {
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -21,17 +21,23 @@
                    StreamHandler aHandler)
     : context(aContext)
     , acceptor(aContext)
+    , drainTimer(aContext)
     , limits(aLimits)
     , handler(std::move(aHandler))
   {
   }
 
   void Accept();
+  // Accepts the connections that the kernel has established already; closing
+  // the acceptor would reset them.
+  void AcceptArrived();
+  void OnAccepted(boost::asio::ip::tcp::socket aSocket);
   void Remove(const std::shared_ptr<Session>& aSession);
   void FinishDrainIfIdle();
 
   boost::asio::io_context& context;
   boost::asio::ip::tcp::acceptor acceptor;
+  DeadlineTimer drainTimer;
   ServerLimits limits;
   StreamHandler handler;
   ServerCounters counters;
@@ -39,6 +45,8 @@
   std::set<std::shared_ptr<Session>> sessions;
   size_t inFlight = 0;
   bool draining = false;
+  // Connections are closed as soon as they are idle.
+  bool drainGraceOver = false;
   std::function<void()> drainDone;
 };
 
@@ -55,6 +63,7 @@
   }
 
   void Start();
+  // Closes the connection unless a request is in progress or has arrived.
   void CloseIfIdle();
   // Closes the connection; a pending body read and the peer watch complete.
   void Close();
@@ -77,6 +86,8 @@
   using Progress = MessageReader<true>::Progress;
 
   void AwaitRequest();
+  // Whether bytes have arrived that were not read yet.
+  bool HasInput();
   void ReadHead();
   void OnHead();
   void ReadMoreBody();
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -40,8 +40,8 @@
   // system error if the address is invalid or cannot be bound.
   Result<Endpoint> Listen(const Endpoint& aEndpoint);
 
-  // Stops accepting, closes idle connections, lets requests in progress finish
-  // and calls `aDone` when no connection is left.
+  // Stops accepting, serves the requests that have arrived or arrive within
+  // `drainGrace`, and calls `aDone` when no connection is left.
   void Drain(std::function<void()> aDone);
 
   // Closes all connections at once, without completing requests in progress.
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -161,6 +161,105 @@
 
 // Guards against reporting a refused connection as a request that may have run,
 // which a caller could not retry safely.
+// A server and one caller's connection on one thread, so that a test decides
+// what has arrived when the server begins to drain.
+class DrainTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    mEndpoint = mServer.Listen({ "127.0.0.1", 0 }).Value();
+    Connect();
+  }
+
+  void Connect()
+  {
+    mSocket.connect(
+      { boost::asio::ip::make_address("127.0.0.1"), mEndpoint.port });
+  }
+
+  void Send()
+  {
+    boost::asio::write(
+      mSocket, boost::asio::buffer("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 27));
+  }
+
+  // Runs the server and returns all that the caller can read.
+  std::string Receive(Millis aTime)
+  {
+    mContext.run_for(std::chrono::milliseconds(aTime.Count()));
+    mContext.restart();
+    mSocket.non_blocking(true);
+    std::string out;
+    boost::system::error_code ec;
+    boost::asio::read(mSocket, boost::asio::dynamic_buffer(out), ec);
+    mSocket.non_blocking(false);
+    return out;
+  }
+
+  void Drain()
+  {
+    mServer.Drain([this] { mDrained = true; });
+  }
+
+  boost::asio::io_context mContext;
+  Server mServer{ mContext, {}, [](Request, Responder aRespond) {
+                   aRespond({ .status = 204, .headers = {}, .body = {} });
+                 } };
+  Endpoint mEndpoint;
+  tcp::socket mSocket{ mContext };
+  bool mDrained = false;
+};
+
+constexpr Millis kRound(30);
+// Longer than `ServerLimits::drainGrace`.
+constexpr Millis kAfterGrace(400);
+
+// Guards against closing a connection on which a request has arrived: the
+// caller could not know whether it ran.
+TEST_F(DrainTest, RequestThatHasArrivedIsAnswered)
+{
+  Send();
+  EXPECT_NE(Receive(kRound).find("204"), std::string::npos);
+  Send();
+  Drain();
+  std::string response = Receive(kAfterGrace);
+  EXPECT_NE(response.find("204"), std::string::npos);
+  EXPECT_NE(response.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(mDrained);
+}
+
+// Guards against the same for a request that was on its way.
+TEST_F(DrainTest, RequestThatArrivesWithinTheGraceIsAnswered)
+{
+  Send();
+  Receive(kRound);
+  Drain();
+  Receive(kRound);
+  Send();
+  EXPECT_NE(Receive(kAfterGrace).find("204"), std::string::npos);
+  EXPECT_TRUE(mDrained);
+}
+
+// Guards against resetting a connection that the server has not accepted yet.
+TEST_F(DrainTest, RequestOnAnUnacceptedConnectionIsAnswered)
+{
+  Send();
+  Drain();
+  EXPECT_NE(Receive(kAfterGrace).find("204"), std::string::npos);
+  EXPECT_TRUE(mDrained);
+}
+
+// Guards against a drain that waits for callers that send nothing.
+TEST_F(DrainTest, IdleConnectionsAreClosedAfterTheGrace)
+{
+  Send();
+  Receive(kRound);
+  Drain();
+  Receive(kAfterGrace);
+  EXPECT_TRUE(mDrained);
+}
+
 TEST(Client, RefusedConnectionDidNotRun)
 {
   Endpoint unused;
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetwood::http {
@@ -93,17 +94,7 @@
         return;
       }
       if (!ec) {
-        if (self->sessions.size() >= self->limits.maxConnections) {
-          ++self->counters.refusedConnections;
-          ErrorCode ignored;
-          it.close(ignored);
-        } else {
-          ++self->counters.accepted;
-          it.set_option(tcp::no_delay(true), ec);
-          auto session = std::make_shared<Session>(self, std::move(it));
-          self->sessions.insert(session);
-          session->Start();
-        }
+        self->OnAccepted(std::move(it));
       }
       if (self->acceptor.is_open()) {
         self->Accept();
@@ -111,6 +102,37 @@
     });
 }
 
+void
+StreamServerImpl::AcceptArrived()
+{
+  ErrorCode ec;
+  acceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket(context);
+    acceptor.accept(socket, ec);
+    if (!ec) {
+      OnAccepted(std::move(socket));
+    }
+  }
+}
+
+void
+StreamServerImpl::OnAccepted(tcp::socket aSocket)
+{
+  ErrorCode ignored;
+  if (sessions.size() >= limits.maxConnections) {
+    ++counters.refusedConnections;
+    aSocket.close(ignored);
+    return;
+  }
+  ++counters.accepted;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  auto session =
+    std::make_shared<Session>(shared_from_this(), std::move(aSocket));
+  sessions.insert(session);
+  session->Start();
+}
+
 void
 StreamServerImpl::Remove(const std::shared_ptr<Session>& aSession)
 {
@@ -122,6 +144,7 @@
 StreamServerImpl::FinishDrainIfIdle()
 {
   if (draining && sessions.empty() && drainDone) {
+    drainTimer.Stop();
     asio::post(context, std::exchange(drainDone, nullptr));
   }
 }
@@ -170,14 +193,22 @@
 void
 StreamServer::Drain(std::function<void()> aDone)
 {
+  mImpl->AcceptArrived();
   ErrorCode ec;
   mImpl->acceptor.close(ec);
   mImpl->draining = true;
   mImpl->drainDone = std::move(aDone);
-  auto sessions = mImpl->sessions;
-  for (const auto& it : sessions) {
-    it->CloseIfIdle();
-  }
+  std::weak_ptr<StreamServerImpl> weak = mImpl;
+  mImpl->drainTimer.SetCallback([weak] {
+    if (auto impl = weak.lock()) {
+      impl->drainGraceOver = true;
+      auto sessions = impl->sessions;
+      for (const auto& it : sessions) {
+        it->CloseIfIdle();
+      }
+    }
+  });
+  mImpl->drainTimer.Set(std::max(mImpl->limits.drainGrace, Millis(1)));
   mImpl->FinishDrainIfIdle();
 }
 
--- a/packages/http/stream_server.h
+++ b/packages/http/stream_server.h
@@ -38,6 +38,10 @@
   // Maximum time to write one part of a response; closes connections whose peer
   // has stopped reading.
   Millis writeTimeout = Seconds(30);
+  // How long idle connections stay open after `Drain`. A request that was on
+  // its way when the server began to drain is served; its connection is closed
+  // after the response.
+  Millis drainGrace = Millis(200);
 };
 
 // Connections and requests, and those that the limits rejected, for metrics.
@@ -138,8 +142,8 @@
   // system error if the address is invalid or cannot be bound.
   Result<Endpoint> Listen(const Endpoint& aEndpoint);
 
-  // Stops accepting, closes idle connections, lets requests in progress finish
-  // and calls `aDone` when no connection is left.
+  // Stops accepting, serves the requests that have arrived or arrive within
+  // `drainGrace`, and calls `aDone` when no connection is left.
   void Drain(std::function<void()> aDone);
 
   // Closes all connections at once, without completing requests in progress.
