Count suspensions of the machine in the monotonic clock

Cause: the steady clock stands still while a machine is suspended, so a leader that wakes would hold its lease for a further term and answer from a configuration that another leader has replaced. Change: MonotonicNow reads CLOCK_BOOTTIME. Measured: by reading; the machine here was never suspended, so the two clocks agree.

--- a/packages/base/time.cc
+++ b/packages/base/time.cc
@@ -2,20 +2,18 @@
 
 #include "base/time.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace limpetwood {
 
 namespace {
 
-template<typename Clock>
 Millis
-ReadClock()
+ReadClock(clockid_t aClock)
 {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  auto since = Clock::now().time_since_epoch();
-  return Millis(duration_cast<milliseconds>(since).count());
+  timespec now{};
+  ::clock_gettime(aClock, &now);
+  return Seconds(now.tv_sec) + Millis(now.tv_nsec / 1'000'000);
 }
 
 } // namespace
@@ -23,13 +21,15 @@
 Millis
 MonotonicNow()
 {
-  return ReadClock<std::chrono::steady_clock>();
+  // Unlike the steady clock of the standard library, this one goes on while the
+  // machine is suspended, so a lease cannot outlast a suspension unnoticed.
+  return ReadClock(CLOCK_BOOTTIME);
 }
 
 Millis
 WallNow()
 {
-  return ReadClock<std::chrono::system_clock>();
+  return ReadClock(CLOCK_REALTIME);
 }
 
 } // namespace limpetwood
