End one request, not the process, when a handler throws

Cause: an exception of a request handler left io_context::run and ended the process. Change: http::Server answers 500 with the verdict may_have_run, counts the failure and reports its text. Measured: Server.ExceptionOfAHandlerEndsOneRequest fails without it.

--- a/packages/http/server.cc
+++ b/packages/http/server.cc
@@ -9,15 +9,15 @@
 namespace {
 
 Response
-ErrorResponse(int aStatus, std::string_view aReason)
+ErrorResponse(int aStatus, std::string_view aVerdict, std::string_view aReason)
 {
   Response response;
   response.status = aStatus;
   response.headers.Set("Content-Type", "application/json");
-  response.headers.Set("Limpetwood-Verdict", "not_run");
+  response.headers.Set("Limpetwood-Verdict", aVerdict);
   response.headers.Set("Limpetwood-Reason", aReason);
-  response.body =
-    R"({"verdict":"not_run","reason":")" + std::string(aReason) + "\"}\n";
+  response.body = R"({"verdict":")" + std::string(aVerdict) +
+                  R"(","reason":")" + std::string(aReason) + "\"}\n";
   return response;
 }
 
@@ -36,8 +36,11 @@
 class BodyCollector : public std::enable_shared_from_this<BodyCollector>
 {
 public:
-  BodyCollector(const Handler& aHandler, std::shared_ptr<Exchange> aExchange)
+  BodyCollector(const Handler& aHandler,
+                const std::function<void(std::string_view)>& aOnFailure,
+                std::shared_ptr<Exchange> aExchange)
     : mHandler(aHandler)
+    , mOnFailure(aOnFailure)
     , mExchange(std::move(aExchange))
   {
   }
@@ -73,9 +76,11 @@
   void RejectBody(std::error_code aError)
   {
     if (aError == Errc::kTooLarge) {
-      SendResponse(mExchange, ErrorResponse(413, "request_too_large"));
+      SendResponse(mExchange,
+                   ErrorResponse(413, "not_run", "request_too_large"));
     } else if (aError == Errc::kCorrupt) {
-      SendResponse(mExchange, ErrorResponse(400, "malformed_request"));
+      SendResponse(mExchange,
+                   ErrorResponse(400, "not_run", "malformed_request"));
     } else {
       mExchange->Abort();
     }
@@ -89,14 +94,23 @@
     request.target = std::move(head.target);
     request.headers = std::move(head.headers);
     request.body = std::move(mBody);
-    mHandler(std::move(request), [exchange = mExchange](Response aResponse) {
+    Responder respond = [exchange = mExchange](Response aResponse) {
       if (!exchange->ResponseStarted()) {
         SendResponse(exchange, std::move(aResponse));
       }
-    });
+    };
+    // An exception ends this request, not the process. The handler may have
+    // acted before it failed.
+    try {
+      mHandler(std::move(request), respond);
+    } catch (const std::exception& error) {
+      mOnFailure(error.what());
+      respond(ErrorResponse(500, "may_have_run", "internal_error"));
+    }
   }
 
   const Handler& mHandler;
+  const std::function<void(std::string_view)>& mOnFailure;
   std::shared_ptr<Exchange> mExchange;
   std::string mBody;
 };
@@ -106,12 +120,28 @@
 Server::Server(boost::asio::io_context& aContext,
                ServerLimits aLimits,
                Handler aHandler)
-  : mServer(aContext,
+  : mState(std::make_shared<State>())
+  , mServer(aContext,
             aLimits,
-            [handler = std::move(aHandler)](std::shared_ptr<Exchange> it) {
-              std::make_shared<BodyCollector>(handler, std::move(it))->Start();
+            [state = mState,
+             handler = std::move(aHandler)](std::shared_ptr<Exchange> it) {
+              std::make_shared<BodyCollector>(
+                handler, state->onFailure, std::move(it))
+                ->Start();
             })
 {
+  mState->onFailure = [state = mState.get()](std::string_view aError) {
+    ++state->failures;
+    if (state->failureCallback) {
+      state->failureCallback(aError);
+    }
+  };
+}
+
+void
+Server::SetFailureCallback(std::function<void(std::string_view)> aCallback)
+{
+  mState->failureCallback = std::move(aCallback);
 }
 
 Result<Endpoint>
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -20,6 +20,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <string_view>
 
 namespace limpetwood::http {
 
@@ -59,8 +61,21 @@
   size_t InFlight() const;
 
   const ServerCounters& Counters() const;
+  // Number of requests whose handler failed with an exception. They are
+  // answered with status 500 and the verdict "may_have_run".
+  uint64_t Failures() const { return mState->failures; }
+  // Sets the function that is called with the text of each such exception.
+  void SetFailureCallback(std::function<void(std::string_view)> aCallback);
 
 private:
+  struct State
+  {
+    uint64_t failures = 0;
+    std::function<void(std::string_view)> failureCallback;
+    std::function<void(std::string_view)> onFailure;
+  };
+
+  std::shared_ptr<State> mState;
   StreamServer mServer;
 };
 
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 namespace limpetwood::http {
@@ -161,6 +162,35 @@
 
 // Guards against reporting a refused connection as a request that may have run,
 // which a caller could not retry safely.
+// Guards against a process that ends because the handler of one request failed.
+TEST(Server, ExceptionOfAHandlerEndsOneRequest)
+{
+  boost::asio::io_context context;
+  Server server(context, {}, [](Request aRequest, Responder aRespond) {
+    if (aRequest.target == "/bad") {
+      throw std::out_of_range("no such element");
+    }
+    aRespond({ .status = 204, .headers = {}, .body = {} });
+  });
+  std::string text;
+  server.SetFailureCallback([&](std::string_view aText) { text = aText; });
+  Endpoint endpoint = server.Listen({ "127.0.0.1", 0 }).Value();
+  std::vector<int> statuses;
+  for (const char* target : { "/bad", "/good" }) {
+    Request request;
+    request.target = target;
+    Fetch(context, endpoint, request, {}, [&](const FetchResult& aResult) {
+      statuses.push_back(aResult.response.status);
+      context.stop();
+    });
+    context.run();
+    context.restart();
+  }
+  EXPECT_EQ(statuses, (std::vector<int>{ 500, 204 }));
+  EXPECT_EQ(server.Failures(), 1U);
+  EXPECT_EQ(text, "no such element");
+}
+
 // A server and one caller's connection on one thread, so that a test decides
 // what has arrived when the server begins to drain.
 class DrainTest : public testing::Test
