Judge runs by reports, forget jobs by elapsed time, bound jobs

Cause: a run was stopped as stalled 2.5 s after its last report although its worker was only slow to report, and late reports looked like a slow run; an ended job was forgotten by the time of day, so a jump made a repeated submission run again; a late Leave of a replaced process ended its successor; one job with 2,000,000,000 tasks would end every replica. Change: standstill and rates are measured between reports, on the worker's clock; the leader remembers ended jobs by its monotonic clock; OnLeave takes the incarnation; jobs are checked against limits before they enter the state.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -10,6 +10,8 @@
 constexpr Millis kRetryDelay(400);
 // A worker without runs that is silent for this long is removed.
 constexpr Millis kIdleWorkerTimeout = Seconds(20);
+// Minimum time for which a worker with runs delays the answer to a renewal.
+constexpr Millis kMinRenewalWait(100);
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
 // Minimum time between two planning passes, which bounds their processor use.
@@ -118,10 +120,14 @@
 }
 
 bool
-Dispatcher::OnLeave(const WorkerId& aWorker, Millis aNow)
+Dispatcher::OnLeave(const WorkerId& aWorker,
+                    Incarnation aIncarnation,
+                    Millis aNow)
 {
   const Worker* known = mState.FindWorker(aWorker);
-  if (known == nullptr) {
+  bool replaced = known != nullptr && aIncarnation != Incarnation() &&
+                  aIncarnation != known->report.incarnation;
+  if (known == nullptr || replaced) {
     return false;
   }
   WorkerLink& link = LinkOf(*known, aNow);
@@ -427,7 +433,7 @@
 Dispatcher::StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
 {
   for (auto& [run, view] : aLink.runs) {
-    if (mMonitor.HasStalled(run, view, aLink, mOptions.maxRenewalWait, aNow)) {
+    if (mMonitor.HasStalled(run, view, aLink)) {
       view.stopRequested = true;
       ++mCounters.stalledRuns;
       LogRunEvent("run_stalled", aWorker.report.id, run)
@@ -489,6 +495,10 @@
   if (mayWait) {
     renew.wait =
       urgent ? mOptions.maxUrgentRenewalWait : mOptions.maxRenewalWait;
+    for (const auto& [run, view] : aLink.runs) {
+      renew.wait = std::min(
+        renew.wait, std::max(mMonitor.MaxReportDelay(view), kMinRenewalWait));
+    }
   }
   // A lease may be in force from the moment it is sent. A worker that does not
   // answer is sent none, because its runs could then never be treated as ended.
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -98,7 +98,9 @@
   // Handles the end of a worker's process. Returns like `OnReport`. Once it is
   // acknowledged, every later leader knows that the worker takes no tasks; the
   // worker is removed when the ends that it reported are committed.
-  bool OnLeave(const WorkerId& aWorker, Millis aNow);
+  // `aIncarnation` 0 stands for any; a process that has been replaced does not
+  // end the one that replaced it.
+  bool OnLeave(const WorkerId& aWorker, Incarnation aIncarnation, Millis aNow);
 
   // The result of an order that `TakeOrders` returned, including `kNotSent` and
   // `kNoAnswer`.
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -124,6 +124,24 @@
   EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
 }
 
+// Guards against giving up the work of a restarted worker because the report
+// that its earlier process leaves arrives late.
+TEST(DispatcherRemoval, LateLeaveOfAnEarlierIncarnationIsIgnored)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Restart("w1", Incarnation(2));
+  fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+  EXPECT_FALSE(fleet.Leave("w1", Incarnation(1)));
+  fleet.Advance(Millis(50));
+  const Worker* worker = fleet.State().FindWorker(WorkerId("w1"));
+  ASSERT_NE(worker, nullptr);
+  EXPECT_FALSE(worker->report.draining);
+  fleet.Leave("w1", Incarnation(2));
+  fleet.DropOrders();
+  fleet.Advance(Millis(50));
+}
+
 // Guards against treating a run as lost because a long list of ends was cut
 // off before it.
 TEST(DispatcherRemoval, IncompleteListOfEndsProvesNoLoss)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -163,7 +163,7 @@
       run.phase = RunView::Phase::kConfirmed;
     }
     run.conclusiveAfter = std::min(run.conclusiveAfter, aNow);
-    run.progress.Observe(it.percent, aNow);
+    run.progress.Observe(it.percent, aNow, aResult.clock.value_or(aNow));
     if (!it.checkpoint.empty()) {
       run.checkpoint = it.checkpoint;
     }
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -248,6 +248,28 @@
   EXPECT_TRUE(stopped);
 }
 
+// Guards against giving up the work of a worker that is only slow to report: it
+// sends heartbeats, but its answers to renewals are late.
+TEST(Dispatcher, RunOfAWorkerThatReportsLateIsNotStopped)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  for (int32_t percent : { 10, 11, 60, 61 }) {
+    OrderResult result = fleet.EmptyRenewalResult();
+    result.running.push_back({ .run = start.run, .percent = percent });
+    // 2.8 s between two answers, longer than `kStallTime` of run_monitor.cc.
+    for (int n = 0; n < 56; ++n) {
+      fleet.Advance(Millis(50));
+      fleet.Heartbeat("w1");
+      ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStop).empty()) << percent;
+    }
+    fleet.AnswerRenewal("w1", result);
+  }
+}
+
 // Guards against stopping a gang whose faster members have finished and wait
 // for the last one.
 TEST(Dispatcher, FinishedMemberIsNotStalled)
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "fleet/admission.h"
 #include "fleet/change_event.h"
+#include "fleet/job_limits.h"
 #include "fleet/membership_plan.h"
 
 #include <algorithm>
@@ -196,7 +197,9 @@
     Answer(aDone, target.outcome);
     return;
   }
-  if (target.job.empty() || !aRequest.__isset.job) {
+  bool valid = !target.job.empty() && aRequest.__isset.job &&
+               IsWithinLimits(FromWire(aRequest.job));
+  if (!valid) {
     Answer(aDone, RequestOutcome::kInvalid);
     return;
   }
@@ -313,8 +316,9 @@
   }
   WorkerReport report = FromWire(aRequest.worker);
   bool leave = static_cast<RequestKind>(aRequest.kind) == RequestKind::kLeave;
-  bool changes = leave ? mDispatcher->OnLeave(report.id, mNow)
-                       : mDispatcher->OnReport(report, mNow);
+  bool changes = leave
+                   ? mDispatcher->OnLeave(report.id, report.incarnation, mNow)
+                   : mDispatcher->OnReport(report, mNow);
   if (changes) {
     AnswerAfterCommit(std::move(aDone));
   } else {
@@ -406,6 +410,12 @@
       return;
     }
     mState.TakeChanges();
+    mEndedJobs.clear();
+    for (const auto& [id, job] : mState.Jobs()) {
+      if (job.Ended()) {
+        mEndedJobs.emplace_back(mNow, id);
+      }
+    }
     mTerm = mGroup->Term();
     mDispatcher = std::make_unique<Dispatcher>(
       mOptions.dispatcher, mState, FencingToken(mTerm), mNow);
@@ -436,6 +446,7 @@
                      .Add("term", mTerm)
                      .Add("requests_refused", mBatch.completions.size()));
   Batch unsent = std::exchange(mBatch, {});
+  ForgetLater(unsent.command);
   for (auto& it : unsent.completions) {
     it(Verdict::kNotRun);
   }
@@ -478,6 +489,7 @@
       if (current && aOutcome.verdict == Verdict::kAnswered) {
         mDispatcher->OnCommitted(batch->command, mNow);
       } else if (current && aOutcome.verdict == Verdict::kNotRun) {
+        ForgetLater(batch->command);
         mDispatcher->Requeue(std::move(batch->command));
       }
       for (auto& it : batch->completions) {
@@ -514,7 +526,7 @@
   if (aNow >= mNextMaintenance) {
     mNextMaintenance = aNow + kMaintenanceInterval;
     RepairMembership(aNow);
-    ForgetJobs(aWallNow);
+    ForgetJobs(aNow);
   }
 }
 
@@ -546,6 +558,7 @@
       ++mCounters.jobsAccepted;
     } else if (it.kind == Change::Kind::kJobEnded) {
       mDispatcher->OnJobEnded(it.run.task.job, mNow);
+      mEndedJobs.emplace_back(mNow, it.run.task.job);
       if (const Job* job = mState.FindJob(it.run.task.job)) {
         mCounters.jobsCompleted += job->status == JobStatus::kCompleted;
         mCounters.jobsFailed += job->status == JobStatus::kFailed;
@@ -556,13 +569,29 @@
 }
 
 void
-Node::ForgetJobs(Millis aWallNow)
+Node::ForgetJobs(Millis aNow)
 {
-  for (const auto& [id, job] : mState.Jobs()) {
-    if (job.Ended() && job.activeRuns == 0 &&
-        aWallNow - job.endedAt > mOptions.endedJobRetention) {
-      mBatch.command.forgotten.push_back(id.Value());
+  while (!mEndedJobs.empty() &&
+         aNow - mEndedJobs.front().first > mOptions.endedJobRetention) {
+    JobId id = std::move(mEndedJobs.front().second);
+    mEndedJobs.pop_front();
+    const Job* job = mState.FindJob(id);
+    if (job == nullptr) {
+      continue;
     }
+    if (job->activeRuns > 0) {
+      mEndedJobs.emplace_back(aNow, std::move(id));
+      continue;
+    }
+    mBatch.command.forgotten.push_back(id.Value());
+  }
+}
+
+void
+Node::ForgetLater(const gen::Command& aCommand)
+{
+  for (const std::string& it : aCommand.forgotten) {
+    mEndedJobs.emplace_front(Millis(0), JobId(it));
   }
 }
 
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -21,6 +21,7 @@
 #include "fleet/state.h"
 #include "replication/group.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -35,7 +36,8 @@
   DispatcherOptions dispatcher{};
   // Number of instances that may fail at the same time.
   size_t toleratedFailures = 1;
-  // How long the status of a job remains available after the job has ended.
+  // How long the status of a job remains available after the job has ended, at
+  // least; measured by the leader, anew after a change of leader.
   Millis endedJobRetention = Seconds(120);
 };
 
@@ -155,7 +157,10 @@
   // Logs and counts committed changes and forwards them to the dispatcher.
   void HandleChanges();
   // Proposes to remove ended jobs whose retention time has passed.
-  void ForgetJobs(Millis aWallNow);
+  void ForgetJobs(Millis aNow);
+  // Lets `ForgetJobs` propose the removals of a command again, which was
+  // definitely not proposed.
+  void ForgetLater(const gen::Command& aCommand);
   // Starts the next membership change, if one is needed and none is in
   // progress.
   void RepairMembership(Millis aNow);
@@ -181,6 +186,9 @@
   // A read that confirms that the state is up to date is in flight.
   bool mConfirming = false;
   Batch mBatch;
+  // Ended jobs with the time at which this leader saw their end, the earliest
+  // first. The time of day is not used, since it may jump.
+  std::deque<std::pair<Millis, JobId>> mEndedJobs;
   // Jobs in batches whose outcome is not known yet.
   std::set<std::string> mSubmitting;
   bool mMembershipInFlight = false;
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -109,7 +109,7 @@
   void Advance()
   {
     mNow += Millis(20);
-    mNode->Tick(mNow, mNow);
+    mNode->Tick(mNow, mNow + mWallOffset);
   }
 
   // Returns the reply, or nothing if none arrives within a second.
@@ -142,6 +142,7 @@
   NullEnvironment mEnvironment;
   std::unique_ptr<Node> mNode;
   Millis mNow{ 1'000'000 };
+  Millis mWallOffset{};
 };
 
 // Guards against submissions before a configuration exists, and against
@@ -209,6 +210,68 @@
             RequestOutcome::kOk);
 }
 
+// Guards against jobs that run again, or are unknown to their callers, because
+// the time of day jumped: an ended job is remembered by elapsed time.
+TEST_F(NodeTest, EndedJobIsRememberedWhenTheTimeOfDayJumps)
+{
+  Open();
+  Configure();
+  std::string path = std::string("/q/") + kJob;
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
+            RequestOutcome::kOk);
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path)),
+            RequestOutcome::kOk);
+  mWallOffset = Seconds(600);
+  for (int n = 0; n < 50; ++n) {
+    Advance();
+  }
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kRead, path)),
+            RequestOutcome::kOk);
+  mNow += Seconds(121);
+  for (int n = 0; n < 100; ++n) {
+    Advance();
+  }
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kRead, path)),
+            RequestOutcome::kNoSuchJob);
+}
+
+// Guards against a withdrawn key that is accepted again after a restart.
+TEST_F(NodeTest, WithdrawnKeyIsRefusedAfterARestart)
+{
+  Open();
+  Configure();
+  gen::Request request = ConfigurationRequest();
+  request.configuration.version = 2;
+  request.configuration.workspaces[0].keys = { "other" };
+  ASSERT_EQ(OutcomeOf(request), RequestOutcome::kOk);
+  mNode.reset();
+  Open();
+  std::string path = std::string("/q/") + kJob;
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
+            RequestOutcome::kUnauthorized);
+  EXPECT_EQ(OutcomeOf(ConfigurationRequest()), RequestOutcome::kOk);
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
+            RequestOutcome::kUnauthorized);
+}
+
+// Guards against one submission that ends all replicas: each would allocate
+// memory for its tasks, and again after each restart.
+TEST_F(NodeTest, JobThatNoReplicaCanHoldIsInvalid)
+{
+  Open();
+  Configure();
+  std::string path = std::string("/q/") + kJob;
+  gen::Request request = RequestFor(RequestKind::kSubmit, path);
+  request.job.steps[0].tasks = 2'000'000'000;
+  EXPECT_EQ(OutcomeOf(request), RequestOutcome::kInvalid);
+  request = RequestFor(RequestKind::kSubmit, path);
+  request.job.occurrences = 2'000'000'000;
+  EXPECT_EQ(OutcomeOf(request), RequestOutcome::kInvalid);
+  request = RequestFor(RequestKind::kSubmit, path);
+  request.job.steps[0].after = { 7 };
+  EXPECT_EQ(OutcomeOf(request), RequestOutcome::kInvalid);
+}
+
 // Guards against a repeated update that replaces the configuration in force.
 TEST_F(NodeTest, SameVersionIsAcknowledgedAndChangesNothing)
 {
@@ -396,5 +459,21 @@
   EXPECT_EQ(StartsOf(leader).size(), 1U);
 }
 
+// Guards against a leader that was suspended and answers from what was in force
+// before, although another one has been elected meanwhile.
+TEST_F(GroupTest, SuspendedLeaderAnswersNothingFromItsOldLease)
+{
+  Replica& leader = *Leader();
+  ASSERT_EQ(Ask(leader, ConfigurationRequest()), RequestOutcome::kOk);
+  mNow += Seconds(5);
+  gen::Request read;
+  read.kind = static_cast<int32_t>(RequestKind::kGetConfiguration);
+  std::optional<RequestOutcome> outcome;
+  leader.node->Handle(read, mNow, [&](const gen::Reply& aReply) {
+    outcome = static_cast<RequestOutcome>(aReply.outcome);
+  });
+  EXPECT_EQ(outcome, RequestOutcome::kNotLeader);
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/progress.cc
+++ b/packages/fleet/progress.cc
@@ -51,38 +51,48 @@
 } // namespace
 
 void
-Progress::Observe(int32_t aPercent, Millis aNow)
+Progress::Observe(int32_t aPercent, Millis aNow, Millis aReportedAt)
 {
   if (!mFirstObservedAt) {
     mFirstObservedAt = aNow;
-    mFirstPercent = aPercent;
     mLastIncreaseAt = aNow;
-    mWindowAt = aNow;
+    mFirstPercent = aPercent;
+    mFirstReportAt = aReportedAt;
+    mLastReportAt = aReportedAt;
+    mLastIncreaseReportAt = aReportedAt;
+    mWindowAt = aReportedAt;
     mWindowPercent = aPercent;
   }
+  mLastReportAt = std::max(mLastReportAt, aReportedAt);
   if (aPercent > mPercent) {
     mLastIncreaseAt = aNow;
+    mLastIncreaseReportAt = mLastReportAt;
     mPercent = aPercent;
   }
-  mLastObservedAt = aNow;
-  if (aNow - mWindowAt >= kMinObservation) {
-    mRecentRate = (mPercent - mWindowPercent) / SecondsOf(aNow - mWindowAt);
-    mWindowAt = aNow;
+  if (mLastReportAt - mWindowAt >= kMinObservation) {
+    mRecentRate =
+      (mPercent - mWindowPercent) / SecondsOf(mLastReportAt - mWindowAt);
+    mWindowAt = mLastReportAt;
     mWindowPercent = mPercent;
   }
 }
 
+Millis
+Progress::ObservedStandstill() const
+{
+  return mLastReportAt - mLastIncreaseReportAt;
+}
+
 std::optional<double>
 Progress::MeanRate() const
 {
   // A completed run made its progress until the last increase.
-  Millis end = mPercent >= kCompletePercent
-                 ? mLastIncreaseAt.value_or(mLastObservedAt)
-                 : mLastObservedAt;
-  if (!mFirstObservedAt || end - *mFirstObservedAt < kMinObservation) {
+  Millis end =
+    mPercent >= kCompletePercent ? mLastIncreaseReportAt : mLastReportAt;
+  if (!mFirstObservedAt || end - mFirstReportAt < kMinObservation) {
     return std::nullopt;
   }
-  return (mPercent - mFirstPercent) / SecondsOf(end - *mFirstObservedAt);
+  return (mPercent - mFirstPercent) / SecondsOf(end - mFirstReportAt);
 }
 
 Pace
--- a/packages/fleet/progress.h
+++ b/packages/fleet/progress.h
@@ -18,12 +18,21 @@
 class Progress
 {
 public:
-  void Observe(int32_t aPercent, Millis aNow);
+  // Records a report that arrived at `aNow` and that the worker made when its
+  // own clock read `aReportedAt`. Rates and standstill are measured on the
+  // worker's clock, so that a report that is late does not look like a slow
+  // run.
+  void Observe(int32_t aPercent, Millis aNow, Millis aReportedAt);
+  // The same for a worker whose clock is unknown.
+  void Observe(int32_t aPercent, Millis aNow) { Observe(aPercent, aNow, aNow); }
 
   int32_t Percent() const { return mPercent; }
   // Time of the last increase of the percentage; empty before the first report.
   std::optional<Millis> LastIncreaseAt() const { return mLastIncreaseAt; }
   std::optional<Millis> FirstObservedAt() const { return mFirstObservedAt; }
+  // How long the percentage had not increased at the latest report; 0 before
+  // the first. Time without a report does not count.
+  Millis ObservedStandstill() const;
   // Percent per second since the first report; empty if the observed time is
   // too short.
   std::optional<double> MeanRate() const;
@@ -32,11 +41,16 @@
 
 private:
   int32_t mPercent = 0;
-  std::optional<Millis> mFirstObservedAt;
   int32_t mFirstPercent = 0;
+  // On the leader's clock.
+  std::optional<Millis> mFirstObservedAt;
   std::optional<Millis> mLastIncreaseAt;
-  Millis mLastObservedAt;
-  // Start of the current window of the recent rate.
+  // On the worker's clock: the first and the latest report, and the latest one
+  // with a higher percentage.
+  Millis mFirstReportAt;
+  Millis mLastReportAt;
+  Millis mLastIncreaseReportAt;
+  // Start of the current window of the recent rate, on the worker's clock.
   Millis mWindowAt;
   int32_t mWindowPercent = 0;
   std::optional<double> mRecentRate;
--- a/packages/fleet/progress_test.cc
+++ b/packages/fleet/progress_test.cc
@@ -165,5 +165,21 @@
   EXPECT_GE(*link.ClockLowerBound(Millis(1010)), Millis(5000));
 }
 
+// Guards against judging a run by the delay of its reports: four percent in
+// 400 ms of the worker's time are normal, although they arrived over 3 s.
+TEST(Progress, LateReportsDoNotLookLikeASlowRun)
+{
+  Progress peer;
+  Progress late;
+  for (int n = 0; n <= 8; ++n) {
+    peer.Observe(n * 5, Millis(n * 500), Millis(n * 500));
+  }
+  late.Observe(10, Millis(1000), Millis(1000));
+  late.Observe(15, Millis(4000), Millis(1500));
+  EXPECT_NE(JudgePace({ .own = &late, .peers = { &peer } }), Pace::kTooSlow);
+  EXPECT_NE(JudgePace({ .own = &late, .peers = { &peer } }), Pace::kSlow);
+  EXPECT_EQ(late.ObservedStandstill(), Millis(0));
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/run_monitor.cc
+++ b/packages/fleet/run_monitor.cc
@@ -50,16 +50,22 @@
 bool
 RunMonitor::HasStalled(const RunRef& aRun,
                        const RunView& aView,
-                       const WorkerLink& aLink,
-                       Millis aMaxReportAge,
-                       Millis aNow) const
+                       const WorkerLink& aLink) const
 {
   const Job* job = mState.FindJob(aRun.task.job);
   return job != nullptr && !job->spec.steps[aRun.task.step].longRunning &&
-         aView.progress.LastIncreaseAt() && !aView.stopRequested &&
-         aLink.reachable && aView.progress.Percent() < kCompletePercent &&
-         aNow - *aView.progress.LastIncreaseAt() > kStallTime &&
-         aNow - aLink.lastHeard < aMaxReportAge;
+         !aView.stopRequested && aLink.reachable &&
+         aView.progress.Percent() < kCompletePercent &&
+         aView.progress.ObservedStandstill() > kStallTime;
+}
+
+Millis
+RunMonitor::MaxReportDelay(const RunView& aView) const
+{
+  if (aView.progress.Percent() >= kCompletePercent) {
+    return Millis::Max();
+  }
+  return std::max(kStallTime - aView.progress.ObservedStandstill(), Millis(0));
 }
 
 std::vector<const Progress*>
--- a/packages/fleet/run_monitor.h
+++ b/packages/fleet/run_monitor.h
@@ -35,14 +35,15 @@
   // done. Runs of completed jobs end on their own.
   bool MustStop(const RunRef& aRun, const RunView& aView) const;
 
-  // Whether the run has made no progress for the stall time. Workers whose last
-  // message is older than `aMaxReportAge` are not judged, because progress may
-  // not have been reported.
+  // Whether reports of the worker show that the run made no progress for the
+  // stall time. Silence of the worker is no evidence: its runs may go on.
   bool HasStalled(const RunRef& aRun,
                   const RunView& aView,
-                  const WorkerLink& aLink,
-                  Millis aMaxReportAge,
-                  Millis aNow) const;
+                  const WorkerLink& aLink) const;
+
+  // Time by which the next report of the run is needed: at once for a run that
+  // has reached the stall time without progress.
+  Millis MaxReportDelay(const RunView& aView) const;
 
   // Compares the run with its peers, or with the learned time of its queue.
   Pace PaceOf(const RunRef& aRun, const RunView& aView) const;
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -58,12 +58,20 @@
   report.rack = RackId(aRack);
   report.labels = { "a", aRack };
   report.capacity = { .cpu = 64'000, .memoryMb = 256'000, .accelerators = 8 };
-  report.sequence = 1;
+  report.sequence = ++mSequence;
   report.clock = WorkerClock();
   mDispatcher.OnReport(report, mNow);
   RunUntilIdle();
 }
 
+void
+FleetFixture::Heartbeat(const std::string& aId)
+{
+  const Worker* worker = mState.FindWorker(WorkerId(aId));
+  ASSERT_NE(worker, nullptr);
+  Report(aId, Incarnation(1), worker->report.rack.Value());
+}
+
 void
 FleetFixture::Restart(const std::string& aId, Incarnation aIncarnation)
 {
@@ -71,9 +79,9 @@
 }
 
 bool
-FleetFixture::Leave(const std::string& aId)
+FleetFixture::Leave(const std::string& aId, Incarnation aIncarnation)
 {
-  bool waits = mDispatcher.OnLeave(WorkerId(aId), mNow);
+  bool waits = mDispatcher.OnLeave(WorkerId(aId), aIncarnation, mNow);
   RunUntilIdle();
   return waits;
 }
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -31,11 +31,13 @@
                  Fencing aFencing = Fencing::kAnswered,
                  const std::string& aRack = "r1");
 
+  // Sends a further report of the worker's first process.
+  void Heartbeat(const std::string& aId);
   // Reports a new process of the worker under the same id.
   void Restart(const std::string& aId, Incarnation aIncarnation);
   // Reports that the worker has left. Returns true if the answer has to wait
   // for the next commit.
-  bool Leave(const std::string& aId);
+  bool Leave(const std::string& aId, Incarnation aIncarnation = {});
 
   // Returns a gang step with `aTasks` tasks that each need all accelerators of
   // a worker.
@@ -93,6 +95,7 @@
   Dispatcher mDispatcher;
   std::vector<Order> mOrders;
   bool mCommitsHeld = false;
+  uint64_t mSequence = 0;
 };
 
 } // namespace limpetwood::fleet::testing
