--- a/packages/ctl/request_timeline.cc
+++ b/packages/ctl/request_timeline.cc
@@ -21,17 +21,12 @@
 
 // Leadership, membership, disk, configuration and process events, shown
 // whichever request or worker they concern.
-constexpr std::array kStateChangeEvents = { "leading",
-                                            "leadership_lost",
-                                            "leader_found",
-                                            "leader_lost",
-                                            "membership_change",
-                                            "disk_failed",
-                                            "disk_works",
-                                            "configuration_in_force",
-                                            "started",
-                                            "stopping",
-                                            "stopped" };
+constexpr std::array kStateChangeEvents = {
+  "leading",     "leadership_lost",   "leader_found",
+  "leader_lost", "membership_change", "disk_failed",
+  "node_failed", "node_reopened",     "configuration_in_force",
+  "started",     "stopping",          "stopped"
+};
 
 std::string
 TextOf(const Json& aValue)
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -117,19 +117,21 @@
                                const Settings& aSettings,
                                SendOrderFunction aSendOrder,
                                LogFunction aLog)
-  : mSettings(aSettings)
+  : mContext(aContext)
+  , mSettings(aSettings)
   , mSendOrder(std::move(aSendOrder))
   , mLog(std::move(aLog))
-  , mTransport(aContext,
-               TransportOptionsFor(aSettings),
-               [this](const InstanceId& aFrom,
-                      peer::Channel /*aChannel*/,
-                      std::string aPayload) {
-                 if (mNode) {
-                   mNode->OnReplication(aFrom, aPayload, MonotonicNow());
-                   ScheduleTick();
-                 }
-               })
+  , mTransport(
+      aContext,
+      TransportOptionsFor(aSettings),
+      [this](const InstanceId& aFrom,
+             peer::Channel /*aChannel*/,
+             std::string aPayload) {
+        if (mNode) {
+          Guard([&] { mNode->OnReplication(aFrom, aPayload, MonotonicNow()); });
+          ScheduleTick();
+        }
+      })
   , mServer(aContext,
             RequestServerLimits(),
             [this](http::Request aRequest, http::Responder aRespond) {
@@ -169,7 +171,7 @@
     answer(reply);
     return;
   }
-  mNode->Handle(request.Value(), MonotonicNow(), answer);
+  Guard([&] { mNode->Handle(request.Value(), MonotonicNow(), answer); });
   ScheduleTick();
 }
 
@@ -201,6 +203,30 @@
   }
 }
 
+void
+ControlProcess::Guard(const std::function<void()>& aAction)
+{
+  if (mNodeFailed) {
+    return;
+  }
+  try {
+    aAction();
+  } catch (const std::exception& error) {
+    ++mFailures;
+    mNodeFailed = true;
+    mLog(LogEvent("node_failed").Add("error", error.what()));
+    boost::asio::post(mContext, [this] { CloseFailedNode(); });
+  }
+}
+
+void
+ControlProcess::CloseFailedNode()
+{
+  mNodeFailed = false;
+  mNode.reset();
+  ScheduleReopen();
+}
+
 void
 ControlProcess::ScheduleReopen()
 {
@@ -209,11 +235,18 @@
     if (ec) {
       return;
     }
-    if (std::error_code error = OpenNode()) {
+    std::error_code error;
+    try {
+      error = OpenNode();
+    } catch (const std::exception& exception) {
+      mLog(LogEvent("node_failed").Add("error", exception.what()));
+      error = make_error_code(Errc::kCorrupt);
+    }
+    if (error) {
       ScheduleReopen();
       return;
     }
-    mLog(LogEvent("disk_works"));
+    mLog(LogEvent("node_reopened"));
     ScheduleTick();
   });
 }
@@ -273,7 +306,7 @@
     auto done = [aDone = std::move(aDone)](gen::Reply aReply) {
       aDone({ .reply = std::move(aReply) });
     };
-    mNode->Handle(aRequest, MonotonicNow(), std::move(done));
+    Guard([&] { mNode->Handle(aRequest, MonotonicNow(), std::move(done)); });
     ScheduleTick();
     return;
   }
@@ -290,19 +323,20 @@
 ControlProcess::SendOrder(fleet::Order aOrder)
 {
   fleet::Order copy = aOrder;
-  mSendOrder(std::move(aOrder),
-             [this, order = std::move(copy)](fleet::OrderResult aResult) {
-               if (mNode) {
-                 mNode->OnOrderResult(order, aResult, MonotonicNow());
-                 ScheduleTick();
-               }
-             });
+  mSendOrder(
+    std::move(aOrder),
+    [this, order = std::move(copy)](fleet::OrderResult aResult) {
+      if (mNode) {
+        Guard([&] { mNode->OnOrderResult(order, aResult, MonotonicNow()); });
+        ScheduleTick();
+      }
+    });
 }
 
 void
 ControlProcess::ScheduleTick()
 {
-  if (mTicking || !mNode) {
+  if (mTicking || !mNode || mNodeFailed) {
     return;
   }
   Millis now = MonotonicNow();
@@ -323,12 +357,12 @@
 ControlProcess::Tick()
 {
   mTickDueAt = Millis::Max();
-  if (!mNode) {
+  if (!mNode || mNodeFailed) {
     return;
   }
   mTicking = true;
   Millis startTime = MonotonicNow();
-  mNode->Tick(startTime, WallNow());
+  Guard([&] { mNode->Tick(startTime, WallNow()); });
   mTickDurations.Observe(MonotonicNow() - startTime);
   mTicking = false;
   CheckDisk(MonotonicNow());
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -5,7 +5,8 @@
 //   process.Handle(request, deadline, [](RelayResult aResult) {});
 //
 // A replica that is not the leader relays requests to the leader. After a disk
-// error the node is closed, and reopening is retried until it succeeds.
+// error, or an exception of the node, the node is closed, and reopening is
+// retried until it succeeds.
 //
 // All calls and callbacks happen on the thread that runs the io_context.
 
@@ -61,7 +62,7 @@
   // Executes the request locally if this replica leads and relays it otherwise.
   // Calls `aDone` at most once, possibly before returning. `aDeadline` is a
   // time of `MonotonicNow()` and limits only relayed requests. A local request
-  // that is pending when the node is closed after a disk error gets no answer.
+  // that is pending when the node is closed after an error gets no answer.
   void Handle(const fleet::gen::Request& aRequest,
               Millis aDeadline,
               RelayCallback aDone);
@@ -69,7 +70,9 @@
   // Replaces the seeds, for example after the settings were reloaded.
   void SetSeeds(const std::vector<std::string>& aSeeds);
 
-  // Null between a disk error and the next successful reopening.
+  // Number of exceptions of the node.
+  uint64_t Failures() const { return mFailures; }
+  // Null between an error and the next successful reopening.
   const fleet::Node* Node() const { return mNode.get(); }
   const RelayCounters& RelayStats() const { return mRelay.Counters(); }
   // Durations of the node's ticks, including disk writes; a tick blocks the
@@ -92,9 +95,16 @@
   std::error_code OpenNode();
   // Closes the node and schedules reopening if its disk reported an error.
   void CheckDisk(Millis aNow);
+  // Calls `aAction`, which uses the node. An exception leaves the node in an
+  // unknown state, so it is closed and restored from its log.
+  void Guard(const std::function<void()>& aAction);
+  // Closes the node after the event in progress. Requests that wait for it get
+  // no answer, as after a crash.
+  void CloseFailedNode();
   // Tries to open the node after a delay, until it succeeds.
   void ScheduleReopen();
 
+  boost::asio::io_context& mContext;
   const Settings mSettings;
   SendOrderFunction mSendOrder;
   LogFunction mLog;
@@ -110,6 +120,9 @@
   std::vector<std::string> mSeeds;
   // Suppresses rescheduling from callbacks that run during a tick.
   bool mTicking = false;
+  // The node failed with an exception and is being closed.
+  bool mNodeFailed = false;
+  uint64_t mFailures = 0;
   LatencyHistogram mTickDurations;
 };
 
