Leave most of the processor to requests while a long queue is planned

Change: a pass delays the next one by four times its duration; victims, reservations and run estimates refer to cached runs instead of copying ids, and a blocked unit is searched for once. Time of decisions as a histogram. The case of the paced passes fails without the delay.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -16,6 +16,9 @@
 constexpr Millis kWorkerCheckInterval(250);
 // Minimum time between two planning passes, which bounds their processor use.
 constexpr Millis kMinPlanInterval(15);
+// Minimum time between the starts of two planning passes as a multiple of the
+// duration of the first: planning uses at most a quarter of the processor.
+constexpr int64_t kMinPlanIntervalFactor = 4;
 // Maximum time between two planning passes while units wait.
 constexpr Millis kMaxPlanInterval(250);
 
@@ -374,6 +377,7 @@
       TickWorker(*worker, LinkOf(*worker, aNow), aNow);
     }
   }
+  mPlannedAt.reset();
   bool planDue = (mPlanDue && aNow >= mEarliestPlan) || aNow >= mNextPlan;
   if (!mStartsProposed && planDue) {
     RunPlanningPass(aNow, aWallNow);
@@ -384,6 +388,16 @@
   ScheduleTick(mTimers.NextDue());
 }
 
+void
+Dispatcher::OnTickDuration(Millis aDuration)
+{
+  if (mPlannedAt) {
+    mEarliestPlan =
+      std::max(mEarliestPlan, *mPlannedAt + aDuration * kMinPlanIntervalFactor);
+    mNextPlan = std::max(mNextPlan, mEarliestPlan);
+  }
+}
+
 void
 Dispatcher::TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
 {
@@ -515,6 +529,7 @@
 Dispatcher::RunPlanningPass(Millis aNow, Millis aWallNow)
 {
   ++mCounters.planningPasses;
+  mPlannedAt = aNow;
   mPlanDue = false;
   mEarliestPlan = aNow + kMinPlanInterval;
   FleetView view{ .state = &mState,
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -30,6 +30,7 @@
 #include "fleet/worker_timers.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -114,6 +115,10 @@
   void OnJobEnded(const JobId& aJob, Millis aNow);
 
   void Tick(Millis aNow, Millis aWallNow);
+  // Reports how long the latest tick took. After a tick with a planning pass,
+  // the next pass is delayed in proportion, so that planning leaves most of the
+  // processor to requests, renewals and the log, however long the queue is.
+  void OnTickDuration(Millis aDuration);
   // Time by which `Tick` must be called again; other calls may make it earlier.
   Millis NextTick() const { return mNextTick; }
 
@@ -219,6 +224,8 @@
   // if something changed.
   Millis mEarliestPlan;
   Millis mNextPlan;
+  // Time of the latest planning pass; empty if the latest tick made none.
+  std::optional<Millis> mPlannedAt;
   size_t mBlockedUnits = 0;
   Millis mNextTick;
   DispatcherCounters mCounters;
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -190,6 +190,30 @@
   EXPECT_EQ(second.worker, WorkerId("w2"));
 }
 
+// Guards against a leader that plans all the time: with a long queue, each
+// commit makes a pass due, and a pass takes many times as long as a request.
+TEST(Dispatcher, LongPlanningPassesLeaveMostOfTheProcessor)
+{
+  constexpr Millis kPassTime(40);
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  fleet.Submit("00000000000000a2", FleetFixture::GangOf(1));
+  fleet.SetPassTime(kPassTime);
+  uint64_t before = fleet.GetDispatcher().Counters().planningPasses;
+  Millis start = fleet.Now();
+  for (int n = 0; n < 200; ++n) {
+    // A further worker is committed every 20 ms.
+    fleet.AddWorker("x" + std::to_string(n),
+                    FleetFixture::Fencing::kUnanswered);
+    fleet.Advance(Millis(20));
+  }
+  uint64_t passes = fleet.GetDispatcher().Counters().planningPasses - before;
+  Millis planned = kPassTime * static_cast<int64_t>(passes);
+  EXPECT_LE(planned * 4, fleet.Now() - start + kPassTime * 4);
+  EXPECT_GT(planned, Millis(0));
+}
+
 // Guards against queued duplicates of a stop, which would delay all later
 // orders.
 TEST(Dispatcher, DuplicateStopsAreNotQueued)
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -505,7 +505,11 @@
   mWallNow = aWallNow;
   UpdateLeadership(aNow);
   if (mLeading) {
+    Millis startTime = mEnvironment.CostClock();
     mDispatcher->Tick(aNow, aWallNow);
+    Millis duration = mEnvironment.CostClock() - startTime;
+    mDispatcher->OnTickDuration(duration);
+    mCounters.decisionTimes.Observe(duration);
     Propose(aNow);
   }
   mGroup->Tick(aNow);
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -52,6 +52,9 @@
   virtual void SendOrder(Order aOrder) = 0;
   // Logs a scheduling decision or a state change of this replica.
   virtual void Log(const LogEvent& aEvent) = 0;
+  // Clock that measures the cost of decisions; decisions themselves use the
+  // time that the caller passes.
+  virtual Millis CostClock() const { return MonotonicNow(); }
 };
 
 struct NodeCounters
@@ -67,6 +70,8 @@
   uint64_t membershipChanges = 0;
   // From the proposal of an entry to its outcome.
   LatencyHistogram commitLatency;
+  // Duration of the dispatcher's ticks, with the planning passes.
+  LatencyHistogram decisionTimes;
 };
 
 using ReplyCallback = std::function<void(gen::Reply)>;
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -75,20 +75,20 @@
 } // namespace
 
 const std::vector<RunEstimate>&
-FleetView::RunsOf(const WorkerId& aWorker) const
+FleetView::RunsOf(const Candidate& aWorker) const
 {
-  auto [it, inserted] = runEstimates.try_emplace(aWorker);
+  auto [it, inserted] = runEstimates.try_emplace(aWorker.report);
   if (!inserted) {
     return it->second;
   }
-  for (const RunRef& run : state->FindWorker(aWorker)->active) {
+  for (const RunRef& run : state->FindWorker(aWorker.id)->active) {
     const Job* job = state->FindJob(run.task.job);
     it->second.push_back(
       { .run = run,
         .job = job,
         .resources = job->spec.steps[run.task.step].CountedResources(),
-        .remaining = remainingTimeOf(aWorker, run),
-        .cost = costOf(aWorker, run) });
+        .remaining = remainingTimeOf(aWorker.id, run),
+        .cost = costOf(aWorker.id, run) });
   }
   std::sort(it->second.begin(),
             it->second.end(),
@@ -169,7 +169,11 @@
       since == mWaitingSince.end() ? aView.now : since->second;
   }
   mWaitingSince = std::move(waiting);
-  int64_t reserved = 0;
+  mTotalAccelerators = 0;
+  mReservedAccelerators = 0;
+  for (const auto& [id, worker] : aView.state->Workers()) {
+    mTotalAccelerators += worker.report.capacity.accelerators;
+  }
   size_t handledUnits = 0;
   mUnplaceable.clear();
   for (const Unit& it : units) {
@@ -185,15 +189,21 @@
       continue;
     }
     ++handledUnits;
+    if (pending != mPendingPreemptions.end()) {
+      ExcludeWorkers(pending->second.workers, aView);
+      continue;
+    }
+    std::optional<ReservationChoice> choice =
+      ChooseReservation(RequestFor(it, aView), aView);
     if (mOptions.preemptionEnabled && it.job->priority == 0 &&
-        pending == mPendingPreemptions.end() && !WillFitInTime(it, aView)) {
+        !WillFitInTime(it, choice, aView)) {
       PreemptFor(it, aView, plan);
       pending = mPendingPreemptions.find(it.job->id);
     }
     if (pending != mPendingPreemptions.end()) {
       ExcludeWorkers(pending->second.workers, aView);
     } else if (mOptions.reservationsEnabled) {
-      Reserve(it, aView, reserved);
+      Reserve(it, choice, aView);
     }
   }
   mUnplaceable.clear();
@@ -225,50 +235,37 @@
 }
 
 void
-Planner::ExcludeWorkers(const std::vector<WorkerId>& aWorkers, FleetView& aView)
+Planner::ExcludeWorkers(std::vector<WorkerId> aWorkers, FleetView& aView)
 {
+  std::sort(aWorkers.begin(), aWorkers.end());
   std::erase_if(aView.candidates, [&](const Candidate& aCandidate) {
-    return std::find(aWorkers.begin(), aWorkers.end(), aCandidate.id) !=
-           aWorkers.end();
+    return std::binary_search(aWorkers.begin(), aWorkers.end(), aCandidate.id);
   });
 }
 
 bool
-Planner::WillFitInTime(const Unit& aUnit, const FleetView& aView) const
+Planner::WillFitInTime(const Unit& aUnit,
+                       const std::optional<ReservationChoice>& aChoice,
+                       const FleetView& aView) const
 {
-  auto choice = ChooseReservation(RequestFor(aUnit, aView), aView);
-  return choice && aView.wallNow + choice->wait <= LatestStart(aUnit, aView);
+  return aChoice && aView.wallNow + aChoice->wait <= LatestStart(aUnit, aView);
 }
 
-bool
-Planner::Reserve(const Unit& aUnit, FleetView& aView, int64_t& aReserved) const
+void
+Planner::Reserve(const Unit& aUnit,
+                 const std::optional<ReservationChoice>& aChoice,
+                 FleetView& aView)
 {
-  if (!aUnit.Spec().gang) {
-    return false;
-  }
-  int64_t totalAccelerators = 0;
-  for (const auto& [id, worker] : aView.state->Workers()) {
-    totalAccelerators += worker.report.capacity.accelerators;
-  }
-  auto choice = ChooseReservation(RequestFor(aUnit, aView), aView);
-  if (!choice) {
-    return false;
-  }
-  int64_t reservedNow = 0;
-  for (const Candidate& it : aView.candidates) {
-    const auto& workers = choice->workers;
-    if (std::find(workers.begin(), workers.end(), it.id) != workers.end()) {
-      reservedNow += it.report->capacity.accelerators;
-    }
+  if (!aUnit.Spec().gang || !aChoice) {
+    return;
   }
-  auto limit = static_cast<int64_t>(static_cast<double>(totalAccelerators) *
+  auto limit = static_cast<int64_t>(static_cast<double>(mTotalAccelerators) *
                                     mOptions.maxReservedShare);
-  if (aReserved + reservedNow > limit) {
-    return false;
+  if (mReservedAccelerators + aChoice->accelerators > limit) {
+    return;
   }
-  aReserved += reservedNow;
-  ExcludeWorkers(choice->workers, aView);
-  return true;
+  mReservedAccelerators += aChoice->accelerators;
+  ExcludeWorkers(aChoice->workers, aView);
 }
 
 Millis
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -17,9 +17,11 @@
 #include "fleet/state.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -101,11 +103,13 @@
   const Forecast* forecast = nullptr;
   Millis now{};
   Millis wallNow{};
-  // Cache of `RunsOf`.
-  mutable std::map<WorkerId, std::vector<RunEstimate>> runEstimates{};
+  // Cache of `RunsOf`, by `Candidate::report`.
+  mutable std::unordered_map<const WorkerReport*, std::vector<RunEstimate>>
+    runEstimates{};
 
-  // Returns the runs on a worker, ordered by their expected end.
-  const std::vector<RunEstimate>& RunsOf(const WorkerId& aWorker) const;
+  // Returns the runs on a worker, ordered by their expected end. The reference
+  // stays valid for the whole pass.
+  const std::vector<RunEstimate>& RunsOf(const Candidate& aWorker) const;
 };
 
 struct PlannedStart
@@ -135,6 +139,9 @@
   Millis nextDue = Millis::Max();
 };
 
+// Defined in reservation.h.
+struct ReservationChoice;
+
 // The waiting tasks of one step of one occurrence; the unit of scheduling.
 struct Unit
 {
@@ -203,18 +210,20 @@
   // Latest start of the unit (wall clock) that still meets the latency
   // objective of its job.
   Millis LatestStart(const Unit& aUnit, const FleetView& aView) const;
-  // Whether the unit is expected to fit in time without preemption.
-  bool WillFitInTime(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit is expected to fit in time without preemption. `aChoice`
+  // is the best reservation for it.
+  bool WillFitInTime(const Unit& aUnit,
+                     const std::optional<ReservationChoice>& aChoice,
+                     const FleetView& aView) const;
   // Removes the workers from the candidates of the pass, so that later units do
   // not use them.
-  static void ExcludeWorkers(const std::vector<WorkerId>& aWorkers,
-                             FleetView& aView);
-  // Reserves workers for a gang that does not fit, so that later units do not
-  // use them. Returns false if the unit is not a gang, no workers can be
-  // reserved for it, or they would exceed `maxReservedShare`. `aReserved` is
-  // the number of accelerators reserved so far in this pass; increased on
-  // success.
-  bool Reserve(const Unit& aUnit, FleetView& aView, int64_t& aReserved) const;
+  static void ExcludeWorkers(std::vector<WorkerId> aWorkers, FleetView& aView);
+  // Reserves the chosen workers for a gang that does not fit, so that later
+  // units do not use them, unless all reservations of the pass would exceed
+  // `maxReservedShare`.
+  void Reserve(const Unit& aUnit,
+               const std::optional<ReservationChoice>& aChoice,
+               FleetView& aView);
 
   // Whether a unit that prefers one rack may be placed on several.
   bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
@@ -226,6 +235,9 @@
   {
     const Unit* unit = nullptr;
   };
+  // Accelerators of all workers, and those reserved so far in this pass.
+  int64_t mTotalAccelerators = 0;
+  int64_t mReservedAccelerators = 0;
   // Units that did not fit in the current pass; empty between passes.
   std::vector<UnplaceableUnit> mUnplaceable;
   // Workers on which runs of a live job failed.
--- a/packages/fleet/planner_benchmark.cc
+++ b/packages/fleet/planner_benchmark.cc
@@ -1,7 +1,7 @@
 // Benchmark of one planning pass with a backlog, at the sizes of the
 // deployments.
 //
-// Targets: 5 ms for 48 workers and 10 ms for 350.
+// Targets: 5 ms for 48 workers and 10 ms for 350, 540 and 1,000.
 
 #include "fleet/planner.h"
 
@@ -111,7 +111,8 @@
   }
 }
 
-BENCHMARK(PlanPass)->Arg(48)->Arg(350)->Unit(benchmark::kMillisecond);
+BENCHMARK(PlanPass)->Arg(48)->Arg(350)->Arg(540)->Arg(1000)->Unit(
+  benchmark::kMillisecond);
 
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -13,12 +13,12 @@
 
 // Identifies the runs that end together when one of them is stopped: a gang, or
 // a single run.
-using GroupKey = std::tuple<JobId, uint32_t, uint32_t, uint32_t>;
+using GroupKey = std::tuple<const Job*, uint32_t, uint32_t, uint32_t>;
 
 struct Victim
 {
-  RunRef run;
-  Resources resources;
+  // Refers to the view's cache.
+  const RunEstimate* run = nullptr;
   GroupKey group;
   // Index of the run's group among the groups of all options.
   size_t groupIndex = 0;
@@ -31,7 +31,7 @@
 
 // Returns the runs on one worker that may be stopped, ordered by cost.
 std::vector<Victim>
-VictimsOn(const WorkerId& aWorker, int32_t aPriority, const FleetView& aView)
+VictimsOn(const Candidate& aWorker, int32_t aPriority, const FleetView& aView)
 {
   std::vector<Victim> out;
   for (const RunEstimate& it : aView.RunsOf(aWorker)) {
@@ -42,9 +42,8 @@
     const StepSpec& step = it.job->spec.steps[task.step];
     uint32_t members = step.gang ? step.tasks : 1;
     double lostSeconds = static_cast<double>(it.cost.lostWork.Count()) / 1000;
-    out.push_back({ .run = it.run,
-                    .resources = it.resources,
-                    .group = { task.job,
+    out.push_back({ .run = &it,
+                    .group = { it.job,
                                task.occurrence,
                                task.step,
                                step.gang ? 0 : task.index },
@@ -63,7 +62,7 @@
 // The runs to stop on one worker so that at least one task fits there.
 struct PreemptionOption
 {
-  WorkerId worker;
+  const Candidate* worker = nullptr;
   std::vector<Victim> victims{};
   uint32_t tasks = 0;
 };
@@ -133,7 +132,7 @@
            const Candidate& aCandidate,
            const FleetView& aView)
 {
-  PreemptionOption out{ .worker = aCandidate.id };
+  PreemptionOption out{ .worker = &aCandidate };
   Resources available = aCandidate.available;
   uint32_t limit = aRequest.tasks;
   if (aRequest.step->perWorkerLimit > 0) {
@@ -143,8 +142,8 @@
   if (out.tasks > 0) {
     return out;
   }
-  for (const Victim& it : VictimsOn(aCandidate.id, aRequest.priority, aView)) {
-    available += it.resources;
+  for (const Victim& it : VictimsOn(aCandidate, aRequest.priority, aView)) {
+    available += it.run->resources;
     out.victims.push_back(it);
     out.tasks = TasksThatFit(*aRequest.step, available, limit);
     if (out.tasks > 0) {
@@ -156,7 +155,7 @@
   }
   // Later victims can make earlier ones unnecessary.
   for (size_t n = out.victims.size(); n-- > 0;) {
-    Resources without = available - out.victims[n].resources;
+    Resources without = available - out.victims[n].run->resources;
     if (TasksThatFit(*aRequest.step, without, limit) > 0) {
       available = without;
       out.victims.erase(out.victims.begin() + static_cast<ptrdiff_t>(n));
@@ -194,10 +193,10 @@
     chosen[best] = true;
     placed += option.tasks;
     out.cost += groups.CostOf(option);
-    out.workers.push_back(option.worker);
+    out.workers.push_back(option.worker->id);
     for (const Victim& it : option.victims) {
       if (!it.stopping) {
-        out.victims.emplace_back(option.worker, it.run);
+        out.victims.emplace_back(option.worker->id, it.run->run);
       }
     }
     groups.MarkChosen(option);
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -11,8 +11,8 @@
 // there, and how many tasks fit then.
 struct WorkerOpening
 {
-  WorkerId worker;
-  Millis wait;
+  const Candidate* worker = nullptr;
+  Millis wait{};
   uint32_t tasks = 0;
 };
 
@@ -25,13 +25,13 @@
   if (aRequest.step->perWorkerLimit > 0) {
     limit = std::min(limit, aRequest.step->perWorkerLimit);
   }
-  WorkerOpening out{ .worker = aCandidate.id, .wait = {}, .tasks = 0 };
+  WorkerOpening out{ .worker = &aCandidate };
   Resources available = aCandidate.available;
   out.tasks = TasksThatFit(*aRequest.step, available, limit);
   if (out.tasks > 0) {
     return out;
   }
-  for (const RunEstimate& it : aView.RunsOf(aCandidate.id)) {
+  for (const RunEstimate& it : aView.RunsOf(aCandidate)) {
     available += it.resources;
     out.wait = it.remaining;
     out.tasks = TasksThatFit(*aRequest.step, available, limit);
@@ -72,7 +72,8 @@
         break;
       }
       tasks += it.tasks;
-      choice.workers.push_back(it.worker);
+      choice.workers.push_back(it.worker->id);
+      choice.accelerators += it.worker->report->capacity.accelerators;
       choice.wait = std::max(choice.wait, it.wait);
     }
     bool enough = tasks >= aRequest.tasks;
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -24,7 +24,10 @@
 FleetFixture::RunUntilIdle()
 {
   for (int n = 0; n < 10; ++n) {
+    uint64_t passes = mDispatcher.Counters().planningPasses;
     mDispatcher.Tick(mNow, mNow);
+    bool planned = mDispatcher.Counters().planningPasses > passes;
+    mDispatcher.OnTickDuration(planned ? mPassTime : Millis(0));
     for (Order& it : mDispatcher.TakeOrders()) {
       mOrders.push_back(std::move(it));
     }
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -54,6 +54,8 @@
 
   // Advances the time and ticks the dispatcher.
   void Advance(Millis aTime);
+  // Sets the duration that is reported for each tick with a planning pass.
+  void SetPassTime(Millis aTime) { mPassTime = aTime; }
   void HoldCommits(bool aHold) { mCommitsHeld = aHold; }
   // Simulates a log that does not accept the pending command.
   void RefuseCommand() { mDispatcher.Requeue(mDispatcher.TakeCommand()); }
@@ -96,6 +98,7 @@
   std::vector<Order> mOrders;
   bool mCommitsHeld = false;
   uint64_t mSequence = 0;
+  Millis mPassTime{};
 };
 
 } // namespace limpetwood::fleet::testing
--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -171,6 +171,10 @@
                "limpetwood_commit_seconds",
                "From the proposal of an entry to its outcome",
                counters.commitLatency);
+  AddHistogram(aFamilies,
+               "limpetwood_decision_seconds",
+               "Time of one round of scheduling decisions, without the disk",
+               counters.decisionTimes);
   if (const fleet::Dispatcher* dispatcher = aNode.LatestDispatcher()) {
     AddDispatcherCounters(aFamilies, dispatcher->Counters());
     addGauge("limpetwood_blocked_units",
