Log an event loop that runs late, with what took its time

Change: a timer measures the delay of the event loop; every 2 s a delay of 200 ms or more is logged with the time of ticks and decisions, and with the numbers of passes, proposals, orders and requests since the last one.

--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -141,6 +141,7 @@
   , mTickTimer(aContext)
   , mReopenTimer(aContext)
   , mSeeds(aSettings.seeds)
+  , mLoopMonitor(aContext, [this](Millis aDelay) { ReportLateLoop(aDelay); })
 {
 }
 
@@ -267,10 +268,38 @@
     return server.Error();
   }
   mRelay.Start(mSettings.seeds);
+  mLoopMonitor.Start();
   ScheduleTick();
   return {};
 }
 
+void
+ControlProcess::ReportLateLoop(Millis aDelay)
+{
+  Work total{ .tickMs = mTickDurations.SumMs(),
+              .orders = mOrders,
+              .requests = mServer.Counters().requests };
+  if (mNode) {
+    total.decisionMs = mNode->Counters().decisionTimes.SumMs();
+    total.proposals = mNode->Counters().proposals;
+    if (const fleet::Dispatcher* dispatcher = mNode->LatestDispatcher()) {
+      total.passes = dispatcher->Counters().planningPasses;
+    }
+  }
+  const Work& since = mReportedWork;
+  mLog(LogEvent("event_loop_late")
+         .Add("delay_ms", aDelay)
+         .Add("leading", mNode && mNode->IsLeading())
+         .Add("tick_ms", total.tickMs - since.tickMs)
+         .Add("decision_ms", total.decisionMs - since.decisionMs)
+         .Add("planning_passes", total.passes - since.passes)
+         .Add("proposals", total.proposals - since.proposals)
+         .Add("orders", total.orders - since.orders)
+         .Add("requests", total.requests - since.requests)
+         .Add("requests_in_progress", mServer.InFlight()));
+  mReportedWork = total;
+}
+
 void
 ControlProcess::PrepareShutdown()
 {
@@ -322,6 +351,7 @@
 void
 ControlProcess::SendOrder(fleet::Order aOrder)
 {
+  ++mOrders;
   fleet::Order copy = aOrder;
   mSendOrder(
     std::move(aOrder),
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -15,6 +15,7 @@
 #include "base/latency_histogram.h"
 #include "base/log_event.h"
 #include "fleet/node.h"
+#include "fleetd/loop_monitor.h"
 #include "fleetd/relay.h"
 #include "fleetd/settings.h"
 #include "http/server.h"
@@ -87,6 +88,9 @@
   void SendOrder(fleet::Order aOrder) override;
   void Log(const LogEvent& aEvent) override { mLog(aEvent); }
 
+  // Logs that the event loop is overloaded, and what took its time since the
+  // last such report.
+  void ReportLateLoop(Millis aDelay);
   // Arms the timer for the node's next tick.
   void ScheduleTick();
   void Tick();
@@ -124,6 +128,19 @@
   bool mNodeFailed = false;
   uint64_t mFailures = 0;
   LatencyHistogram mTickDurations;
+  LoopMonitor mLoopMonitor;
+  // Totals at the last report of a late loop.
+  struct Work
+  {
+    int64_t tickMs = 0;
+    int64_t decisionMs = 0;
+    uint64_t passes = 0;
+    uint64_t proposals = 0;
+    uint64_t orders = 0;
+    uint64_t requests = 0;
+  };
+  Work mReportedWork;
+  uint64_t mOrders = 0;
 };
 
 } // namespace limpetwood::fleetd
