Report the work since the last late loop across terms

Cause: the counts of a new dispatcher start at 0, so a difference wrapped. Change: such a count is reported as it is. Measured: compiled and read only.

--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -286,16 +286,20 @@
       total.passes = dispatcher->Counters().planningPasses;
     }
   }
+  // A reopened node and the dispatcher of a new term count from 0.
+  auto added = [](auto aTotal, auto aReported) {
+    return aTotal >= aReported ? aTotal - aReported : aTotal;
+  };
   const Work& since = mReportedWork;
   mLog(LogEvent("event_loop_late")
          .Add("delay_ms", aDelay)
          .Add("leading", mNode && mNode->IsLeading())
-         .Add("tick_ms", total.tickMs - since.tickMs)
-         .Add("decision_ms", total.decisionMs - since.decisionMs)
-         .Add("planning_passes", total.passes - since.passes)
-         .Add("proposals", total.proposals - since.proposals)
-         .Add("orders", total.orders - since.orders)
-         .Add("requests", total.requests - since.requests)
+         .Add("tick_ms", added(total.tickMs, since.tickMs))
+         .Add("decision_ms", added(total.decisionMs, since.decisionMs))
+         .Add("planning_passes", added(total.passes, since.passes))
+         .Add("proposals", added(total.proposals, since.proposals))
+         .Add("orders", added(total.orders, since.orders))
+         .Add("requests", added(total.requests, since.requests))
          .Add("requests_in_progress", mServer.InFlight()));
   mReportedWork = total;
 }
