Ask a worker that leaves for its last ends

Change: OnLeave sends a last renewal without a wait, and is answered after a commit, so that the renewal reaches the process first; the removal waits for all renewals.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -134,13 +134,16 @@
     return false;
   }
   WorkerLink& link = LinkOf(*known, aNow);
+  if (!link.gone && !known->active.empty()) {
+    link.lastRenewalDue = true;
+    ScheduleWorker(aWorker, aNow);
+  }
   link.gone = true;
   if (RemoveIfSettled(*known, link)) {
     return true;
   }
-  if (known->report.draining) {
-    return false;
-  }
+  // The process ends when it has the answer. The commit lets the last renewal
+  // overtake it.
   WorkerReport report = known->report;
   report.draining = true;
   mProposals.ProposeReport(report);
@@ -154,7 +157,7 @@
     aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
       return mProposals.HasProposedEnd(it);
     });
-  if (aLink.renewalInFlight || endProposed) {
+  if (aLink.renewalsInFlight > 0 || aLink.lastRenewalDue || endProposed) {
     return false;
   }
   mProposals.ProposeRemoval(aWorker);
@@ -407,6 +410,9 @@
     return !aWorker.active.contains(aEntry.first);
   });
   if (aLink.gone) {
+    if (std::exchange(aLink.lastRenewalDue, false)) {
+      SendRenewal(aWorker, aLink, Millis(0), std::nullopt, aNow);
+    }
     RemoveIfSettled(aWorker, aLink);
     return;
   }
@@ -482,7 +488,7 @@
   bool pendingEnds = aLink.endsCommitted > aLink.endsAcknowledged;
   bool wanted = !aLink.tokenAcknowledged || !aLink.reachable || pendingEnds ||
                 !aWorker.active.empty() || !aLink.unconfirmedStarts.empty();
-  if (!wanted || aLink.renewalInFlight) {
+  if (!wanted || aLink.renewalsInFlight > 0) {
     return;
   }
   if (aNow < aLink.nextRenewalAt) {
@@ -494,8 +500,6 @@
   if (aLink.endsProposed > aLink.endsCommitted) {
     return;
   }
-  Order renew = MakeOrder(Order::Kind::kRenew, aWorker, aNow);
-  renew.acknowledgedEnds = aLink.endsCommitted;
   bool stopsRequested =
     std::any_of(aLink.runs.begin(), aLink.runs.end(), [](const auto& aEntry) {
       return aEntry.second.stopRequested;
@@ -506,21 +510,36 @@
     });
   bool mayWait = aLink.tokenAcknowledged && aLink.reachable &&
                  !aWorker.active.empty() && !stopsRequested;
+  Millis wait;
   if (mayWait) {
-    renew.wait =
-      urgent ? mOptions.maxUrgentRenewalWait : mOptions.maxRenewalWait;
+    wait = urgent ? mOptions.maxUrgentRenewalWait : mOptions.maxRenewalWait;
     for (const auto& [run, view] : aLink.runs) {
-      renew.wait = std::min(
-        renew.wait, std::max(mMonitor.MaxReportDelay(view), kMinRenewalWait));
+      wait = std::min(wait,
+                      std::max(mMonitor.MaxReportDelay(view), kMinRenewalWait));
     }
   }
   // A lease may be in force from the moment it is sent. A worker that does not
   // answer is sent none, because its runs could then never be treated as ended.
+  std::optional<Millis> leaseUntil;
   if (aLink.ClockLowerBound(aNow) && aLink.unconfirmedStarts.empty() &&
       aLink.reachable) {
-    renew.leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
+    leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
   }
-  aLink.renewalInFlight = true;
+  SendRenewal(aWorker, aLink, wait, leaseUntil, aNow);
+}
+
+void
+Dispatcher::SendRenewal(const Worker& aWorker,
+                        WorkerLink& aLink,
+                        Millis aWait,
+                        std::optional<Millis> aLeaseUntil,
+                        Millis aNow)
+{
+  Order renew = MakeOrder(Order::Kind::kRenew, aWorker, aNow);
+  renew.acknowledgedEnds = aLink.endsCommitted;
+  renew.wait = aWait;
+  renew.leaseUntil = aLeaseUntil.value_or(Millis(0));
+  ++aLink.renewalsInFlight;
   ++mCounters.renewals;
   mOrders.push_back(std::move(renew));
 }
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -183,6 +183,12 @@
 
   void TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  // Sends a renewal that the worker may hold back for `aWait`.
+  void SendRenewal(const Worker& aWorker,
+                   WorkerLink& aLink,
+                   Millis aWait,
+                   std::optional<Millis> aLeaseUntil,
+                   Millis aNow);
   void StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   // Proposes the removal of a worker that is gone unless ends of its runs may
   // still be reported or committed. Returns true if the removal is proposed.
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -42,6 +42,7 @@
   fleet.HoldCommits(true);
   fleet.AnswerRenewal("w1", DoneResult(fleet, start.run));
   fleet.Leave("w1");
+  fleet.AnswerRenewal("w1", DoneResult(fleet, start.run));
   fleet.HoldCommits(false);
   fleet.Advance(Millis(20));
   EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
@@ -62,6 +63,30 @@
   fleet.Advance(Millis(50));
   EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
   fleet.AnswerRenewal(start.worker.Value(), DoneResult(fleet, start.run));
+  fleet.AnswerRenewal(start.worker.Value(), DoneResult(fleet, start.run));
+  fleet.Advance(Millis(50));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+  EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+}
+
+// Guards against losing an end that no renewal has listed when the worker
+// leaves: it is asked once more before it is given up.
+TEST(DispatcherRemoval, WorkerThatLeavesIsAskedForItsLastEnds)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  // The next renewal is not due yet.
+  fleet.AnswerRenewal(start.worker.Value(), fleet.EmptyRenewalResult());
+  fleet.TakeOrders(Order::Kind::kRenew);
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  Order last = fleet.ExpectOrder(Order::Kind::kRenew);
+  EXPECT_EQ(last.worker, start.worker);
+  EXPECT_EQ(last.wait, Millis(0));
+  fleet.Deliver(last, DoneResult(fleet, start.run));
   fleet.Advance(Millis(50));
   EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
   EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -35,7 +35,7 @@
   bool wasUsable = mPool.IsUsable(aOrder.worker, aNow);
   ScheduleWorker(aOrder.worker, aNow);
   if (aOrder.kind == Order::Kind::kRenew) {
-    link.renewalInFlight = false;
+    --link.renewalsInFlight;
   } else {
     link.orderQueue.Done();
   }
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -86,10 +86,14 @@
   // proposed once nothing is outstanding that may report the end of a run, so
   // that no end is proposed beside or after the removal.
   bool gone = false;
+  // A last renewal must be sent to a worker that leaves, because ends that no
+  // renewal has listed yet are lost with its process.
+  bool lastRenewalDue = false;
 
   // Starts and stops. Renewals are sent independently of this queue.
   OrderQueue orderQueue{};
-  bool renewalInFlight = false;
+  // At most one, and beside it the last one of a worker that leaves.
+  int renewalsInFlight = 0;
   Millis nextRenewalAt{};
   // Numbers of the last end in the replicated state, and of the last end
   // proposed to it.
