Divide the file descriptors, and retry a failed accept after a pause

Measured: Server.ConnectionsAboveTheLimitAreClosed, FileBudget and FleetState.SnapshotWithMissingTasksIsRefused pass.

--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -2,6 +2,8 @@
 
 #include "fleet/state.h"
 
+#include <algorithm>
+
 namespace limpetwood::fleet {
 
 namespace {
@@ -63,6 +65,28 @@
   return out;
 }
 
+// Whether the occurrences of all jobs have the steps and tasks that the jobs
+// specify, so that every index is valid.
+bool
+HasValidShape(const gen::StateSnapshot& aSnapshot)
+{
+  for (const gen::JobSnapshot& job : aSnapshot.jobs) {
+    const auto& steps = job.job.spec.steps;
+    for (const gen::OccurrenceSnapshot& occurrence : job.occurrences) {
+      if (occurrence.steps.size() != steps.size()) {
+        return false;
+      }
+      for (size_t n = 0; n < steps.size(); ++n) {
+        auto tasks = static_cast<size_t>(std::max(steps[n].tasks, 0));
+        if (occurrence.steps[n].tasks.size() != tasks) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 gen::StateSnapshot
@@ -149,7 +173,7 @@
 FleetState::Restore(std::string_view aSnapshot)
 {
   auto decoded = Decode<gen::StateSnapshot>(aSnapshot);
-  if (!decoded) {
+  if (!decoded || !HasValidShape(decoded.Value())) {
     return false;
   }
   FleetState read;
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -321,5 +321,23 @@
   EXPECT_FALSE(restored.Restore("not a snapshot"));
 }
 
+// Guards against a process that ends when it restores a snapshot whose lists do
+// not match: the snapshot is refused and the state stays as it was.
+TEST(FleetState, SnapshotWithMissingTasksIsRefused)
+{
+  gen::StateSnapshot snapshot;
+  gen::JobSnapshot& job = snapshot.jobs.emplace_back();
+  job.job.id = "00000000000000a1";
+  job.job.spec.steps.emplace_back().tasks = 2;
+  gen::OccurrenceSnapshot& occurrence = job.occurrences.emplace_back();
+  FleetState state;
+  EXPECT_FALSE(state.Restore(Encode(snapshot)));
+  occurrence.steps.emplace_back().tasks.resize(3);
+  EXPECT_FALSE(state.Restore(Encode(snapshot)));
+  occurrence.steps.back().tasks.resize(2);
+  EXPECT_TRUE(state.Restore(Encode(snapshot)));
+  EXPECT_EQ(state.Jobs().size(), 1U);
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -1,6 +1,7 @@
 #include "fleetd/control_process.h"
 
 #include "base/error.h"
+#include "fleetd/file_budget.h"
 
 #include <boost/asio/post.hpp>
 
@@ -96,9 +97,11 @@
 }
 
 http::ServerLimits
-RequestServerLimits()
+RequestServerLimits(const Settings& aSettings)
 {
   http::ServerLimits limits;
+  limits.maxConnections =
+    DivideFiles(aSettings.bounds.openFiles).requestConnections;
   limits.maxBodyBytes = kMaxRequestBytes;
   return limits;
 }
@@ -133,7 +136,7 @@
         }
       })
   , mServer(aContext,
-            RequestServerLimits(),
+            RequestServerLimits(aSettings),
             [this](http::Request aRequest, http::Responder aRespond) {
               OnHttpRequest(aRequest, aRespond);
             })
--- a/packages/fleetd/settings.cc
+++ b/packages/fleetd/settings.cc
@@ -54,9 +54,10 @@
   void ReadInteger(const std::string& aKey,
                    int64_t aMin,
                    int64_t aMax,
-                   int64_t& aOut)
+                   int64_t& aOut,
+                   bool aRequired = true)
   {
-    const json* value = Find(aKey, true);
+    const json* value = Find(aKey, aRequired);
     if (value == nullptr) {
       return;
     }
@@ -144,6 +145,9 @@
   int64_t tolerated = aOut.toleratedInstances;
   reader.ReadInteger("toleratedInstances", 0, 16, tolerated);
   aOut.toleratedInstances = static_cast<uint32_t>(tolerated);
+  int64_t openFiles = aOut.openFiles;
+  reader.ReadInteger("openFiles", 512, 1'000'000, openFiles, false);
+  aOut.openFiles = static_cast<uint32_t>(openFiles);
   reader.AddUnknownKeyFaults();
 }
 
--- a/packages/fleetd/settings.h
+++ b/packages/fleetd/settings.h
@@ -29,6 +29,8 @@
   Millis heartbeatInterval = Millis(1500);
   // Time that a process has for its shutdown before it is killed.
   Millis shutdownTimeout = Seconds(6);
+  // Number of file descriptors that the process may open.
+  uint32_t openFiles = 4096;
   // Number of instances with a disk that may be unavailable at the same time.
   uint32_t toleratedInstances = 1;
 };
--- a/packages/fleetd/settings_test.cc
+++ b/packages/fleetd/settings_test.cc
@@ -1,6 +1,7 @@
 // Guards against missing, unknown or out-of-range settings that are accepted,
 // and against faults that lack the path of the setting.
 
+#include "fleetd/file_budget.h"
 #include "fleetd/settings.h"
 
 #include <gtest/gtest.h>
@@ -20,7 +21,8 @@
     "dataFolder": "/data", "controlAddress": "10.1.0.7:8081",
     "bounds": { "longestLeaseMs": 10000, "stopTimeMs": 900,
                 "heartbeatMs": 1500, "shutdownMs": 6000,
-                "toleratedInstances": 1 } })");
+                "toleratedInstances": 1,
+                "openFiles": 4096 } })");
 }
 
 bool
@@ -87,5 +89,21 @@
   EXPECT_FALSE(LoadSettings("/does/not/exist").Ok());
 }
 
+// Guards against shares that together exceed the descriptors of the process,
+// and against a deployment whose workers or entry instances do not fit.
+TEST(FileBudget, SharesFitTheDeploymentAndTheLimit)
+{
+  FileBudget budget = DivideFiles(4096);
+  EXPECT_LE(budget.requestConnections + budget.controlConnections +
+              budget.workerConnections + kReservedFiles,
+            4096U);
+  // 540 workers with two connections each, and their heartbeats.
+  EXPECT_GE(budget.workerConnections, 540U * 2);
+  EXPECT_GE(budget.controlConnections, 540U * 2);
+  // 97 entry instances with 10 requests in flight each.
+  EXPECT_GE(budget.requestConnections, 97U * 10);
+  EXPECT_EQ(DivideFiles(100).requestConnections, 0U);
+}
+
 } // namespace
 } // namespace limpetwood::fleetd
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -22,12 +22,15 @@
     : context(aContext)
     , acceptor(aContext)
     , drainTimer(aContext)
+    , acceptTimer(aContext)
     , limits(aLimits)
     , handler(std::move(aHandler))
   {
   }
 
   void Accept();
+  // Accepts again after a delay.
+  void AcceptLater();
   // Accepts the connections that the kernel has established already; closing
   // the acceptor would reset them.
   void AcceptArrived();
@@ -38,6 +41,7 @@
   boost::asio::io_context& context;
   boost::asio::ip::tcp::acceptor acceptor;
   DeadlineTimer drainTimer;
+  DeadlineTimer acceptTimer;
   ServerLimits limits;
   StreamHandler handler;
   ServerCounters counters;
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -162,6 +162,27 @@
 
 // Guards against reporting a refused connection as a request that may have run,
 // which a caller could not retry safely.
+// Guards against one group of callers that takes the descriptors of others:
+// connections above the limit are closed at once and counted.
+TEST(Server, ConnectionsAboveTheLimitAreClosed)
+{
+  boost::asio::io_context context;
+  ServerLimits limits;
+  limits.maxConnections = 2;
+  Server server(context, limits, [](Request, Responder aRespond) {
+    aRespond({ .status = 204, .headers = {}, .body = {} });
+  });
+  Endpoint endpoint = server.Listen({ "127.0.0.1", 0 }).Value();
+  std::vector<tcp::socket> sockets;
+  for (int n = 0; n < 5; ++n) {
+    sockets.emplace_back(context).connect(
+      { boost::asio::ip::make_address("127.0.0.1"), endpoint.port });
+  }
+  context.run_for(std::chrono::milliseconds(50));
+  EXPECT_EQ(server.Counters().accepted, 2U);
+  EXPECT_EQ(server.Counters().refusedConnections, 3U);
+}
+
 // Guards against a process that ends because the handler of one request failed.
 TEST(Server, ExceptionOfAHandlerEndsOneRequest)
 {
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -15,6 +15,8 @@
 using tcp = asio::ip::tcp;
 using ErrorCode = boost::beast::error_code;
 
+constexpr Millis kAcceptRetryDelay(50);
+
 } // namespace
 
 Exchange::Exchange(std::shared_ptr<Session> aSession, RequestHead aHead)
@@ -95,6 +97,12 @@
       }
       if (!ec) {
         self->OnAccepted(std::move(it));
+      } else {
+        // Out of file descriptors, usually; trying again at once would keep the
+        // loop busy.
+        ++self->counters.acceptFailed;
+        self->AcceptLater();
+        return;
       }
       if (self->acceptor.is_open()) {
         self->Accept();
@@ -102,6 +110,19 @@
     });
 }
 
+void
+StreamServerImpl::AcceptLater()
+{
+  std::weak_ptr<StreamServerImpl> weak = weak_from_this();
+  acceptTimer.SetCallback([weak] {
+    auto self = weak.lock();
+    if (self && self->acceptor.is_open()) {
+      self->Accept();
+    }
+  });
+  acceptTimer.Set(kAcceptRetryDelay);
+}
+
 void
 StreamServerImpl::AcceptArrived()
 {
--- a/packages/http/stream_server.h
+++ b/packages/http/stream_server.h
@@ -51,6 +51,9 @@
   uint64_t accepted = 0;
   // Connections closed at once because `maxConnections` was reached.
   uint64_t refusedConnections = 0;
+  // Failed attempts to accept a connection, as when the process has no file
+  // descriptor left.
+  uint64_t acceptFailed = 0;
   // Requests with invalid syntax.
   uint64_t malformed = 0;
   // Requests above a header or body limit.
