--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -55,7 +55,7 @@
       continue;
     }
     if (auto opening = FindOpening(aRequest, it, aView)) {
-      groups[oneRack ? it.rack : 0].push_back(std::move(*opening));
+      groups[oneRack ? it.rack : 0].push_back(*opening);
     }
   }
   std::optional<ReservationChoice> best;
