--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -24,6 +24,19 @@
   return out;
 }
 
+// Adds the workers and starts a job with one task. Returns the answered start.
+Order
+StartOneRun(FleetFixture& aFleet, const std::vector<std::string>& aWorkers)
+{
+  for (const std::string& it : aWorkers) {
+    aFleet.AddWorker(it);
+  }
+  aFleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = aFleet.ExpectOrder(Order::Kind::kStart);
+  aFleet.Answer(start, OrderResult::Outcome::kAnswered);
+  return start;
+}
+
 JobStatus
 StatusOf(const FleetFixture& aFleet)
 {
@@ -35,10 +48,7 @@
 TEST(DispatcherRemoval, EndReportedBeforeItsWorkerLeavesCounts)
 {
   FleetFixture fleet;
-  fleet.AddWorker("w1");
-  fleet.Submit(kJob, FleetFixture::GangOf(1));
-  Order start = fleet.ExpectOrder(Order::Kind::kStart);
-  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order start = StartOneRun(fleet, { "w1" });
   fleet.HoldCommits(true);
   fleet.AnswerRenewal("w1", DoneResult(fleet, start.run));
   fleet.Leave("w1");
@@ -54,11 +64,7 @@
 TEST(DispatcherRemoval, EndReportedAfterItsWorkerLeftCounts)
 {
   FleetFixture fleet;
-  fleet.AddWorker("w1");
-  fleet.AddWorker("w2");
-  fleet.Submit(kJob, FleetFixture::GangOf(1));
-  Order start = fleet.ExpectOrder(Order::Kind::kStart);
-  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order start = StartOneRun(fleet, { "w1", "w2" });
   fleet.Leave(start.worker.Value());
   fleet.Advance(Millis(50));
   EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
@@ -74,11 +80,7 @@
 TEST(DispatcherRemoval, WorkerThatLeavesIsAskedForItsLastEnds)
 {
   FleetFixture fleet;
-  fleet.AddWorker("w1");
-  fleet.AddWorker("w2");
-  fleet.Submit(kJob, FleetFixture::GangOf(1));
-  Order start = fleet.ExpectOrder(Order::Kind::kStart);
-  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order start = StartOneRun(fleet, { "w1", "w2" });
   // The next renewal is not due yet.
   fleet.AnswerRenewal(start.worker.Value(), fleet.EmptyRenewalResult());
   fleet.TakeOrders(Order::Kind::kRenew);
@@ -97,11 +99,7 @@
 TEST(DispatcherRemoval, UnansweredRenewalDoesNotKeepAWorkerThatLeft)
 {
   FleetFixture fleet;
-  fleet.AddWorker("w1");
-  fleet.AddWorker("w2");
-  fleet.Submit(kJob, FleetFixture::GangOf(1));
-  Order start = fleet.ExpectOrder(Order::Kind::kStart);
-  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order start = StartOneRun(fleet, { "w1", "w2" });
   EXPECT_TRUE(fleet.Leave(start.worker.Value()));
   for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
     if (it.worker == start.worker) {
@@ -138,10 +136,7 @@
 TEST(DispatcherRemoval, EndReportedByAnEarlierIncarnationCounts)
 {
   FleetFixture fleet;
-  fleet.AddWorker("w1");
-  fleet.Submit(kJob, FleetFixture::GangOf(1));
-  Order start = fleet.ExpectOrder(Order::Kind::kStart);
-  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order start = StartOneRun(fleet, { "w1" });
   Order renewal = fleet.ExpectOrder(Order::Kind::kRenew);
   fleet.Restart("w1", Incarnation(2));
   fleet.Deliver(renewal, DoneResult(fleet, start.run));
@@ -172,10 +167,7 @@
 TEST(DispatcherRemoval, IncompleteListOfEndsProvesNoLoss)
 {
   FleetFixture fleet;
-  fleet.AddWorker("w1");
-  fleet.Submit(kJob, FleetFixture::GangOf(1));
-  Order start = fleet.ExpectOrder(Order::Kind::kStart);
-  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order start = StartOneRun(fleet, { "w1" });
   fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
   fleet.Advance(Millis(200));
   OrderResult cut = fleet.EmptyRenewalResult();
--- /dev/null
+++ b/packages/fleet/node_requests.cc
@@ -0,0 +1,317 @@
+// Answers the requests of callers, workers and operators from the committed
+// state, and collects the changes that they ask for in the current batch.
+
+#include "fleet/admission.h"
+#include "fleet/job_limits.h"
+#include "fleet/node.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace limpetwood::fleet {
+
+namespace {
+
+constexpr size_t kJobIdLength = 16;
+
+bool
+IsJobId(std::string_view aText)
+{
+  return aText.size() == kJobIdLength &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char it) {
+           return std::isxdigit(it) != 0;
+         });
+}
+
+} // namespace
+
+gen::Reply
+Node::MakeReply(RequestOutcome aOutcome) const
+{
+  gen::Reply reply;
+  reply.outcome = static_cast<int32_t>(aOutcome);
+  return reply;
+}
+
+void
+Node::Answer(const ReplyCallback& aDone, gen::Reply aReply)
+{
+  ++mCounters.outcomes[static_cast<size_t>(aReply.outcome)];
+  aDone(std::move(aReply));
+}
+
+void
+Node::Answer(const ReplyCallback& aDone, RequestOutcome aOutcome)
+{
+  Answer(aDone, MakeReply(aOutcome));
+}
+
+void
+Node::AnswerAfterCommit(ReplyCallback aDone)
+{
+  mBatch.completions.emplace_back(
+    [this, done = std::move(aDone)](Verdict aVerdict) {
+      RequestOutcome outcome = RequestOutcome::kMayHaveRun;
+      if (aVerdict == Verdict::kAnswered) {
+        outcome = RequestOutcome::kOk;
+      } else if (aVerdict == Verdict::kNotRun) {
+        outcome = RequestOutcome::kNotLeader;
+      }
+      Answer(done, outcome);
+    });
+}
+
+void
+Node::Handle(const gen::Request& aRequest, Millis aNow, ReplyCallback aDone)
+{
+  mNow = aNow;
+  auto kind = static_cast<RequestKind>(aRequest.kind);
+  bool leading = mLeading && mGroup->IsLeader(aNow);
+  // Pings, and all requests to a replica that does not lead, are answered with
+  // the leader, the voters, the version and the limits.
+  if (!leading || kind == RequestKind::kPing) {
+    gen::Reply reply =
+      MakeReply(leading ? RequestOutcome::kOk : RequestOutcome::kNotLeader);
+    if (auto leader = mGroup->Leader()) {
+      reply.leader = leader->Value();
+    }
+    for (const auto& it : mGroup->Status().membership.voters) {
+      reply.members.push_back(it.instance.Value());
+    }
+    reply.version = static_cast<int64_t>(mState.Version().Value());
+    if (mState.Config()) {
+      reply.__set_limits(ToWire(mState.Config()->limits));
+    }
+    Answer(aDone, std::move(reply));
+    return;
+  }
+  switch (kind) {
+    case RequestKind::kPing:
+      break;
+    case RequestKind::kSubmit:
+      OnSubmit(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kRead:
+      OnRead(aRequest, aDone);
+      break;
+    case RequestKind::kCancel:
+      OnCancel(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kReport:
+    case RequestKind::kLeave:
+      OnReport(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kPutConfiguration:
+      OnPutConfiguration(aRequest, std::move(aDone));
+      break;
+    case RequestKind::kGetConfiguration:
+      OnGetConfiguration(aDone);
+      break;
+    default:
+      Answer(aDone, RequestOutcome::kInvalid);
+      break;
+  }
+}
+
+Node::Target
+Node::FindTarget(const gen::Request& aRequest) const
+{
+  Target out;
+  if (!mState.Config()) {
+    out.outcome = RequestOutcome::kUnavailable;
+    return out;
+  }
+  out.queue = mState.FindQueue(aRequest.host, aRequest.path);
+  if (out.queue == nullptr) {
+    out.outcome = RequestOutcome::kUnknownQueue;
+    return out;
+  }
+  out.workspace = mState.FindWorkspaceByKey(aRequest.key);
+  if (!out.queue->isPublic && out.workspace == nullptr) {
+    out.outcome = RequestOutcome::kUnauthorized;
+    return out;
+  }
+  out.job =
+    JobId(std::string_view(aRequest.path).substr(out.queue->prefix.size()));
+  // A path that continues with anything but a job id belongs to no queue.
+  if (!out.job.empty() && !IsJobId(out.job.Value())) {
+    out.outcome = RequestOutcome::kUnknownQueue;
+  }
+  return out;
+}
+
+void
+Node::OnSubmit(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  Target target = FindTarget(aRequest);
+  if (target.outcome != RequestOutcome::kOk) {
+    Answer(aDone, target.outcome);
+    return;
+  }
+  bool valid = !target.job.empty() && aRequest.__isset.job &&
+               IsWithinLimits(FromWire(aRequest.job));
+  if (!valid) {
+    Answer(aDone, RequestOutcome::kInvalid);
+    return;
+  }
+  // The submission was repeated, such as after a lost answer.
+  if (mState.FindJob(target.job) != nullptr) {
+    Answer(aDone, RequestOutcome::kOk);
+    return;
+  }
+  gen::SubmitJob job;
+  job.id = target.job.Value();
+  job.queue = target.queue->name.Value();
+  if (target.workspace != nullptr) {
+    job.workspace = target.workspace->name.Value();
+  }
+  job.serviceId = target.queue->service.Value();
+  job.spec = aRequest.job;
+  job.acceptedAtMs = mWallNow.Count();
+  job.priority = target.queue->priority;
+  job.maxAttempts = static_cast<int32_t>(target.queue->maxAttempts);
+  job.stretch = target.queue->stretch;
+  job.targetLatencyMs = target.queue->targetLatency.Count();
+  // A repeated submission of a job whose first copy is not committed yet must
+  // not be refused.
+  AdmissionVerdict verdict;
+  if (!mSubmitting.contains(job.id)) {
+    verdict =
+      Admit(FleetState::JobFromSubmission(job),
+            { .state = &mState,
+              .forecast = &mDispatcher->GetForecast(),
+              .usableAccelerators = mDispatcher->UsableAccelerators(mNow) });
+  }
+  if (!verdict.accepted) {
+    gen::Reply reply = MakeReply(RequestOutcome::kRejected);
+    reply.retryAfterMs = verdict.retryAfter.Count();
+    mEnvironment.Log(
+      LogEvent("job_refused")
+        .Add("job", job.id)
+        .Add("queue", job.queue)
+        .Add("reason", "late_beyond_worth")
+        .Add("expected_ms", verdict.expectedLatency)
+        .Add("worthless_after_ms", verdict.maxUsefulLatency)
+        .Add("usable_accelerators", mDispatcher->UsableAccelerators(mNow))
+        .Add("retry_after_ms", reply.retryAfterMs)
+        .Add("configuration", mState.Version()));
+    Answer(aDone, std::move(reply));
+    return;
+  }
+  mSubmitting.insert(job.id);
+  AnswerAfterCommit(
+    [this, id = job.id, done = std::move(aDone)](gen::Reply aReply) {
+      mSubmitting.erase(id);
+      done(std::move(aReply));
+    });
+  mBatch.command.jobs.push_back(std::move(job));
+}
+
+void
+Node::OnRead(const gen::Request& aRequest, const ReplyCallback& aDone)
+{
+  Target target = FindTarget(aRequest);
+  if (target.outcome != RequestOutcome::kOk) {
+    Answer(aDone, target.outcome);
+    return;
+  }
+  gen::Reply reply = MakeReply(RequestOutcome::kOk);
+  if (target.job.empty()) {
+    for (const JobId& it : mState.LiveJobs()) {
+      const Job& job = *mState.FindJob(it);
+      reply.count +=
+        job.queue == target.queue->name && job.status == JobStatus::kQueued ? 1
+                                                                            : 0;
+    }
+    // No job status, because the answer is about a queue.
+    reply.jobStatus = -1;
+    Answer(aDone, std::move(reply));
+    return;
+  }
+  const Job* job = mState.FindJob(target.job);
+  if (job == nullptr) {
+    Answer(aDone, RequestOutcome::kNoSuchJob);
+    return;
+  }
+  reply.jobStatus = static_cast<int32_t>(job->status);
+  Answer(aDone, std::move(reply));
+}
+
+void
+Node::OnCancel(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  Target target = FindTarget(aRequest);
+  if (target.outcome != RequestOutcome::kOk) {
+    Answer(aDone, target.outcome);
+    return;
+  }
+  const Job* job = mState.FindJob(target.job);
+  if (job == nullptr) {
+    Answer(aDone, RequestOutcome::kNoSuchJob);
+    return;
+  }
+  if (job->Ended()) {
+    Answer(aDone, RequestOutcome::kOk);
+    return;
+  }
+  mBatch.command.cancelled.push_back(target.job.Value());
+  AnswerAfterCommit(std::move(aDone));
+}
+
+void
+Node::OnReport(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  if (!aRequest.__isset.worker) {
+    Answer(aDone, RequestOutcome::kInvalid);
+    return;
+  }
+  WorkerReport report = FromWire(aRequest.worker);
+  bool leave = static_cast<RequestKind>(aRequest.kind) == RequestKind::kLeave;
+  bool changes = leave
+                   ? mDispatcher->OnLeave(report.id, report.incarnation, mNow)
+                   : mDispatcher->OnReport(report, mNow);
+  if (changes) {
+    AnswerAfterCommit(std::move(aDone));
+  } else {
+    Answer(aDone, RequestOutcome::kOk);
+  }
+}
+
+void
+Node::OnPutConfiguration(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  if (!aRequest.__isset.configuration) {
+    Answer(aDone, RequestOutcome::kInvalid);
+    return;
+  }
+  auto version = static_cast<uint64_t>(aRequest.configuration.version);
+  // A repeated or outdated configuration is acknowledged and changes nothing.
+  if (version <= mState.Version().Value()) {
+    Answer(aDone, RequestOutcome::kOk);
+    return;
+  }
+  // A batch carries one configuration; the highest version wins regardless of
+  // the order.
+  bool newest =
+    !mBatch.command.__isset.configuration ||
+    mBatch.command.configuration.version < aRequest.configuration.version;
+  if (newest) {
+    mBatch.command.__set_configuration(aRequest.configuration);
+  }
+  AnswerAfterCommit(std::move(aDone));
+}
+
+void
+Node::OnGetConfiguration(const ReplyCallback& aDone)
+{
+  if (!mState.Config()) {
+    Answer(aDone, RequestOutcome::kUnavailable);
+    return;
+  }
+  gen::Reply reply = MakeReply(RequestOutcome::kOk);
+  reply.text = mState.Config()->text;
+  reply.version = static_cast<int64_t>(mState.Version().Value());
+  Answer(aDone, std::move(reply));
+}
+
+} // namespace limpetwood::fleet
