Trial: admission counts the scarcest resource of a task

Cause: the backlog was counted in accelerators; a net-mesh task of the large site needs 140 of 256 GB, so workers fill up with idle accelerators and the expected wait is too short. Change: a task counts the share of its scarcest resource.

--- a/packages/fleet/admission.cc
+++ b/packages/fleet/admission.cc
@@ -18,12 +18,29 @@
 // at the same time.
 constexpr int64_t kMaxJitterPercent = 25;
 
-// Accelerator time that one step of an occurrence still needs.
+// Share of the usable capacity that one task occupies, by its scarcest
+// resource, as a number of accelerators.
+double
+OccupiedAccelerators(const StepSpec& aStep, const Resources& aUsable)
+{
+  Resources task = aStep.CountedResources();
+  auto inAccelerators = [&](int64_t aTask, int64_t aAll) {
+    return aAll > 0 ? static_cast<double>(aTask) *
+                        static_cast<double>(aUsable.accelerators) /
+                        static_cast<double>(aAll)
+                    : 0;
+  };
+  return std::max({ static_cast<double>(task.accelerators),
+                    inAccelerators(task.cpu, aUsable.cpu),
+                    inAccelerators(task.memoryMb, aUsable.memoryMb) });
+}
+
+// Accelerator time that one step of an occurrence still occupies.
 Millis
 RemainingAcceleratorTime(const Job& aJob,
                          uint32_t aOccurrence,
                          uint32_t aStep,
-                         const Forecast& aForecast)
+                         const AdmissionInput& aInput)
 {
   const StepSpec& spec = aJob.spec.steps[aStep];
   if (spec.longRunning || aJob.StepDone(aOccurrence, aStep)) {
@@ -36,9 +53,12 @@
     active = step.active;
     waiting = static_cast<int64_t>(spec.tasks) - step.done - active;
   }
-  Millis time = aForecast.ExpectedTime(aJob.queue, spec.estimate);
+  Millis time = aInput.forecast->ExpectedTime(aJob.queue, spec.estimate);
   // Active tasks are half complete on average.
-  return time * spec.resources.accelerators * (waiting * 2 + active) / 2;
+  double tasks = static_cast<double>(waiting * 2 + active) / 2;
+  return Millis(
+    static_cast<int64_t>(static_cast<double>(time.Count()) * tasks *
+                         OccupiedAccelerators(spec, aInput.usable)));
 }
 
 } // namespace
@@ -54,7 +74,7 @@
       continue;
     }
     for (uint32_t n = 0; n < job.spec.steps.size(); ++n) {
-      out += RemainingAcceleratorTime(job, 0, n, *aInput.forecast);
+      out += RemainingAcceleratorTime(job, 0, n, aInput);
     }
   }
   return out;
@@ -64,11 +84,11 @@
 Admit(const Job& aJob, const AdmissionInput& aInput)
 {
   bool exempt = aJob.priority == 0 || aJob.spec.occurrences > 0 ||
-                aInput.usableAccelerators == 0;
+                aInput.usable.accelerators == 0;
   if (exempt) {
     return {};
   }
-  Millis wait = BacklogOf(aJob.priority, aInput) / aInput.usableAccelerators;
+  Millis wait = BacklogOf(aJob.priority, aInput) / aInput.usable.accelerators;
   Millis criticalPath = CriticalPathTime(aJob, *aInput.forecast);
   auto allowed = static_cast<int64_t>(
     static_cast<double>(criticalPath.Count()) * aJob.stretch);
--- a/packages/fleet/admission.h
+++ b/packages/fleet/admission.h
@@ -18,8 +18,8 @@
 {
   const FleetState* state = nullptr;
   const Forecast* forecast = nullptr;
-  // Number of accelerators of all usable workers.
-  int64_t usableAccelerators = 0;
+  // Capacity of all usable workers together.
+  Resources usable{};
 };
 
 struct AdmissionVerdict
@@ -38,8 +38,10 @@
 Admit(const Job& aJob, const AdmissionInput& aInput);
 
 // Expected run time times accelerators that the unfinished jobs whose priority
-// number is at most `aPriority` still need. Long-running steps and jobs with
-// scheduled occurrences are not counted.
+// number is at most `aPriority` still occupy. A task occupies the share of its
+// scarcest resource: one that needs half of a worker's memory keeps half of its
+// accelerators from tasks of its kind, however few it uses. Long-running steps
+// and jobs with scheduled occurrences are not counted.
 Millis
 BacklogOf(int32_t aPriority, const AdmissionInput& aInput);
 
--- a/packages/fleet/admission_test.cc
+++ b/packages/fleet/admission_test.cc
@@ -52,7 +52,24 @@
   return Admit(JobWith(2, aPriority, 1),
                { .state = &aState,
                  .forecast = &forecast,
-                 .usableAccelerators = aAccelerators });
+                 .usable = { .accelerators = aAccelerators } });
+}
+
+// Guards against counting accelerators alone: tasks that fill the memory of a
+// worker leave its accelerators idle, and the queue moves as slowly as memory
+// becomes free.
+TEST(Admission, BacklogCountsTheScarcestResource)
+{
+  FleetState state = BacklogOfTasks(80, 1);
+  Forecast forecast;
+  Job job = JobWith(2, 1, 1);
+  // 80 tasks of 5 s; by accelerators a wait of 40 s, by memory of 200 s.
+  AdmissionInput input{ .state = &state,
+                        .forecast = &forecast,
+                        .usable = { .memoryMb = 2, .accelerators = 10 } };
+  EXPECT_FALSE(Admit(job, input).accepted);
+  input.usable.memoryMb = 1000;
+  EXPECT_TRUE(Admit(job, input).accepted);
 }
 
 // Guards against refusing jobs that would end in time.
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -139,10 +139,10 @@
   // Number of units that did not fit in the last planning pass.
   size_t BlockedUnits() const { return mBlockedUnits; }
   const Forecast& GetForecast() const { return mForecast; }
-  // Number of accelerators of all usable workers.
-  int64_t UsableAccelerators(Millis aNow) const
+  // Capacity of all usable workers together.
+  Resources UsableResources(Millis aNow) const
   {
-    return mPool.UsableAccelerators(aNow);
+    return mPool.UsableResources(aNow);
   }
   // Whether the worker can take new tasks, regardless of its fault score.
   bool IsUsable(const WorkerId& aWorker, Millis aNow) const
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -176,25 +176,24 @@
   // not be refused.
   AdmissionVerdict verdict;
   if (!mSubmitting.contains(job.id)) {
-    verdict =
-      Admit(FleetState::JobFromSubmission(job),
-            { .state = &mState,
-              .forecast = &mDispatcher->GetForecast(),
-              .usableAccelerators = mDispatcher->UsableAccelerators(mNow) });
+    verdict = Admit(FleetState::JobFromSubmission(job),
+                    { .state = &mState,
+                      .forecast = &mDispatcher->GetForecast(),
+                      .usable = mDispatcher->UsableResources(mNow) });
   }
   if (!verdict.accepted) {
     gen::Reply reply = MakeReply(RequestOutcome::kRejected);
     reply.retryAfterMs = verdict.retryAfter.Count();
-    mEnvironment.Log(
-      LogEvent("job_refused")
-        .Add("job", job.id)
-        .Add("queue", job.queue)
-        .Add("reason", "late_beyond_worth")
-        .Add("expected_ms", verdict.expectedLatency)
-        .Add("worthless_after_ms", verdict.maxUsefulLatency)
-        .Add("usable_accelerators", mDispatcher->UsableAccelerators(mNow))
-        .Add("retry_after_ms", reply.retryAfterMs)
-        .Add("configuration", mState.Version()));
+    mEnvironment.Log(LogEvent("job_refused")
+                       .Add("job", job.id)
+                       .Add("queue", job.queue)
+                       .Add("reason", "late_beyond_worth")
+                       .Add("expected_ms", verdict.expectedLatency)
+                       .Add("worthless_after_ms", verdict.maxUsefulLatency)
+                       .Add("usable_accelerators",
+                            mDispatcher->UsableResources(mNow).accelerators)
+                       .Add("retry_after_ms", reply.retryAfterMs)
+                       .Add("configuration", mState.Version()));
     Answer(aDone, std::move(reply));
     return;
   }
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -30,12 +30,14 @@
          link.ClockLowerBound(aNow).has_value();
 }
 
-int64_t
-WorkerPool::UsableAccelerators(Millis aNow) const
+Resources
+WorkerPool::UsableResources(Millis aNow) const
 {
-  int64_t out = 0;
+  Resources out;
   for (const auto& [id, worker] : mState.Workers()) {
-    out += IsUsable(id, aNow) ? worker.report.capacity.accelerators : 0;
+    if (IsUsable(id, aNow)) {
+      out += worker.report.capacity;
+    }
   }
   return out;
 }
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -40,7 +40,7 @@
   bool IsUsable(const WorkerId& aWorker, Millis aNow) const;
 
   // Number of accelerators of all usable workers.
-  int64_t UsableAccelerators(Millis aNow) const;
+  Resources UsableResources(Millis aNow) const;
 
   // The usable workers with their available resources, without those that are
   // excluded for their fault score or about to be removed.
