Ask a worker that leaves until its process ends

Change: a worker that left and still lists runs is renewed again, for at most 2 s; it is removed when it does not answer or lists none.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -128,7 +128,9 @@
   }
   WorkerLink& link = LinkOf(*known, aNow);
   if (!link.gone && !known->active.empty()) {
-    link.lastRenewalDue = true;
+    link.leftAt = aNow;
+    // Answered at once, so that it overtakes the answer to the worker's leave.
+    link.lastRenewalWait = Millis(0);
     ScheduleWorker(aWorker, aNow);
   }
   link.gone = true;
@@ -150,7 +152,7 @@
     aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
       return mProposals.HasProposedEnd(it);
     });
-  if (aLink.renewalsInFlight > 0 || aLink.lastRenewalDue || endProposed) {
+  if (aLink.renewalsInFlight > 0 || aLink.lastRenewalWait || endProposed) {
     return false;
   }
   mProposals.ProposeRemoval(aWorker);
@@ -393,8 +395,8 @@
     return !aWorker.active.contains(aEntry.first);
   });
   if (aLink.gone) {
-    if (std::exchange(aLink.lastRenewalDue, false)) {
-      SendRenewal(aWorker, aLink, Millis(0), std::nullopt, aNow);
+    if (auto wait = std::exchange(aLink.lastRenewalWait, std::nullopt)) {
+      SendRenewal(aWorker, aLink, *wait, std::nullopt, aNow);
     }
     RemoveIfSettled(aWorker, aLink);
     return;
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -94,6 +94,29 @@
   EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
 }
 
+// Guards against losing an end between the last answer of a worker that leaves
+// and the end of its process: it is asked until it does not answer.
+TEST(DispatcherRemoval, WorkerThatLeavesIsAskedUntilItsProcessEnds)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, { "w1", "w2" });
+  const std::string worker = start.worker.Value();
+  fleet.AnswerRenewal(worker, fleet.EmptyRenewalResult());
+  fleet.TakeOrders(Order::Kind::kRenew);
+  fleet.Leave(worker);
+  OrderResult running = fleet.EmptyRenewalResult();
+  running.running.push_back({ .run = start.run, .percent = 99 });
+  fleet.Deliver(fleet.ExpectOrder(Order::Kind::kRenew), running);
+  fleet.Advance(Millis(5));
+  ASSERT_NE(fleet.State().FindWorker(start.worker), nullptr);
+  Order next = fleet.ExpectOrder(Order::Kind::kRenew);
+  EXPECT_GT(next.wait, Millis(0));
+  fleet.Deliver(next, DoneResult(fleet, start.run));
+  fleet.Advance(Millis(50));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+  EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+}
+
 // Guards against a worker that stays known, and its tasks waiting, because the
 // last renewal to it never gets an answer.
 TEST(DispatcherRemoval, UnansweredRenewalDoesNotKeepAWorkerThatLeft)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -13,6 +13,10 @@
 constexpr Millis kRetryDelay(400);
 // Minimum time between two renewals of one worker.
 constexpr Millis kMinRenewalInterval(100);
+// Maximum time for which a worker that leaves delays the answer to a renewal,
+// and for which it is still renewed.
+constexpr Millis kLeaveRenewalWait(500);
+constexpr Millis kMaxLeaveTime = Seconds(2);
 // Time for which a worker that reported itself unhealthy receives no tasks.
 constexpr Millis kUnhealthyPause = Seconds(2);
 
@@ -45,6 +49,12 @@
   if (link.gone && aOrder.kind != Order::Kind::kRenew) {
     return;
   }
+  bool stillRuns = aResult.outcome == OrderResult::Outcome::kAnswered &&
+                   !aResult.running.empty();
+  if (link.leftAt && stillRuns && link.renewalsInFlight == 0 &&
+      aNow - *link.leftAt < kMaxLeaveTime) {
+    link.lastRenewalWait = kLeaveRenewalWait;
+  }
   bool unanswered = aResult.outcome == OrderResult::Outcome::kNotSent ||
                     aResult.outcome == OrderResult::Outcome::kNoAnswer;
   link.reachable = !unanswered;
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -86,9 +86,12 @@
   // proposed once nothing is outstanding that may report the end of a run, so
   // that no end is proposed beside or after the removal.
   bool gone = false;
-  // A last renewal must be sent to a worker that leaves, because ends that no
-  // renewal has listed yet are lost with its process.
-  bool lastRenewalDue = false;
+  // A worker that leaves is renewed until it does not answer or lists no run,
+  // because ends that no renewal has listed are lost with its process.
+  // `leftAt` is set when it leaves. While such a renewal is due,
+  // `lastRenewalWait` is the time for which the worker may hold it back.
+  std::optional<Millis> leftAt{};
+  std::optional<Millis> lastRenewalWait{};
 
   // Starts and stops. Renewals are sent independently of this queue.
   OrderQueue orderQueue{};
