Do not hold work back behind a step that waits for one rack

A pass skips each unit that needs no less than one that did not fit. A step that prefers one rack and does not fit into any at the moment counted as such a unit, although it fails only because its tasks have to share a rack. Every later task of the service that needs as much stood still with it, whatever room there was, and so did a gang wider than any rack, which may span racks at once.

The planner now remembers whether the unit that failed needed one rack. Such a unit rules out only units that need one rack as well. It also compares the number of tasks, since all of them need the rack.

Before the change, the new tests failed: the single task and the wide gang started with 0 tasks instead of 1 and 3.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -177,11 +177,15 @@
   size_t handledUnits = 0;
   mUnplaceable.clear();
   for (const Unit& it : units) {
-    if (!IsKnownNotToFit(it) && PlaceUnit(it, aView, plan)) {
+    bool knownNotToFit = IsKnownNotToFit(it, aView);
+    if (!knownNotToFit && PlaceUnit(it, aView, plan)) {
       mPendingPreemptions.erase(it.job->id);
       continue;
     }
-    mUnplaceable.push_back({ &it });
+    if (!knownNotToFit) {
+      mUnplaceable.push_back(
+        { .unit = &it, .needsOneRack = NeedsOneRack(it, aView) });
+    }
     ++plan.blockedUnits;
     auto pending = mPendingPreemptions.find(it.job->id);
     if (pending == mPendingPreemptions.end() &&
@@ -211,9 +215,26 @@
 }
 
 bool
-Planner::IsKnownNotToFit(const Unit& aUnit) const
+Planner::IsKnownNotToFit(const Unit& aUnit, const FleetView& aView) const
 {
   const StepSpec& step = aUnit.Spec();
+  // Evaluated only if a comparable unit failed, since it visits all candidates.
+  std::optional<bool> needsOneRack;
+  auto rackCovered = [&](const UnplaceableUnit& aFailed) {
+    if (!aFailed.needsOneRack) {
+      return true;
+    }
+    // With equal requirements, only the waiting times can make a difference.
+    const StepSpec& failed = aFailed.unit->Spec();
+    bool equal = step.prefersOneRack &&
+                 aUnit.tasks.size() == aFailed.unit->tasks.size() &&
+                 step.CountedResources() == failed.CountedResources() &&
+                 step.label == failed.label && !WaitedForRack(aUnit, aView);
+    if (!equal && !needsOneRack) {
+      needsOneRack = NeedsOneRack(aUnit, aView);
+    }
+    return equal || *needsOneRack;
+  };
   return std::any_of(
     mUnplaceable.begin(),
     mUnplaceable.end(),
@@ -221,16 +242,16 @@
       const StepSpec& failed = aFailed.unit->Spec();
       bool resourcesCovered =
         failed.CountedResources().FitsIn(step.CountedResources());
-      // Single tasks start one by one; a gang needs resources for all of its
-      // tasks.
-      bool sizeCovered =
-        !failed.gang ||
-        (step.gang && step.prefersOneRack == failed.prefersOneRack &&
-         aUnit.tasks.size() >= aFailed.unit->tasks.size());
+      // Single tasks start one by one; a gang, and tasks that need one rack,
+      // need resources for all of them.
+      bool sizeCovered = (!failed.gang && !aFailed.needsOneRack) ||
+                         ((step.gang || aFailed.needsOneRack) &&
+                          aUnit.tasks.size() >= aFailed.unit->tasks.size());
       bool labelCovered = failed.label.empty() || failed.label == step.label;
       bool unlimited = failed.perWorkerLimit == 0;
       return aFailed.unit->job->service == aUnit.job->service &&
-             resourcesCovered && sizeCovered && labelCovered && unlimited;
+             resourcesCovered && sizeCovered && labelCovered && unlimited &&
+             rackCovered(aFailed);
     });
 }
 
@@ -373,10 +394,23 @@
   bool neverFits = std::all_of(tasksByRack.begin(),
                                tasksByRack.end(),
                                [&](uint32_t it) { return it < tasks; });
+  return neverFits || (WaitedForRack(aUnit, aView) &&
+                       idleAccelerators * 2 > totalAccelerators);
+}
+
+bool
+Planner::NeedsOneRack(const Unit& aUnit, const FleetView& aView) const
+{
+  return aUnit.Spec().prefersOneRack && aUnit.tasks.size() > 1 &&
+         !MaySpanRacks(aUnit, aView);
+}
+
+bool
+Planner::WaitedForRack(const Unit& aUnit, const FleetView& aView) const
+{
   auto since = mWaitingSince.find(KeyOf(aUnit));
-  bool waited = since != mWaitingSince.end() &&
-                aView.now - since->second >= mOptions.maxRackWait;
-  return neverFits || (waited && idleAccelerators * 2 > totalAccelerators);
+  return since != mWaitingSince.end() &&
+         aView.now - since->second >= mOptions.maxRackWait;
 }
 
 bool
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -192,7 +192,7 @@
   // Whether a unit with no greater requirements already failed to fit in this
   // pass. Free resources only shrink during a pass, so this unit cannot fit
   // either.
-  bool IsKnownNotToFit(const Unit& aUnit) const;
+  bool IsKnownNotToFit(const Unit& aUnit, const FleetView& aView) const;
   void PreemptFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   // Whether all urgent jobs of the unit's workspace together are within its
   // guarantee.
@@ -227,6 +227,10 @@
 
   // Whether a unit that prefers one rack may be placed on several.
   bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit is placed in one rack or not at all.
+  bool NeedsOneRack(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit has waited for `maxRackWait`.
+  bool WaitedForRack(const Unit& aUnit, const FleetView& aView) const;
 
   PlannerOptions mOptions;
   // Pending preemptions by the job for which they free workers.
@@ -234,6 +238,8 @@
   struct UnplaceableUnit
   {
     const Unit* unit = nullptr;
+    // It may fit if its tasks are spread over several racks.
+    bool needsOneRack = false;
   };
   // Accelerators of all workers, and those reserved so far in this pass.
   int64_t mTotalAccelerators = 0;
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -233,6 +233,50 @@
   EXPECT_EQ(fleet.Decide().starts.size(), 2U);
 }
 
+// Guards against holding back all later work of a service: tasks that wait for
+// room in one rack say nothing about a task that may use any worker.
+TEST(Planner, TaskIsNotHeldBackByAStepThatWaitsForOneRack)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), StepOf(4, 4, false), 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r" + std::to_string(n));
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Millis(9000));
+  }
+  StepSpec wide = StepOf(2, 4, false);
+  wide.prefersOneRack = true;
+  fleet.Submit(JobName(2), wide, 1);
+  fleet.Submit(JobName(3), StepOf(1, 4, false), 1);
+  Plan plan = fleet.Decide();
+  EXPECT_EQ(StartsOf(plan, JobName(2)), 0U);
+  EXPECT_EQ(StartsOf(plan, JobName(3)), 1U);
+}
+
+// Guards against the same for a gang that is wider than any rack and fits on
+// several, behind a smaller one that waits for a rack.
+TEST(Planner, WideGangIsNotHeldBackByOneThatWaitsForARack)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), StepOf(4, 8, false), 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string rack = "r" + std::to_string(n);
+    std::string first = "w" + std::to_string(n * 2);
+    fleet.AddWorker(first, rack);
+    fleet.AddWorker("w" + std::to_string(n * 2 + 1), rack);
+    fleet.StartRun(JobName(1), n, first, Millis(0), Millis(60'000));
+  }
+  StepSpec narrow = StepOf(2, 8, true);
+  narrow.prefersOneRack = true;
+  fleet.Submit(JobName(2), narrow, 1);
+  StepSpec wide = StepOf(3, 8, true);
+  wide.prefersOneRack = true;
+  fleet.Submit(JobName(3), wide, 1);
+  Plan plan = fleet.Decide();
+  EXPECT_EQ(StartsOf(plan, JobName(2)), 0U);
+  EXPECT_EQ(StartsOf(plan, JobName(3)), 3U);
+}
+
 // Guards against starvation: while small tasks wait, a gang that needs whole
 // workers must get the workers that become free.
 TEST(Planner, WaitingGangReservesWorkers)
