Let a rack-sensitive step span racks where there is ample room

A step that prefers one rack waited for a whole rack while at most half of the matching accelerators were idle, without a limit. With room for it several times over, but in pieces, its job had nothing running for as long as the fleet stayed more than half full. On workers without accelerators, the share of idle accelerators is 0 of 0, so that the step never spanned racks.

After the same wait as before, room for twice its tasks is now reason enough to span racks.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -379,6 +379,7 @@
   }
   auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
   std::vector<uint32_t> tasksByRack;
+  uint64_t tasksThatFit = 0;
   int64_t idleAccelerators = 0;
   int64_t totalAccelerators = 0;
   for (const Candidate& it : aView.candidates) {
@@ -387,6 +388,7 @@
     }
     tasksByRack.resize(std::max<size_t>(tasksByRack.size(), it.rack + 1));
     tasksByRack[it.rack] += TasksThatFit(step, it.report->capacity, tasks);
+    tasksThatFit += TasksThatFit(step, it.available, tasks);
     idleAccelerators += it.available.accelerators;
     totalAccelerators += it.report->capacity.accelerators;
   }
@@ -394,8 +396,9 @@
   bool neverFits = std::all_of(tasksByRack.begin(),
                                tasksByRack.end(),
                                [&](uint32_t it) { return it < tasks; });
-  return neverFits || (WaitedForRack(aUnit, aView) &&
-                       idleAccelerators * 2 > totalAccelerators);
+  bool ampleRoom = tasksThatFit >= uint64_t{ tasks } * 2 ||
+                   idleAccelerators * 2 > totalAccelerators;
+  return neverFits || (ampleRoom && WaitedForRack(aUnit, aView));
 }
 
 bool
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -52,8 +52,8 @@
   // Maximum number of runs to stop for one unit.
   size_t maxVictims = 128;
   // A step that prefers one rack may be placed on several after this time if
-  // more than half of the matching accelerators are idle, because waiting
-  // longer is then unlikely to free a whole rack.
+  // there is room for twice its tasks, or more than half of the matching
+  // accelerators are idle: waiting longer is then unlikely to free a rack.
   Millis maxRackWait = Millis(1500);
   // Maximum fraction of all accelerators that is reserved for gangs that do not
   // fit.
