Do not expect the end of runs that last

A task that runs until its job is cancelled reports a progress of 100 percent once it serves. The forecast took that for the end of the run. A gang that needed the resources of such a run reserved workers, idle ones included, for as long as it waited, and later jobs stood still although there was room. An urgent gang was expected to fit at once and preempted nothing within its guarantee until it was late.

Reservations no longer count on these runs unless they are being stopped. An urgent gang preempts them like any other run.

--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -330,6 +330,26 @@
   }
 }
 
+// Guards against workers that are reserved for ever: a gang that needs the
+// resources of a run that lasts until its job is cancelled gets none of them.
+TEST(Planner, NothingIsReservedBehindRunsWithoutAnEnd)
+{
+  Fleet fleet;
+  StepSpec service = StepOf(4, 8, false);
+  service.longRunning = true;
+  fleet.Submit(JobName(1), service, 1);
+  for (uint32_t n = 0; n < 5; ++n) {
+    fleet.AddWorker("w" + std::to_string(n), "r1");
+  }
+  for (uint32_t n = 0; n < 4; ++n) {
+    fleet.StartRun(
+      JobName(1), n, "w" + std::to_string(n), Millis(0), Millis(100));
+  }
+  fleet.Submit(JobName(2), StepOf(2, 8, true), 1);
+  fleet.Submit(JobName(3), StepOf(1, 4, false), 2);
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(3)), 1U);
+}
+
 // Guards against delaying a job that can meet its objective for one that is
 // already late.
 TEST(Planner, LateJobRanksAfterJobInTime)
@@ -392,6 +412,21 @@
   EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
+// Guards against waiting for a run that lasts: its progress of 100 percent does
+// not mean that it ends.
+TEST(Planner, UrgentGangWithinGuaranteePreemptsRunsThatLast)
+{
+  Fleet fleet;
+  fleet.Guarantee(8);
+  fleet.AddWorker("w1", "r1");
+  StepSpec service = StepOf(1, 8, false);
+  service.longRunning = true;
+  fleet.Submit(JobName(1), service, 2);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(5000), Millis(0));
+  fleet.Submit(JobName(2), StepOf(1, 8, true), 0);
+  EXPECT_EQ(fleet.Decide().stops.size(), 1U);
+}
+
 // Guards against losing more work than the urgent job is worth when its
 // workspace exceeds its guarantee.
 TEST(Planner, UrgentGangBeyondGuaranteeDoesNotPreemptCostlyRuns)
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -32,6 +32,11 @@
     return out;
   }
   for (const RunEstimate& it : aView.RunsOf(aCandidate)) {
+    // Its progress says when it serves, not when it ends.
+    bool lasts = it.job->spec.steps[it.run.task.step].longRunning;
+    if (lasts && !it.cost.stopping) {
+      continue;
+    }
     available += it.resources;
     out.wait = it.remaining;
     out.tasks = TasksThatFit(*aRequest.step, available, limit);
--- a/packages/fleet/reservation.h
+++ b/packages/fleet/reservation.h
@@ -23,8 +23,8 @@
   int64_t accelerators = 0;
 };
 
-// Returns nothing if the step does not fit on the candidates even when they are
-// idle.
+// Returns nothing if the step does not fit on the candidates even when all runs
+// that will end have ended.
 std::optional<ReservationChoice>
 ChooseReservation(const PlacementRequest& aRequest, const FleetView& aView);
 
