Limit reservations on workers without accelerators

The share of the fleet that one pass reserves for gangs that do not fit was counted in accelerators. Workers without any counted as nothing, so one gang could reserve all of them, and every later job of the service stood still while they were mostly idle. The limit now uses the weight of all resources that preemption uses as well.

Before the change, the new test failed: a task that needs one of 640 cores, of which 10 are in use, did not start beside a gang that needs all.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -169,10 +169,10 @@
       since == mWaitingSince.end() ? aView.now : since->second;
   }
   mWaitingSince = std::move(waiting);
-  mTotalAccelerators = 0;
-  mReservedAccelerators = 0;
+  mTotalWeight = 0;
+  mReservedWeight = 0;
   for (const auto& [id, worker] : aView.state->Workers()) {
-    mTotalAccelerators += worker.report.capacity.accelerators;
+    mTotalWeight += ResourceWeight(worker.report.capacity);
   }
   size_t handledUnits = 0;
   mUnplaceable.clear();
@@ -280,12 +280,11 @@
   if (!aUnit.Spec().gang || !aChoice) {
     return;
   }
-  auto limit = static_cast<int64_t>(static_cast<double>(mTotalAccelerators) *
-                                    mOptions.maxReservedShare);
-  if (mReservedAccelerators + aChoice->accelerators > limit) {
+  double limit = mTotalWeight * mOptions.maxReservedShare;
+  if (mReservedWeight + aChoice->weight > limit) {
     return;
   }
-  mReservedAccelerators += aChoice->accelerators;
+  mReservedWeight += aChoice->weight;
   ExcludeWorkers(aChoice->workers, aView);
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -55,8 +55,8 @@
   // there is room for twice its tasks, or more than half of the matching
   // accelerators are idle: waiting longer is then unlikely to free a rack.
   Millis maxRackWait = Millis(1500);
-  // Maximum fraction of all accelerators that is reserved for gangs that do not
-  // fit.
+  // Maximum fraction of all resources, by weight, that is reserved for gangs
+  // that do not fit.
   double maxReservedShare = 0.4;
   // Maximum number of blocked units for which one pass starts preemptions or
   // reservations; bounds the cost of a pass. Later units have a lower rank and
@@ -241,9 +241,10 @@
     // It may fit if its tasks are spread over several racks.
     bool needsOneRack = false;
   };
-  // Accelerators of all workers, and those reserved so far in this pass.
-  int64_t mTotalAccelerators = 0;
-  int64_t mReservedAccelerators = 0;
+  // Weight of the resources of all workers, and of those reserved so far in
+  // this pass.
+  double mTotalWeight = 0;
+  double mReservedWeight = 0;
   // Units that did not fit in the current pass; empty between passes.
   std::vector<UnplaceableUnit> mUnplaceable;
   // Workers on which runs of a live job failed.
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -27,12 +27,17 @@
     report.service = kService;
     report.rack = RackId(aRack);
     report.labels = { "a", aRack };
-    report.capacity = { .cpu = 64'000, .memoryMb = 64'000, .accelerators = 8 };
+    report.capacity = { .cpu = 64'000,
+                        .memoryMb = 64'000,
+                        .accelerators = mAccelerators };
     gen::Command command;
     command.workers.push_back(ToWire(report));
     mState.Apply(command);
   }
 
+  // Accelerators of each worker that is added later.
+  void SetAccelerators(int64_t aCount) { mAccelerators = aCount; }
+
   void Guarantee(int64_t aAccelerators)
   {
     gen::Configuration configuration;
@@ -128,6 +133,7 @@
   Planner mPlanner{ PlannerOptions() };
   Forecast mForecast;
   Millis mNow{ 1'000'000 };
+  int64_t mAccelerators = 8;
   std::map<RunRef, Millis> mLostWork;
   std::map<RunRef, Millis> mRemaining;
 };
@@ -350,6 +356,25 @@
   EXPECT_EQ(StartsOf(fleet.Decide(), JobName(3)), 1U);
 }
 
+// Guards against one gang that holds a whole service back: where workers have
+// no accelerators, a reservation must count what they have.
+TEST(Planner, ReservationsOfWorkersWithoutAcceleratorsAreLimited)
+{
+  Fleet fleet;
+  fleet.SetAccelerators(0);
+  fleet.Submit(JobName(1), StepOf(10, 0, false), 1);
+  for (uint32_t n = 0; n < 10; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r1");
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Millis(9000));
+  }
+  StepSpec gang = StepOf(10, 0, true);
+  gang.resources.cpu = 64'000;
+  fleet.Submit(JobName(2), gang, 1);
+  fleet.Submit(JobName(3), StepOf(1, 0, false), 2);
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(3)), 1U);
+}
+
 // Guards against delaying a job that can meet its objective for one that is
 // already late.
 TEST(Planner, LateJobRanksAfterJobInTime)
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -1,5 +1,7 @@
 #include "fleet/reservation.h"
 
+#include "fleet/reclaim.h"
+
 #include <algorithm>
 #include <map>
 
@@ -78,7 +80,7 @@
       }
       tasks += it.tasks;
       choice.workers.push_back(it.worker->id);
-      choice.accelerators += it.worker->report->capacity.accelerators;
+      choice.weight += ResourceWeight(it.worker->report->capacity);
       choice.wait = std::max(choice.wait, it.wait);
     }
     bool enough = tasks >= aRequest.tasks;
--- a/packages/fleet/reservation.h
+++ b/packages/fleet/reservation.h
@@ -19,8 +19,8 @@
   std::vector<WorkerId> workers;
   // Expected time until all of them have enough free resources.
   Millis wait;
-  // Number of accelerators of these workers.
-  int64_t accelerators = 0;
+  // Weight of the resources of these workers.
+  double weight = 0;
 };
 
 // Returns nothing if the step does not fit on the candidates even when all runs
