Ignore results of orders from before a worker's removal

An idle worker that is out of reach is removed after 20 s, with a renewal still in flight. If the same process reports again before that renewal times out, its result was counted for the new link: the number of renewals in flight fell to -1 for good, so that the worker was sent two at a time and its removal could be proposed while one might still report the end of a run, and a start or stop in flight counted as resolved.

A link now knows when it was created. The result of an earlier order only records ends, like that of an order to an earlier incarnation.

Before the change, the new test failed: a second renewal was sent beside the one in flight.

--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -43,6 +43,23 @@
   return aFleet.State().FindJob(JobId(kJob))->status;
 }
 
+// Guards against a worker that was removed and is back, and whose renewals are
+// counted wrong for good: a result of an order from before its removal says
+// nothing about those sent since.
+TEST(DispatcherRemoval, LateResultDoesNotCountForAWorkerThatIsBack)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1", FleetFixture::Fencing::kUnanswered);
+  Order before = fleet.ExpectOrder(Order::Kind::kRenew);
+  fleet.Advance(Seconds(21));
+  ASSERT_EQ(fleet.State().FindWorker(WorkerId("w1")), nullptr);
+  fleet.AddWorker("w1", FleetFixture::Fencing::kUnanswered);
+  fleet.ExpectOrder(Order::Kind::kRenew);
+  fleet.Answer(before, OrderResult::Outcome::kNoAnswer);
+  fleet.Advance(Millis(500));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kRenew).empty());
+}
+
 // Guards against starting a task again after its end was reported: the end and
 // the removal of its worker wait for the same commit.
 TEST(DispatcherRemoval, EndReportedBeforeItsWorkerLeavesCounts)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -36,6 +36,10 @@
     return;
   }
   WorkerLink& link = LinkOf(*worker, aNow);
+  if (aOrder.sentAt < link.CreatedAt()) {
+    RecordEarlierEnds(aOrder, aResult);
+    return;
+  }
   bool wasUsable = mPool.IsUsable(aOrder.worker, aNow);
   ScheduleWorker(aOrder.worker, aNow);
   if (aOrder.kind == Order::Kind::kRenew) {
--- a/packages/fleet/worker_link.cc
+++ b/packages/fleet/worker_link.cc
@@ -24,6 +24,7 @@
   : lastHeard(aNow)
   , nextRenewalAt(aNow)
   , mIncarnation(aIncarnation)
+  , mCreatedAt(aNow)
   , mEarlierLeasesEndAt(aNow + aMaxLease * 100 / (100 - kMaxClockDriftPercent) +
                         kLeaseMargin)
 {
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -57,6 +57,8 @@
   WorkerLink(Incarnation aIncarnation, Millis aNow, Millis aMaxLease);
 
   Incarnation CurrentIncarnation() const { return mIncarnation; }
+  // Orders that were sent earlier belong to a link that was removed.
+  Millis CreatedAt() const { return mCreatedAt; }
 
   // Records that the worker's clock read `aClock` no later than `aNow`.
   void OnClock(Millis aClock, Millis aNow);
@@ -115,6 +117,7 @@
 
 private:
   Incarnation mIncarnation;
+  Millis mCreatedAt;
   // Best known lower bound of the worker's clock, and the leader's time at
   // which it held.
   std::optional<Millis> mClockLowerBound;
