Hand leadership over under load before a replica stops

A leader that gets SIGTERM tried once to hand over, to a voter that has its whole log. Under load no voter has it at any given moment, since the last entries are still on their way. The leader then kept leading, stopped about half a second later, and the group was without a leader for an election. Nothing repeated a transfer that failed either, nor handed over a leadership that the stopping replica won again.

The leader now tries in each tick, and proposes nothing for a quarter of a second, in which the voters receive the rest. Requests that arrive in this time are answered as by a replica that does not lead, and the relays send them to the next leader. It also starts no change of the membership.

Before the change, the new test failed: 300 ms after the order to stop, the same replica was still leading.

--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -21,6 +21,9 @@
 // Bound of that time, so that one stall of the disk does not delay what follows
 // it.
 constexpr Millis kMaxProposalInterval(100);
+// How long proposals wait for a voter to receive the whole log before the
+// leader stops.
+constexpr Millis kMaxHandOverPause(250);
 
 } // namespace
 
@@ -221,6 +224,9 @@
     }
   }
   mGroup->Tick(aNow);
+  if (mHandingOver) {
+    HandOver(aNow);
+  }
   UpdateLeadership(aNow);
   if (!mDispatcher) {
     mState.TakeChanges();
@@ -320,7 +326,7 @@
 void
 Node::RepairMembership(Millis aNow)
 {
-  if (mMembershipInFlight) {
+  if (mMembershipInFlight || mHandingOver) {
     return;
   }
   replication::GroupStatus status = mGroup->Status();
@@ -356,6 +362,17 @@
 void
 Node::PrepareShutdown(Millis aNow)
 {
+  mHandingOver = true;
+  mEarliestProposal = aNow + kMaxHandOverPause;
+  HandOver(aNow);
+}
+
+void
+Node::HandOver(Millis aNow)
+{
+  if (!mLeading) {
+    return;
+  }
   replication::GroupStatus status = mGroup->Status();
   // Stops at the first voter with the whole log for which the transfer starts
   // without an error.
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -105,7 +105,8 @@
   {
     mGroup->SetDiscoveryInstances(std::move(aContacts));
   }
-  // Hands leadership to another replica if this one leads.
+  // Hands leadership to another replica if this one leads, as soon as one has
+  // the whole log. Until then, but not for long, nothing is proposed.
   void PrepareShutdown(Millis aNow);
 
   bool IsLeading() const { return mLeading; }
@@ -175,6 +176,8 @@
   // Starts the next membership change, if one is needed and none is in
   // progress.
   void RepairMembership(Millis aNow);
+  // Starts the transfer of leadership to a voter that has the whole log.
+  void HandOver(Millis aNow);
 
   const NodeOptions mOptions;
   NodeEnvironment& mEnvironment;
@@ -207,6 +210,8 @@
   // Time of the latest proposal; empty if the latest tick made none.
   std::optional<Millis> mProposedAt;
   Millis mEarliestProposal;
+  // The process is about to stop.
+  bool mHandingOver = false;
   NodeCounters mCounters;
 };
 
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -501,6 +501,38 @@
   EXPECT_EQ(StartsOf(leader).size(), 1U);
 }
 
+// Guards against a leader that stops under load without handing over: no other
+// replica has its whole log while it proposes, and without a leader nothing is
+// answered for the length of an election.
+TEST_F(GroupTest, LeaderUnderLoadHandsOverBeforeItStops)
+{
+  Replica& leader = *Leader();
+  ASSERT_EQ(Ask(leader, ConfigurationRequest()), RequestOutcome::kOk);
+  int answered = 0;
+  auto submit = [&](int aNumber) {
+    std::string path =
+      "/q/" + std::string(12, '0') + std::to_string(1000 + aNumber);
+    leader.node->Handle(RequestFor(RequestKind::kSubmit, path),
+                        mNow,
+                        [&](const gen::Reply&) { ++answered; });
+  };
+  for (int n = 0; n < 10; ++n) {
+    submit(n);
+    Advance();
+  }
+  submit(10);
+  leader.node->Tick(mNow, mNow);
+  leader.node->PrepareShutdown(mNow);
+  for (int n = 11; n < 41; ++n) {
+    submit(n);
+    Advance();
+  }
+  Replica* next = Leader();
+  ASSERT_NE(next, nullptr);
+  EXPECT_NE(next, &leader);
+  EXPECT_EQ(answered, 41);
+}
+
 // Guards against a leader that was suspended and answers from what was in force
 // before, although another one has been elected meanwhile.
 TEST_F(GroupTest, SuspendedLeaderAnswersNothingFromItsOldLease)
