Answer requests that arrive behind another during a drain

While the server drains, the response to a request closed its connection. A further request on the same connection was lost, even if the server had read it together with the first. If it had arrived and was not read yet, the close also reset the connection, which can destroy a response that the caller has not received yet.

The connection now stays open for a request that has arrived when the response starts. A connection with unread input is never closed at once.

Before the change, the new tests failed: 1 of 2 requests was answered in both.

--- a/packages/http/internal/session.cc
+++ b/packages/http/internal/session.cc
@@ -262,8 +262,10 @@
     mFraming = supportsChunks ? Framing::kChunked : Framing::kCloseDelimited;
     mKeepAlive = mKeepAlive && supportsChunks;
   }
-  mKeepAlive =
-    mKeepAlive && mReader.Done() && !mServer->draining && !aHead.close;
+  // While the server drains, the connection stays open only for a request that
+  // has arrived behind this one.
+  mKeepAlive = mKeepAlive && mReader.Done() && !aHead.close &&
+               (!mServer->draining || mReader.Buffered() > 0 || HasInput());
   Write(FormatResponseHead(aHead, mFraming, mKeepAlive),
         aPart,
         aLast,
@@ -334,7 +336,7 @@
     AwaitRequest();
     return;
   }
-  if (mReader.Done() && mReader.Buffered() == 0) {
+  if (mReader.Done() && mReader.Buffered() == 0 && !HasInput()) {
     Close();
     return;
   }
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -254,8 +254,23 @@
   }
 
   boost::asio::io_context mContext;
-  Server mServer{ mContext, {}, [](Request, Responder aRespond) {
-                   aRespond({ .status = 204, .headers = {}, .body = {} });
+  // Answers all requests that the server holds.
+  void AnswerHeld()
+  {
+    mHold = false;
+    for (const Responder& it : std::exchange(mHeld, {})) {
+      it({ .status = 204, .headers = {}, .body = {} });
+    }
+  }
+
+  // Requests are held until `AnswerHeld`.
+  bool mHold = false;
+  std::vector<Responder> mHeld;
+  Server mServer{ mContext, {}, [this](Request, Responder aRespond) {
+                   mHeld.push_back(std::move(aRespond));
+                   if (!mHold) {
+                     AnswerHeld();
+                   }
                  } };
   Endpoint mEndpoint;
   tcp::socket mSocket{ mContext };
@@ -301,6 +316,44 @@
   EXPECT_TRUE(mDrained);
 }
 
+// Returns the number of responses in `aText`.
+size_t
+CountResponses(const std::string& aText)
+{
+  size_t count = 0;
+  for (size_t at = 0; (at = aText.find("HTTP/1.1 204", at)) != aText.npos;
+       ++at) {
+    ++count;
+  }
+  return count;
+}
+
+// Guards against discarding a request that the server has read together with
+// the one before it.
+TEST_F(DrainTest, PipelinedRequestIsAnswered)
+{
+  Send();
+  Send();
+  Drain();
+  EXPECT_EQ(CountResponses(Receive(kAfterGrace)), 2U);
+  EXPECT_TRUE(mDrained);
+}
+
+// Guards against the same for a request that arrives while the one before it is
+// in progress.
+TEST_F(DrainTest, RequestThatArrivesBehindOneInProgressIsAnswered)
+{
+  mHold = true;
+  Send();
+  Receive(kRound);
+  Drain();
+  Send();
+  Receive(kRound);
+  AnswerHeld();
+  EXPECT_EQ(CountResponses(Receive(kAfterGrace)), 2U);
+  EXPECT_TRUE(mDrained);
+}
+
 // Guards against a drain that waits for callers that send nothing.
 TEST_F(DrainTest, IdleConnectionsAreClosedAfterTheGrace)
 {
