Answer the requests in progress before the process exits

When the time for the shutdown was over, the process exited at once. Requests that it had read and that still waited for a leader or for its answer ended with their connection, without an answer.

Shortly before the exit, the relay now ends all calls as at their deadlines: 504 if an attempt is in flight or may have run, otherwise 503.

With `EndCalls` doing nothing, the new test failed: none of the three calls ended.

--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -59,6 +59,8 @@
   // Hands leadership to another replica if this one leads. Requests are still
   // answered or relayed.
   void PrepareShutdown();
+  // Answers the requests that wait for another replica.
+  void EndRelayedRequests() { mRelay.EndCalls(); }
 
   // Executes the request locally if this replica leads and relays it otherwise.
   // Calls `aDone` at most once, possibly before returning. `aDeadline` is a
--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -157,6 +157,8 @@
   std::string leaderHint;
   bool pingInFlight = false;
   bool stopped = false;
+  // Calls are answered at once, without an attempt.
+  bool ended = false;
   // Requests that wait for a leader, a connection or a token.
   std::deque<std::shared_ptr<PendingCall>> waiting;
   // When `waitTimer` fires; `Max` while it is not armed.
@@ -350,7 +352,9 @@
 void
 Relay::Impl::StartAttempt(const std::shared_ptr<PendingCall>& aCall)
 {
-  if (MayStartAttempt(*aCall)) {
+  if (ended) {
+    Finish(aCall, MakeReply(RequestOutcome::kUnavailable));
+  } else if (MayStartAttempt(*aCall)) {
     SendAttempt(aCall);
   } else {
     Wait(aCall);
@@ -584,6 +588,24 @@
   mImpl->pingTimer.cancel();
 }
 
+void
+Relay::EndCalls()
+{
+  mImpl->ended = true;
+  std::vector<std::shared_ptr<PendingCall>> calls(mImpl->inFlight.begin(),
+                                                  mImpl->inFlight.end());
+  for (const auto& it : calls) {
+    it->mayHaveRun = !it->readOnly;
+  }
+  auto waiting = std::exchange(mImpl->waiting, {});
+  calls.insert(calls.end(), waiting.begin(), waiting.end());
+  for (const auto& it : calls) {
+    if (!it->finished) {
+      mImpl->Finish(it, MakeReply(RequestOutcome::kUnavailable));
+    }
+  }
+}
+
 void
 Relay::Call(const gen::Request& aRequest, Millis aDeadline, RelayCallback aDone)
 {
--- a/packages/fleetd/relay.h
+++ b/packages/fleetd/relay.h
@@ -122,6 +122,10 @@
   // leader end at the next retry if none is known.
   void Stop();
 
+  // Ends all calls as at their deadlines, and later calls at once, so that a
+  // process that has to exit leaves none without an answer.
+  void EndCalls();
+
   // Sends the request to the leader, with retries, and calls `aDone` once,
   // possibly before returning: at `aDeadline`, a time of `MonotonicNow()`, at
   // the latest or, while waiting for a leader, at the next retry. Without an
--- a/packages/fleetd/relay_test.cc
+++ b/packages/fleetd/relay_test.cc
@@ -414,6 +414,39 @@
   EXPECT_EQ(OutcomeOf(Call(Millis(500))), RequestOutcome::kMayHaveRun);
 }
 
+// Guards against a process that exits with requests that it has read and not
+// answered: those in flight, those that wait, and those that still arrive.
+TEST_F(RelayTest, EndedCallsAreAnsweredAtOnce)
+{
+  mOptions.maxInFlight = 1;
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kSilent;
+  mOne.pingRole = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  std::vector<RequestOutcome> outcomes;
+  auto call = [&] {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(RequestKind::kSubmit);
+    mRelay->Call(
+      request, MonotonicNow() + Seconds(5), [&](const RelayResult& aResult) {
+        outcomes.push_back(OutcomeOf(aResult));
+      });
+  };
+  call();
+  call();
+  Run(Millis(60));
+  ASSERT_TRUE(outcomes.empty());
+  mRelay->EndCalls();
+  call();
+  EXPECT_EQ(outcomes,
+            (std::vector{ RequestOutcome::kMayHaveRun,
+                          RequestOutcome::kUnavailable,
+                          RequestOutcome::kUnavailable }));
+  Run(Millis(300));
+  EXPECT_EQ(outcomes.size(), 3U);
+}
+
 // Guards against a callback for each ping reply instead of for each change.
 TEST_F(RelayTest, ReportsChangedLimitsOnce)
 {
