--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -52,11 +52,11 @@
   // Maximum number of runs to stop for one unit.
   size_t maxVictims = 128;
   // A step that prefers one rack may be placed on several after this time if
-  // more than half of the matching accelerators are idle, because waiting
-  // longer is then unlikely to free a whole rack.
+  // there is room for twice its tasks, or more than half of the matching
+  // accelerators are idle: waiting longer is then unlikely to free a rack.
   Millis maxRackWait = Millis(1500);
-  // Maximum fraction of all accelerators that is reserved for gangs that do not
-  // fit.
+  // Maximum fraction of all resources, by weight, that is reserved for gangs
+  // that do not fit.
   double maxReservedShare = 0.4;
   // Maximum number of blocked units for which one pass starts preemptions or
   // reservations; bounds the cost of a pass. Later units have a lower rank and
@@ -192,7 +192,7 @@
   // Whether a unit with no greater requirements already failed to fit in this
   // pass. Free resources only shrink during a pass, so this unit cannot fit
   // either.
-  bool IsKnownNotToFit(const Unit& aUnit) const;
+  bool IsKnownNotToFit(const Unit& aUnit, const FleetView& aView) const;
   void PreemptFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   // Whether all urgent jobs of the unit's workspace together are within its
   // guarantee.
@@ -227,6 +227,10 @@
 
   // Whether a unit that prefers one rack may be placed on several.
   bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit is placed in one rack or not at all.
+  bool NeedsOneRack(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit has waited for `maxRackWait`.
+  bool WaitedForRack(const Unit& aUnit, const FleetView& aView) const;
 
   PlannerOptions mOptions;
   // Pending preemptions by the job for which they free workers.
@@ -234,10 +238,13 @@
   struct UnplaceableUnit
   {
     const Unit* unit = nullptr;
+    // It may fit if its tasks are spread over several racks.
+    bool needsOneRack = false;
   };
-  // Accelerators of all workers, and those reserved so far in this pass.
-  int64_t mTotalAccelerators = 0;
-  int64_t mReservedAccelerators = 0;
+  // Weight of the resources of all workers, and of those reserved so far in
+  // this pass.
+  double mTotalWeight = 0;
+  double mReservedWeight = 0;
   // Units that did not fit in the current pass; empty between passes.
   std::vector<UnplaceableUnit> mUnplaceable;
   // Workers on which runs of a live job failed.
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -27,12 +27,17 @@
     report.service = kService;
     report.rack = RackId(aRack);
     report.labels = { "a", aRack };
-    report.capacity = { .cpu = 64'000, .memoryMb = 64'000, .accelerators = 8 };
+    report.capacity = { .cpu = 64'000,
+                        .memoryMb = 64'000,
+                        .accelerators = mAccelerators };
     gen::Command command;
     command.workers.push_back(ToWire(report));
     mState.Apply(command);
   }
 
+  // Accelerators of each worker that is added later.
+  void SetAccelerators(int64_t aCount) { mAccelerators = aCount; }
+
   void Guarantee(int64_t aAccelerators)
   {
     gen::Configuration configuration;
@@ -128,6 +133,7 @@
   Planner mPlanner{ PlannerOptions() };
   Forecast mForecast;
   Millis mNow{ 1'000'000 };
+  int64_t mAccelerators = 8;
   std::map<RunRef, Millis> mLostWork;
   std::map<RunRef, Millis> mRemaining;
 };
@@ -233,6 +239,74 @@
   EXPECT_EQ(fleet.Decide().starts.size(), 2U);
 }
 
+// Guards against holding back all later work of a service: tasks that wait for
+// room in one rack say nothing about a task that may use any worker.
+TEST(Planner, TaskIsNotHeldBackByAStepThatWaitsForOneRack)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), StepOf(4, 4, false), 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r" + std::to_string(n));
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Millis(9000));
+  }
+  StepSpec wide = StepOf(2, 4, false);
+  wide.prefersOneRack = true;
+  fleet.Submit(JobName(2), wide, 1);
+  fleet.Submit(JobName(3), StepOf(1, 4, false), 1);
+  Plan plan = fleet.Decide();
+  EXPECT_EQ(StartsOf(plan, JobName(2)), 0U);
+  EXPECT_EQ(StartsOf(plan, JobName(3)), 1U);
+}
+
+// Guards against the same for a gang that is wider than any rack and fits on
+// several, behind a smaller one that waits for a rack.
+TEST(Planner, WideGangIsNotHeldBackByOneThatWaitsForARack)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), StepOf(4, 8, false), 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string rack = "r" + std::to_string(n);
+    std::string first = "w" + std::to_string(n * 2);
+    fleet.AddWorker(first, rack);
+    fleet.AddWorker("w" + std::to_string(n * 2 + 1), rack);
+    fleet.StartRun(JobName(1), n, first, Millis(0), Millis(60'000));
+  }
+  StepSpec narrow = StepOf(2, 8, true);
+  narrow.prefersOneRack = true;
+  fleet.Submit(JobName(2), narrow, 1);
+  StepSpec wide = StepOf(3, 8, true);
+  wide.prefersOneRack = true;
+  fleet.Submit(JobName(3), wide, 1);
+  Plan plan = fleet.Decide();
+  EXPECT_EQ(StartsOf(plan, JobName(2)), 0U);
+  EXPECT_EQ(StartsOf(plan, JobName(3)), 3U);
+}
+
+// Guards against a gang that waits for one rack as long as the fleet is more
+// than half full, although there is room for it twice over.
+TEST(Planner, RackSensitiveGangSpansRacksWhenThereIsAmpleRoom)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), StepOf(8, 8, false), 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string rack = "r" + std::to_string(n);
+    std::string first = "w" + std::to_string(n * 3);
+    std::string second = "w" + std::to_string(n * 3 + 1);
+    fleet.AddWorker(first, rack);
+    fleet.AddWorker(second, rack);
+    fleet.AddWorker("w" + std::to_string(n * 3 + 2), rack);
+    fleet.StartRun(JobName(1), n * 2, first, Millis(0), Millis(9000));
+    fleet.StartRun(JobName(1), n * 2 + 1, second, Millis(0), Millis(9000));
+  }
+  StepSpec step = StepOf(2, 8, true);
+  step.prefersOneRack = true;
+  fleet.Submit(JobName(2), step, 1);
+  EXPECT_TRUE(fleet.Decide().starts.empty());
+  fleet.Advance(Seconds(2));
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), 2U);
+}
+
 // Guards against starvation: while small tasks wait, a gang that needs whole
 // workers must get the workers that become free.
 TEST(Planner, WaitingGangReservesWorkers)
@@ -262,6 +336,45 @@
   }
 }
 
+// Guards against workers that are reserved for ever: a gang that needs the
+// resources of a run that lasts until its job is cancelled gets none of them.
+TEST(Planner, NothingIsReservedBehindRunsWithoutAnEnd)
+{
+  Fleet fleet;
+  StepSpec service = StepOf(4, 8, false);
+  service.longRunning = true;
+  fleet.Submit(JobName(1), service, 1);
+  for (uint32_t n = 0; n < 5; ++n) {
+    fleet.AddWorker("w" + std::to_string(n), "r1");
+  }
+  for (uint32_t n = 0; n < 4; ++n) {
+    fleet.StartRun(
+      JobName(1), n, "w" + std::to_string(n), Millis(0), Millis(100));
+  }
+  fleet.Submit(JobName(2), StepOf(2, 8, true), 1);
+  fleet.Submit(JobName(3), StepOf(1, 4, false), 2);
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(3)), 1U);
+}
+
+// Guards against one gang that holds a whole service back: where workers have
+// no accelerators, a reservation must count what they have.
+TEST(Planner, ReservationsOfWorkersWithoutAcceleratorsAreLimited)
+{
+  Fleet fleet;
+  fleet.SetAccelerators(0);
+  fleet.Submit(JobName(1), StepOf(10, 0, false), 1);
+  for (uint32_t n = 0; n < 10; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r1");
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Millis(9000));
+  }
+  StepSpec gang = StepOf(10, 0, true);
+  gang.resources.cpu = 64'000;
+  fleet.Submit(JobName(2), gang, 1);
+  fleet.Submit(JobName(3), StepOf(1, 0, false), 2);
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(3)), 1U);
+}
+
 // Guards against delaying a job that can meet its objective for one that is
 // already late.
 TEST(Planner, LateJobRanksAfterJobInTime)
@@ -324,6 +437,21 @@
   EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
+// Guards against waiting for a run that lasts: its progress of 100 percent does
+// not mean that it ends.
+TEST(Planner, UrgentGangWithinGuaranteePreemptsRunsThatLast)
+{
+  Fleet fleet;
+  fleet.Guarantee(8);
+  fleet.AddWorker("w1", "r1");
+  StepSpec service = StepOf(1, 8, false);
+  service.longRunning = true;
+  fleet.Submit(JobName(1), service, 2);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(5000), Millis(0));
+  fleet.Submit(JobName(2), StepOf(1, 8, true), 0);
+  EXPECT_EQ(fleet.Decide().stops.size(), 1U);
+}
+
 // Guards against losing more work than the urgent job is worth when its
 // workspace exceeds its guarantee.
 TEST(Planner, UrgentGangBeyondGuaranteeDoesNotPreemptCostlyRuns)
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -1,5 +1,7 @@
 #include "fleet/reservation.h"
 
+#include "fleet/reclaim.h"
+
 #include <algorithm>
 #include <map>
 
@@ -32,6 +34,11 @@
     return out;
   }
   for (const RunEstimate& it : aView.RunsOf(aCandidate)) {
+    // Its progress says when it serves, not when it ends.
+    bool lasts = it.job->spec.steps[it.run.task.step].longRunning;
+    if (lasts && !it.cost.stopping) {
+      continue;
+    }
     available += it.resources;
     out.wait = it.remaining;
     out.tasks = TasksThatFit(*aRequest.step, available, limit);
@@ -73,7 +80,7 @@
       }
       tasks += it.tasks;
       choice.workers.push_back(it.worker->id);
-      choice.accelerators += it.worker->report->capacity.accelerators;
+      choice.weight += ResourceWeight(it.worker->report->capacity);
       choice.wait = std::max(choice.wait, it.wait);
     }
     bool enough = tasks >= aRequest.tasks;
