--- a/packages/fleet/change_event.cc
+++ b/packages/fleet/change_event.cc
@@ -43,6 +43,25 @@
     .Add("status", StatusName(aJob.status))
     .Add("age_ms", aJob.endedAt - aJob.acceptedAt)
     .Add("active_runs", aJob.activeRuns);
+  if (!aJob.reason.empty()) {
+    event.Add("reason", aJob.reason);
+  }
+  return event;
+}
+
+LogEvent
+RunEndedEvent(const Change& aChange, const FleetState& aState)
+{
+  LogEvent event("run_ended");
+  event.Add("run", RunName(aChange.run))
+    .Add("how", EndKindName(aChange.end))
+    .Add("worker", aChange.worker);
+  const Task* task = aState.FindTask(aChange.run.task);
+  if (aChange.end == EndKind::kWorkerCrashed && task != nullptr) {
+    event.Add("evidence", CrashEvidenceName(aChange.evidence))
+      .Add("crashes", task->crashes)
+      .Add("crashes_at_start", task->crashesAtStart);
+  }
   return event;
 }
 
@@ -69,10 +88,7 @@
       if (aChange.end == EndKind::kDone) {
         return std::nullopt;
       }
-      return LogEvent("run_ended")
-        .Add("run", RunName(aChange.run))
-        .Add("how", EndKindName(aChange.end))
-        .Add("worker", aChange.worker);
+      return RunEndedEvent(aChange, aState);
     case Change::Kind::kWorkerJoined:
       return LogEvent("worker_joined").Add("worker", aChange.worker);
     case Change::Kind::kWorkerDraining:
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -1,5 +1,7 @@
 #include "fleet/dispatcher.h"
 
+#include "fleet/crash_evidence.h"
+
 #include <algorithm>
 
 namespace limpetwood::fleet {
@@ -12,6 +14,8 @@
 constexpr Millis kIdleWorkerTimeout = Seconds(20);
 // Minimum time for which a worker with runs delays the answer to a renewal.
 constexpr Millis kMinRenewalWait(100);
+// Maximum time for which a worker with a run on trial does.
+constexpr Millis kTrialRenewalWait(300);
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
 
@@ -28,7 +32,12 @@
   , mMonitor(aState, mLinks, mForecast, aOptions.maxStopTime)
   , mPlanner(aOptions.planner)
   , mHealth(aOptions.health)
-  , mPool(aState, mLinks, mHealth, mProposals, aOptions.heartbeatInterval)
+  , mPool(aState,
+          mLinks,
+          mHealth,
+          mProposals,
+          mMonitor,
+          aOptions.heartbeatInterval)
   , mNextPlan(aNow)
   , mNextTick(aNow)
 {
@@ -49,9 +58,15 @@
   WorkerLink added(report.incarnation, aNow, mOptions.leaseDuration);
   added.draining = report.draining;
   added.sequence = report.sequence;
+  bool replaced = it != mLinks.end();
+  bool announced = replaced && (it->second.draining || it->second.leftAt);
+  std::map<RunRef, CrashEvidence> evidence;
+  if (replaced && !announced) {
+    evidence = JudgeCrash(aWorker, it->second, aNow);
+  }
   for (const RunRef& run : aWorker.active) {
     bool startUnresolved =
-      it != mLinks.end() && it->second.runs.contains(run) &&
+      replaced && it->second.runs.contains(run) &&
       it->second.runs[run].phase != RunView::Phase::kConfirmed;
     // Runs of earlier leaders or of an earlier incarnation are resolved by the
     // first renewal. A start without a conclusive answer may still reach the
@@ -61,6 +76,16 @@
         ? RunView{ .phase = RunView::Phase::kUnresolved, .stopRequested = true }
         : RunView{ .phase = RunView::Phase::kConfirmed,
                    .conclusiveAfter = aNow - Millis(1) };
+    RunView& view = added.runs[run];
+    view.trackedSince = aNow;
+    const Task& task = *mState.FindTask(run.task);
+    bool ofUnseenProcess = !replaced && task.incarnation != Incarnation() &&
+                           task.incarnation != report.incarnation;
+    if (auto judged = evidence.find(run); judged != evidence.end()) {
+      view.crash = judged->second;
+    } else if (ofUnseenProcess) {
+      view.crash = kEvidenceOfUnseenCrash;
+    }
   }
   mHealth.Forget(report.id);
   ScheduleWorker(report.id, aNow);
@@ -196,12 +221,7 @@
       std::string_view reason = WithdrawalReason(*next, aLink);
       if (!reason.empty()) {
         aLink.orderQueue.Done();
-        ++mCounters.startsWithdrawn;
-        LogRunEvent("start_withdrawn", next->worker, next->run)
-          .Add("reason", reason)
-          .Add("waited_ms", aNow - next->sentAt);
-        mProposals.ProposeEnd(next->worker, next->run, EndKind::kRejected, {});
-        ScheduleTick(aNow);
+        WithdrawStart(*next, reason, aNow);
         continue;
       }
       next->leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
@@ -235,10 +255,12 @@
       RecordRunTime(worker, run, aNow);
     } else if (kind == EndKind::kFailed) {
       mHealth.OnRunFailed(worker, run.task.job, aNow);
-      const Job* job = mState.FindJob(run.task.job);
-      if (job != nullptr && !job->Ended()) {
-        mPlanner.OnRunFailed(run.task.job, worker);
-      }
+    }
+    const Job* job = mState.FindJob(run.task.job);
+    bool avoidWorker =
+      kind == EndKind::kFailed || kind == EndKind::kWorkerCrashed;
+    if (avoidWorker && job != nullptr && !job->Ended()) {
+      mPlanner.OnRunFailed(run.task.job, worker);
     }
     auto link = mLinks.find(worker);
     if (link == mLinks.end()) {
@@ -342,15 +364,16 @@
     const Worker& worker = *mState.FindWorker(id);
     const Job& job = *mState.FindJob(run.task.job);
     WorkerLink& link = LinkOf(worker, aNow);
-    link.runs[run] = {};
+    link.runs[run] = { .trackedSince = aNow };
     Order start = MakeOrder(Order::Kind::kStart, worker, aNow);
     start.run = run;
     start.payload = job.spec.payload;
     start.checkpoint = mState.FindTask(run.task)->checkpoint;
-    link.orderQueue.Add(std::move(start));
-    SendNext(worker, link, aNow);
-    link.nextRenewalAt = std::min(link.nextRenewalAt, aNow);
-    ScheduleWorker(id, aNow);
+    if (MustWaitForTrial(run, aNow)) {
+      mHeldStarts.push_back(std::move(start));
+    } else {
+      QueueStart(std::move(start), worker, aNow);
+    }
     bool firstStartOfJob = run.attempt == Attempt(1) && run.task.index == 0 &&
                            run.task.step == 0 && job.spec.occurrences == 0;
     if (firstStartOfJob) {
@@ -370,6 +393,7 @@
 Dispatcher::Tick(Millis aNow, Millis aWallNow)
 {
   mNextTick = aNow + mOptions.heartbeatInterval;
+  ReleaseTrials(aNow);
   for (const WorkerId& it : mTimers.TakeDue(aNow)) {
     if (const Worker* worker = mState.FindWorker(it)) {
       TickWorker(*worker, LinkOf(*worker, aNow), aNow);
@@ -398,6 +422,9 @@
     if (auto wait = std::exchange(aLink.lastRenewalWait, std::nullopt)) {
       SendRenewal(aWorker, aLink, *wait, std::nullopt, aNow);
     }
+    if (aLink.crashed) {
+      ProposeCrashedRuns(aWorker, aLink);
+    }
     RemoveIfSettled(aWorker, aLink);
     return;
   }
@@ -419,6 +446,17 @@
       !aLink.HasLeaseExpired(aNow)) {
     return;
   }
+  // A worker that has been silent since a start may have crashed or be cut off.
+  // Only a start that it answered counts, and never as the only run.
+  for (const auto& [run, evidence] : JudgeCrash(aWorker, aLink, aNow)) {
+    RunView& view = aLink.runs.at(run);
+    bool started = view.phase == RunView::Phase::kConfirmed && view.startSentAt;
+    bool atStart = evidence == CrashEvidence::kAtStart ||
+                   evidence == CrashEvidence::kAloneAtStart;
+    if (started && atStart && !view.crash) {
+      view.crash = CrashEvidence::kAtStart;
+    }
+  }
   for (const RunRef& it : aWorker.active) {
     auto run = aLink.runs.find(it);
     bool unresolved = run != aLink.runs.end() &&
@@ -426,11 +464,11 @@
     if (unresolved && !mProposals.HasProposedEnd(it)) {
       aLink.unconfirmedStarts.push_back(it);
     }
-    mProposals.ProposeEnd(aWorker.report.id,
-                          it,
-                          EndKind::kLost,
-                          run == aLink.runs.end() ? std::string()
-                                                  : run->second.checkpoint);
+    if (run == aLink.runs.end()) {
+      mProposals.ProposeEnd(aWorker.report.id, it, EndKind::kLost, {});
+    } else {
+      ProposeLostRun(aWorker, it, run->second);
+    }
   }
 }
 
@@ -499,8 +537,11 @@
   if (mayWait) {
     wait = urgent ? mOptions.maxUrgentRenewalWait : mOptions.maxRenewalWait;
     for (const auto& [run, view] : aLink.runs) {
-      wait = std::min(wait,
-                      std::max(mMonitor.MaxReportDelay(view), kMinRenewalWait));
+      Millis delay = mMonitor.MaxReportDelay(view);
+      if (mMonitor.IsOnTrial(run, view)) {
+        delay = std::min(delay, kTrialRenewalWait);
+      }
+      wait = std::min(wait, std::max(delay, kMinRenewalWait));
     }
   }
   // A lease may be in force from the moment it is sent. A worker that does not
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -163,6 +163,12 @@
                      const Worker& aWorker,
                      WorkerLink& aLink,
                      Millis aNow);
+  // Proposes the end of a run that the worker does not list.
+  void ProposeLostRun(const Worker& aWorker,
+                      const RunRef& aRun,
+                      const RunView& aView);
+  // Proposes the ends of the runs of a worker that crashed and is gone.
+  void ProposeCrashedRuns(const Worker& aWorker, const WorkerLink& aLink);
   // Proposes the ends as done that a worker reported before it was restarted.
   void RecordEarlierEnds(const Order& aOrder, const OrderResult& aResult);
   void RecordRunningRuns(const OrderResult& aResult,
@@ -174,6 +180,16 @@
                  WorkerLink& aLink,
                  Millis aNow);
   void SendStarts(const gen::Command& aCommand, Millis aNow);
+  // Whether the start has to wait until the first member of a suspected gang
+  // has been active for `kGangTrialTime`.
+  bool MustWaitForTrial(const RunRef& aRun, Millis aNow);
+  // Queues or withdraws the starts that waited for the first member.
+  void ReleaseTrials(Millis aNow);
+  void QueueStart(Order aStart, const Worker& aWorker, Millis aNow);
+  // Withdraws a start that was not sent.
+  void WithdrawStart(const Order& aStart,
+                     std::string_view aReason,
+                     Millis aNow);
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
   // Sends the next queued start or stop of the worker unless one is in flight.
   void SendNext(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
@@ -221,6 +237,8 @@
   WorkerPool mPool;
   WorkerTimers mTimers;
   std::vector<Order> mOrders;
+  // Starts of members of suspected gangs that wait for the first member.
+  std::vector<Order> mHeldStarts;
   std::vector<LogEvent> mEvents;
   // Starts are proposed and not committed yet. The next planning pass waits for
   // them, so that it does not assign the same resources twice.
--- a/packages/fleet/dispatcher_planning.cc
+++ b/packages/fleet/dispatcher_planning.cc
@@ -46,6 +46,16 @@
                     [&](const WorkerId& aWorker, const RunRef& aRun) {
                       return mMonitor.RemainingTimeOf(aWorker, aRun, aNow);
                     },
+                  .isOnTrial =
+                    [&](const WorkerId& aWorker, const RunRef& aRun) {
+                      auto link = mLinks.find(aWorker);
+                      if (link == mLinks.end()) {
+                        return true;
+                      }
+                      auto run = link->second.runs.find(aRun);
+                      return run == link->second.runs.end() ||
+                             mMonitor.IsOnTrial(aRun, run->second);
+                    },
                   .forecast = &mForecast,
                   .now = aNow,
                   .wallNow = aWallNow };
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -1,6 +1,7 @@
 // Handles the results of orders: which runs they prove to exist or to have
 // ended.
 
+#include "fleet/crash_evidence.h"
 #include "fleet/dispatcher.h"
 
 #include <algorithm>
@@ -44,7 +45,13 @@
     link.orderQueue.Done();
   }
   if (aResult.outcome == OrderResult::Outcome::kOtherIncarnation) {
+    link.crashed = !link.gone && !link.draining;
     link.gone = true;
+    link.unreachableSince = link.unreachableSince.value_or(aNow);
+    auto refused = link.runs.find(aOrder.run);
+    if (aOrder.kind == Order::Kind::kStart && refused != link.runs.end()) {
+      refused->second.startSentAt.reset();
+    }
   }
   if (link.gone && aOrder.kind != Order::Kind::kRenew) {
     return;
@@ -60,9 +67,13 @@
   link.reachable = !unanswered;
   if (unanswered) {
     ++mCounters.unansweredOrders;
+    link.unreachableSince = link.unreachableSince.value_or(aNow);
     link.nextRenewalAt = std::max(link.nextRenewalAt, aNow + kRetryDelay);
   } else {
     link.lastHeard = aNow;
+    if (!link.gone) {
+      link.unreachableSince.reset();
+    }
   }
   if (aResult.clock) {
     link.OnClock(*aResult.clock, aNow);
@@ -144,6 +155,31 @@
   }
 }
 
+void
+Dispatcher::ProposeLostRun(const Worker& aWorker,
+                           const RunRef& aRun,
+                           const RunView& aView)
+{
+  mProposals.ProposeEnd(aWorker.report.id,
+                        aRun,
+                        aView.crash ? EndKind::kWorkerCrashed : EndKind::kLost,
+                        aView.checkpoint,
+                        aView.crash.value_or(CrashEvidence::kNone));
+}
+
+void
+Dispatcher::ProposeCrashedRuns(const Worker& aWorker, const WorkerLink& aLink)
+{
+  for (const auto& [run, evidence] :
+       JudgeCrash(aWorker, aLink, aLink.lastHeard)) {
+    mProposals.ProposeEnd(aWorker.report.id,
+                          run,
+                          EndKind::kWorkerCrashed,
+                          aLink.runs.at(run).checkpoint,
+                          evidence);
+  }
+}
+
 void
 Dispatcher::RecordEarlierEnds(const Order& aOrder, const OrderResult& aResult)
 {
@@ -173,6 +209,11 @@
       run.phase = RunView::Phase::kConfirmed;
     }
     run.conclusiveAfter = std::min(run.conclusiveAfter, aNow);
+    Millis activeSince = run.startSentAt.value_or(run.trackedSince);
+    if (!run.passedStart && aNow - activeSince >= kStartWatchTime) {
+      run.passedStart = true;
+      mPlanDue = mPlanDue || IsSuspect(mState, it.run);
+    }
     run.progress.Observe(it.percent, aNow, aResult.clock.value_or(aNow));
     if (!it.checkpoint.empty()) {
       run.checkpoint = it.checkpoint;
@@ -246,8 +287,7 @@
     if (!listed.contains(it) && !aResult.endsTruncated &&
         run != aLink.runs.end() &&
         run->second.conclusiveAfter < aOrder.sentAt) {
-      mProposals.ProposeEnd(
-        aOrder.worker, it, EndKind::kLost, run->second.checkpoint);
+      ProposeLostRun(aWorker, it, run->second);
     }
   }
   CheckPace(aResult, aWorker, aLink, aNow);
--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -128,6 +128,8 @@
   // Value of limpetwood::fleet::EndKind.
   5: i32 kind
   6: string checkpoint
+  // Value of limpetwood::fleet::CrashEvidence; set for crashed workers.
+  7: i32 evidence
 }
 
 struct Command {
@@ -149,6 +151,10 @@
   3: i32 failures
   4: string worker
   5: string checkpoint
+  // 0 in snapshots of builds that did not count crashes.
+  6: i32 crashes
+  7: i32 crashesAtStart
+  8: i64 incarnation
 }
 
 struct StepSnapshot {
@@ -168,6 +174,7 @@
   3: bool started
   4: i64 endedAtMs
   5: list<OccurrenceSnapshot> occurrences
+  6: string reason
 }
 
 struct StateSnapshot {
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -2737,6 +2737,10 @@
 void RunEnd::__set_checkpoint(const std::string& val) {
   this->checkpoint = val;
 }
+
+void RunEnd::__set_evidence(const int32_t val) {
+  this->evidence = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunEnd& obj)
 {
   obj.printTo(out);
@@ -2813,6 +2817,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->evidence);
+          this->__isset.evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2854,6 +2866,10 @@
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->evidence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2867,6 +2883,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.kind, b.kind);
   swap(a.checkpoint, b.checkpoint);
+  swap(a.evidence, b.evidence);
   swap(a.__isset, b.__isset);
 }
 
@@ -2877,6 +2894,7 @@
   incarnation = other84.incarnation;
   kind = other84.kind;
   checkpoint = other84.checkpoint;
+  evidence = other84.evidence;
   __isset = other84.__isset;
 }
 RunEnd::RunEnd(RunEnd&& other85) noexcept {
@@ -2886,6 +2904,7 @@
   incarnation = other85.incarnation;
   kind = other85.kind;
   checkpoint = std::move(other85.checkpoint);
+  evidence = other85.evidence;
   __isset = other85.__isset;
 }
 RunEnd& RunEnd::operator=(const RunEnd& other86) {
@@ -2895,6 +2914,7 @@
   incarnation = other86.incarnation;
   kind = other86.kind;
   checkpoint = other86.checkpoint;
+  evidence = other86.evidence;
   __isset = other86.__isset;
   return *this;
 }
@@ -2905,6 +2925,7 @@
   incarnation = other87.incarnation;
   kind = other87.kind;
   checkpoint = std::move(other87.checkpoint);
+  evidence = other87.evidence;
   __isset = other87.__isset;
   return *this;
 }
@@ -2917,6 +2938,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "kind=" << to_string(kind);
   out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "evidence=" << to_string(evidence);
   out << ")";
 }
 
@@ -3363,6 +3385,18 @@
 void TaskSnapshot::__set_checkpoint(const std::string& val) {
   this->checkpoint = val;
 }
+
+void TaskSnapshot::__set_crashes(const int32_t val) {
+  this->crashes = val;
+}
+
+void TaskSnapshot::__set_crashesAtStart(const int32_t val) {
+  this->crashesAtStart = val;
+}
+
+void TaskSnapshot::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskSnapshot& obj)
 {
   obj.printTo(out);
@@ -3431,6 +3465,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->crashes);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->crashesAtStart);
+          this->__isset.crashesAtStart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3468,6 +3526,18 @@
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->crashes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashesAtStart", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->crashesAtStart);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3480,6 +3550,9 @@
   swap(a.failures, b.failures);
   swap(a.worker, b.worker);
   swap(a.checkpoint, b.checkpoint);
+  swap(a.crashes, b.crashes);
+  swap(a.crashesAtStart, b.crashesAtStart);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -3489,6 +3562,9 @@
   failures = other134.failures;
   worker = other134.worker;
   checkpoint = other134.checkpoint;
+  crashes = other134.crashes;
+  crashesAtStart = other134.crashesAtStart;
+  incarnation = other134.incarnation;
   __isset = other134.__isset;
 }
 TaskSnapshot::TaskSnapshot(TaskSnapshot&& other135) noexcept {
@@ -3497,6 +3573,9 @@
   failures = other135.failures;
   worker = std::move(other135.worker);
   checkpoint = std::move(other135.checkpoint);
+  crashes = other135.crashes;
+  crashesAtStart = other135.crashesAtStart;
+  incarnation = other135.incarnation;
   __isset = other135.__isset;
 }
 TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other136) {
@@ -3505,6 +3584,9 @@
   failures = other136.failures;
   worker = other136.worker;
   checkpoint = other136.checkpoint;
+  crashes = other136.crashes;
+  crashesAtStart = other136.crashesAtStart;
+  incarnation = other136.incarnation;
   __isset = other136.__isset;
   return *this;
 }
@@ -3514,6 +3596,9 @@
   failures = other137.failures;
   worker = std::move(other137.worker);
   checkpoint = std::move(other137.checkpoint);
+  crashes = other137.crashes;
+  crashesAtStart = other137.crashesAtStart;
+  incarnation = other137.incarnation;
   __isset = other137.__isset;
   return *this;
 }
@@ -3525,6 +3610,9 @@
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "worker=" << to_string(worker);
   out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "crashesAtStart=" << to_string(crashesAtStart);
+  out << ", " << "incarnation=" << to_string(incarnation);
   out << ")";
 }
 
@@ -3860,6 +3948,10 @@
 void JobSnapshot::__set_occurrences(const std::vector<OccurrenceSnapshot> & val) {
   this->occurrences = val;
 }
+
+void JobSnapshot::__set_reason(const std::string& val) {
+  this->reason = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobSnapshot& obj)
 {
   obj.printTo(out);
@@ -3940,6 +4032,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3985,6 +4085,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3997,6 +4101,7 @@
   swap(a.started, b.started);
   swap(a.endedAtMs, b.endedAtMs);
   swap(a.occurrences, b.occurrences);
+  swap(a.reason, b.reason);
   swap(a.__isset, b.__isset);
 }
 
@@ -4006,6 +4111,7 @@
   started = other164.started;
   endedAtMs = other164.endedAtMs;
   occurrences = other164.occurrences;
+  reason = other164.reason;
   __isset = other164.__isset;
 }
 JobSnapshot::JobSnapshot(JobSnapshot&& other165) noexcept {
@@ -4014,6 +4120,7 @@
   started = other165.started;
   endedAtMs = other165.endedAtMs;
   occurrences = std::move(other165.occurrences);
+  reason = std::move(other165.reason);
   __isset = other165.__isset;
 }
 JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other166) {
@@ -4022,6 +4129,7 @@
   started = other166.started;
   endedAtMs = other166.endedAtMs;
   occurrences = other166.occurrences;
+  reason = other166.reason;
   __isset = other166.__isset;
   return *this;
 }
@@ -4031,6 +4139,7 @@
   started = other167.started;
   endedAtMs = other167.endedAtMs;
   occurrences = std::move(other167.occurrences);
+  reason = std::move(other167.reason);
   __isset = other167.__isset;
   return *this;
 }
@@ -4042,6 +4151,7 @@
   out << ", " << "started=" << to_string(started);
   out << ", " << "endedAtMs=" << to_string(endedAtMs);
   out << ", " << "occurrences=" << to_string(occurrences);
+  out << ", " << "reason=" << to_string(reason);
   out << ")";
 }
 
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -1027,13 +1027,14 @@
 std::ostream& operator<<(std::ostream& out, const RunStart& obj);
 
 typedef struct _RunEnd__isset {
-  _RunEnd__isset() : task(false), run(false), worker(false), incarnation(false), kind(false), checkpoint(false) {}
+  _RunEnd__isset() : task(false), run(false), worker(false), incarnation(false), kind(false), checkpoint(false), evidence(false) {}
   bool task :1;
   bool run :1;
   bool worker :1;
   bool incarnation :1;
   bool kind :1;
   bool checkpoint :1;
+  bool evidence :1;
 } _RunEnd__isset;
 
 class RunEnd : public virtual ::apache::thrift::TBase {
@@ -1048,7 +1049,8 @@
            worker(),
            incarnation(0),
            kind(0),
-           checkpoint() {
+           checkpoint(),
+           evidence(0) {
   }
 
   virtual ~RunEnd() noexcept;
@@ -1058,6 +1060,7 @@
   int64_t incarnation;
   int32_t kind;
   std::string checkpoint;
+  int32_t evidence;
 
   _RunEnd__isset __isset;
 
@@ -1073,6 +1076,8 @@
 
   void __set_checkpoint(const std::string& val);
 
+  void __set_evidence(const int32_t val);
+
   bool operator == (const RunEnd & rhs) const
   {
     if (!(task == rhs.task))
@@ -1087,6 +1092,8 @@
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
+    if (!(evidence == rhs.evidence))
+      return false;
     return true;
   }
   bool operator != (const RunEnd &rhs) const {
@@ -1201,12 +1208,15 @@
 std::ostream& operator<<(std::ostream& out, const Command& obj);
 
 typedef struct _TaskSnapshot__isset {
-  _TaskSnapshot__isset() : phase(false), run(false), failures(false), worker(false), checkpoint(false) {}
+  _TaskSnapshot__isset() : phase(false), run(false), failures(false), worker(false), checkpoint(false), crashes(false), crashesAtStart(false), incarnation(false) {}
   bool phase :1;
   bool run :1;
   bool failures :1;
   bool worker :1;
   bool checkpoint :1;
+  bool crashes :1;
+  bool crashesAtStart :1;
+  bool incarnation :1;
 } _TaskSnapshot__isset;
 
 class TaskSnapshot : public virtual ::apache::thrift::TBase {
@@ -1221,7 +1231,10 @@
                  run(0),
                  failures(0),
                  worker(),
-                 checkpoint() {
+                 checkpoint(),
+                 crashes(0),
+                 crashesAtStart(0),
+                 incarnation(0) {
   }
 
   virtual ~TaskSnapshot() noexcept;
@@ -1230,6 +1243,9 @@
   int32_t failures;
   std::string worker;
   std::string checkpoint;
+  int32_t crashes;
+  int32_t crashesAtStart;
+  int64_t incarnation;
 
   _TaskSnapshot__isset __isset;
 
@@ -1243,6 +1259,12 @@
 
   void __set_checkpoint(const std::string& val);
 
+  void __set_crashes(const int32_t val);
+
+  void __set_crashesAtStart(const int32_t val);
+
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const TaskSnapshot & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -1255,6 +1277,12 @@
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(crashesAtStart == rhs.crashesAtStart))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const TaskSnapshot &rhs) const {
@@ -1383,12 +1411,13 @@
 std::ostream& operator<<(std::ostream& out, const OccurrenceSnapshot& obj);
 
 typedef struct _JobSnapshot__isset {
-  _JobSnapshot__isset() : job(false), status(false), started(false), endedAtMs(false), occurrences(false) {}
+  _JobSnapshot__isset() : job(false), status(false), started(false), endedAtMs(false), occurrences(false), reason(false) {}
   bool job :1;
   bool status :1;
   bool started :1;
   bool endedAtMs :1;
   bool occurrences :1;
+  bool reason :1;
 } _JobSnapshot__isset;
 
 class JobSnapshot : public virtual ::apache::thrift::TBase {
@@ -1401,7 +1430,8 @@
   JobSnapshot() noexcept
               : status(0),
                 started(0),
-                endedAtMs(0) {
+                endedAtMs(0),
+                reason() {
   }
 
   virtual ~JobSnapshot() noexcept;
@@ -1410,6 +1440,7 @@
   bool started;
   int64_t endedAtMs;
   std::vector<OccurrenceSnapshot>  occurrences;
+  std::string reason;
 
   _JobSnapshot__isset __isset;
 
@@ -1423,6 +1454,8 @@
 
   void __set_occurrences(const std::vector<OccurrenceSnapshot> & val);
 
+  void __set_reason(const std::string& val);
+
   bool operator == (const JobSnapshot & rhs) const
   {
     if (!(job == rhs.job))
@@ -1435,6 +1468,8 @@
       return false;
     if (!(occurrences == rhs.occurrences))
       return false;
+    if (!(reason == rhs.reason))
+      return false;
     return true;
   }
   bool operator != (const JobSnapshot &rhs) const {
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -23,10 +23,11 @@
   const StepSpec& step = *aRequest.step;
   for (size_t n = 0; n < aCandidates.size(); ++n) {
     const Candidate& it = aCandidates[n];
-    if (!MayRun(step, *aRequest.service, *it.report)) {
+    if (!MayRun(step, *aRequest.service, *it.report) ||
+        (aRequest.onIdleWorkers && !it.idle)) {
       continue;
     }
-    uint32_t limit = aRequest.tasks;
+    uint32_t limit = aRequest.onIdleWorkers && !step.gang ? 1 : aRequest.tasks;
     if (step.perWorkerLimit > 0) {
       uint32_t placed =
         aRequest.activeTasksOn ? aRequest.activeTasksOn(it.id) : 0;
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -25,8 +25,10 @@
   // `NumberRacks`.
   uint32_t rack = 0;
   const WorkerReport* report = nullptr;
-  // Free resources; no component is negative.
+  // Free resources; negative if the capacity shrank below what is in use.
   Resources available{};
+  // Nothing runs on the worker.
+  bool idle = false;
   // Higher is worse; 0 for a worker without faults.
   int faultScore = 0;
 };
@@ -44,6 +46,8 @@
   std::function<bool(const WorkerId&)> isAvoided{};
   // Whether tasks that prefer one rack may be placed on several.
   bool maySpanRacks = false;
+  // Uses idle workers only, with one task on each unless the step is a gang.
+  bool onIdleWorkers = false;
   // Fills the fullest workers first; otherwise the first workers that fit.
   bool bestFit = true;
 };
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -1,5 +1,6 @@
 #include "fleet/planner.h"
 
+#include "fleet/crash_evidence.h"
 #include "fleet/reclaim.h"
 #include "fleet/reservation.h"
 
@@ -139,11 +140,13 @@
         }
         std::vector<uint32_t> tasks = WaitingTasks(job, k, step);
         if (!tasks.empty()) {
-          out.push_back({ .job = &job,
-                          .occurrence = k,
-                          .step = step,
-                          .tasks = std::move(tasks),
-                          .due = due });
+          AddUnit({ .job = &job,
+                    .occurrence = k,
+                    .step = step,
+                    .tasks = std::move(tasks),
+                    .due = due },
+                  aView,
+                  out);
         }
       }
     }
@@ -151,6 +154,57 @@
   return out;
 }
 
+void
+Planner::AddUnit(Unit aUnit, const FleetView& aView, std::vector<Unit>& aUnits)
+{
+  const Job& job = *aUnit.job;
+  if (aUnit.occurrence >= job.occurrences.size()) {
+    aUnits.push_back(std::move(aUnit));
+    return;
+  }
+  const Step& step = job.occurrences[aUnit.occurrence].steps[aUnit.step];
+  bool anySuspect = std::any_of(step.tasks.begin(),
+                                step.tasks.end(),
+                                [](const Task& it) { return IsSuspect(it); });
+  if (!anySuspect || aUnit.Spec().gang) {
+    aUnit.onTrial = anySuspect;
+    aUnits.push_back(std::move(aUnit));
+    return;
+  }
+  bool onTrial = false;
+  bool passed = false;
+  for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+    const Task& task = step.tasks[n];
+    if (!IsSuspect(task) || task.phase == Task::Phase::kWaiting) {
+      continue;
+    }
+    RunRef run{ { job.id, aUnit.occurrence, aUnit.step, n }, task.attempt };
+    bool active = task.phase == Task::Phase::kActive;
+    bool tried = active && aView.isOnTrial && aView.isOnTrial(task.worker, run);
+    onTrial = onTrial || tried;
+    passed = passed || !tried;
+  }
+  if (onTrial && !passed) {
+    return;
+  }
+  auto suspects = std::stable_partition(
+    aUnit.tasks.begin(), aUnit.tasks.end(), [&](uint32_t aTask) {
+      return !IsSuspect(step.tasks[aTask]);
+    });
+  Unit trial = aUnit;
+  trial.onTrial = true;
+  trial.tasks.assign(suspects, aUnit.tasks.end());
+  aUnit.tasks.erase(suspects, aUnit.tasks.end());
+  if (!passed && !trial.tasks.empty()) {
+    trial.tasks.resize(1);
+  } else if (!aUnit.tasks.empty()) {
+    aUnits.push_back(std::move(aUnit));
+  }
+  if (!trial.tasks.empty()) {
+    aUnits.push_back(std::move(trial));
+  }
+}
+
 Plan
 Planner::Decide(FleetView aView)
 {
@@ -181,8 +235,13 @@
       mPendingPreemptions.erase(it.job->id);
       continue;
     }
-    mUnplaceable.push_back({ &it });
     ++plan.blockedUnits;
+    // A trial needs idle workers, and whether there are any says nothing about
+    // other units. Nothing is stopped or reserved for it.
+    if (it.onTrial) {
+      continue;
+    }
+    mUnplaceable.push_back({ &it });
     auto pending = mPendingPreemptions.find(it.job->id);
     if (pending == mPendingPreemptions.end() &&
         handledUnits >= mOptions.maxBlockedUnitsPerPass) {
@@ -339,6 +398,8 @@
                failed->second.contains(aWorker);
       },
     .maySpanRacks = MaySpanRacks(aUnit, aView),
+    .onIdleWorkers =
+      aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait,
     .bestFit = mOptions.bestFit,
   };
 }
@@ -349,6 +410,13 @@
   return { aUnit.job->id, aUnit.occurrence, aUnit.step };
 }
 
+Millis
+Planner::WaitingTime(const Unit& aUnit, const FleetView& aView) const
+{
+  auto since = mWaitingSince.find(KeyOf(aUnit));
+  return since == mWaitingSince.end() ? Millis(0) : aView.now - since->second;
+}
+
 bool
 Planner::MaySpanRacks(const Unit& aUnit, const FleetView& aView) const
 {
@@ -373,9 +441,7 @@
   bool neverFits = std::all_of(tasksByRack.begin(),
                                tasksByRack.end(),
                                [&](uint32_t it) { return it < tasks; });
-  auto since = mWaitingSince.find(KeyOf(aUnit));
-  bool waited = since != mWaitingSince.end() &&
-                aView.now - since->second >= mOptions.maxRackWait;
+  bool waited = WaitingTime(aUnit, aView) >= mOptions.maxRackWait;
   return neverFits || (waited && idleAccelerators * 2 > totalAccelerators);
 }
 
@@ -388,6 +454,7 @@
   for (size_t n = 0; n < chosen.size(); ++n) {
     Candidate& it = aView.candidates[chosen[n]];
     it.available -= step.CountedResources();
+    it.idle = false;
     Attempt attempt = LastAttemptOf(aUnit, aUnit.tasks[n]).Next();
     aPlan.starts.push_back({ .run = { { aUnit.job->id,
                                         aUnit.occurrence,
@@ -397,7 +464,15 @@
                              .worker = it.id,
                              .incarnation = it.report->incarnation });
   }
-  return chosen.size() == aUnit.tasks.size();
+  bool complete = chosen.size() == aUnit.tasks.size();
+  if (aUnit.onTrial) {
+    std::vector<WorkerId> used;
+    for (size_t it : chosen) {
+      used.push_back(aView.candidates[it].id);
+    }
+    ExcludeWorkers(std::move(used), aView);
+  }
+  return complete;
 }
 
 bool
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -55,6 +55,8 @@
   // more than half of the matching accelerators are idle, because waiting
   // longer is then unlikely to free a whole rack.
   Millis maxRackWait = Millis(1500);
+  // A task on trial that has waited this long for an idle worker shares one.
+  Millis maxTrialWait = Millis(1500);
   // Maximum fraction of all accelerators that is reserved for gangs that do not
   // fit.
   double maxReservedShare = 0.4;
@@ -100,6 +102,9 @@
   std::function<RunCost(const WorkerId&, const RunRef&)> costOf{};
   // Returns the expected remaining time of a run; `Millis::Max()` if unknown.
   std::function<Millis(const WorkerId&, const RunRef&)> remainingTimeOf{};
+  // Whether a run is suspected of crashing its worker and not cleared yet; may
+  // be empty.
+  std::function<bool(const WorkerId&, const RunRef&)> isOnTrial{};
   const Forecast* forecast = nullptr;
   Millis now{};
   Millis wallNow{};
@@ -152,6 +157,8 @@
   // Due time of the occurrence, or the acceptance time of a job without
   // scheduled occurrences (wall clock).
   Millis due{};
+  // The tasks are suspected of crashing workers and are tried apart.
+  bool onTrial = false;
 
   const StepSpec& Spec() const { return job->spec.steps[step]; }
 };
@@ -187,6 +194,12 @@
   };
 
   std::vector<Unit> CollectUnits(const FleetView& aView, Plan& aPlan) const;
+  // Adds the unit. Of a step with suspected tasks, a single one is on trial
+  // before any other task starts; once one has passed, the other suspects are
+  // tried each on a worker of its own.
+  static void AddUnit(Unit aUnit,
+                      const FleetView& aView,
+                      std::vector<Unit>& aUnits);
   // Returns false if some tasks did not fit.
   bool PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   // Whether a unit with no greater requirements already failed to fit in this
@@ -225,6 +238,8 @@
                const std::optional<ReservationChoice>& aChoice,
                FleetView& aView);
 
+  // Time for which the unit has been startable.
+  Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
   // Whether a unit that prefers one rack may be placed on several.
   bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
 
--- a/packages/fleet/proposals.cc
+++ b/packages/fleet/proposals.cc
@@ -28,7 +28,8 @@
 Proposals::ProposeEnd(const WorkerId& aWorker,
                       const RunRef& aRun,
                       EndKind aKind,
-                      const std::string& aCheckpoint)
+                      const std::string& aCheckpoint,
+                      CrashEvidence aEvidence)
 {
   if (!mState.IsActive(aRun, aWorker) || !mProposedEnds.insert(aRun).second) {
     return false;
@@ -39,6 +40,7 @@
   end.worker = aWorker.Value();
   end.kind = static_cast<int32_t>(aKind);
   end.checkpoint = aCheckpoint;
+  end.evidence = static_cast<int32_t>(aEvidence);
   mCommand.ends.push_back(std::move(end));
   return true;
 }
--- a/packages/fleet/proposals.h
+++ b/packages/fleet/proposals.h
@@ -26,7 +26,8 @@
   bool ProposeEnd(const WorkerId& aWorker,
                   const RunRef& aRun,
                   EndKind aKind,
-                  const std::string& aCheckpoint);
+                  const std::string& aCheckpoint,
+                  CrashEvidence aEvidence = CrashEvidence::kNone);
   void ProposeStart(const RunRef& aRun,
                     const WorkerId& aWorker,
                     Incarnation aIncarnation);
--- a/packages/fleet/run_monitor.cc
+++ b/packages/fleet/run_monitor.cc
@@ -1,5 +1,7 @@
 #include "fleet/run_monitor.h"
 
+#include "fleet/crash_evidence.h"
+
 #include <algorithm>
 
 namespace limpetwood::fleet {
@@ -68,6 +70,12 @@
   return std::max(kStallTime - aView.progress.ObservedStandstill(), Millis(0));
 }
 
+bool
+RunMonitor::IsOnTrial(const RunRef& aRun, const RunView& aView) const
+{
+  return !aView.passedStart && IsSuspect(mState, aRun);
+}
+
 std::vector<const Progress*>
 RunMonitor::PeersOf(const RunRef& aRun, const StepSpec& aSpec) const
 {
--- a/packages/fleet/run_monitor.h
+++ b/packages/fleet/run_monitor.h
@@ -45,6 +45,10 @@
   // has reached the stall time without progress.
   Millis MaxReportDelay(const RunView& aView) const;
 
+  // Whether the run is suspected of crashing its worker and has not been active
+  // for long enough to be cleared.
+  bool IsOnTrial(const RunRef& aRun, const RunView& aView) const;
+
   // Compares the run with its peers, or with the learned time of its queue.
   Pace PaceOf(const RunRef& aRun, const RunView& aView) const;
 
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -10,6 +10,16 @@
 // followers, all are discarded.
 constexpr size_t kMaxChanges = 4096;
 
+// A job is given up when one of its tasks has crashed this many workers: when
+// the last one ran nothing else, when the task had just started on each, or in
+// all. The platform requires two and allows at most five.
+constexpr uint32_t kMaxProvenCrashes = 2;
+constexpr uint32_t kMaxCrashesAtStart = 3;
+constexpr uint32_t kMaxCrashes = 5;
+// Number of crashes after which a task is tried apart although it had not just
+// started on any of the workers.
+constexpr uint32_t kSuspectCrashes = 2;
+
 RunRef
 RunOf(const gen::TaskRef& aTask, int32_t aRun)
 {
@@ -19,6 +29,12 @@
 
 } // namespace
 
+bool
+IsSuspect(const Task& aTask)
+{
+  return aTask.crashesAtStart > 0 || aTask.crashes >= kSuspectCrashes;
+}
+
 bool
 Job::StepDone(uint32_t aOccurrence, uint32_t aStep) const
 {
@@ -47,7 +63,8 @@
              WorkerId(it.worker),
              static_cast<EndKind>(it.kind),
              it.checkpoint,
-             at);
+             at,
+             static_cast<CrashEvidence>(it.evidence));
   }
   for (const gen::SubmitJob& it : aCommand.jobs) {
     ApplyJob(it);
@@ -225,6 +242,7 @@
   task->phase = Task::Phase::kActive;
   task->attempt = run.attempt;
   task->worker = worker->first;
+  task->incarnation = worker->second.report.incarnation;
   step->lastAttempt = std::max(step->lastAttempt, run.attempt);
   ++step->active;
   ++job->activeRuns;
@@ -240,7 +258,8 @@
                      const WorkerId& aWorker,
                      EndKind aKind,
                      const std::string& aCheckpoint,
-                     Millis aAt)
+                     Millis aAt,
+                     CrashEvidence aEvidence)
 {
   Job* job = nullptr;
   Step* step = nullptr;
@@ -256,6 +275,7 @@
   }
   task->phase = Task::Phase::kWaiting;
   task->worker = WorkerId();
+  task->incarnation = Incarnation();
   --step->active;
   --job->activeRuns;
   if (!aCheckpoint.empty()) {
@@ -268,8 +288,13 @@
   RecordChange({ .kind = Change::Kind::kRunEnded,
                  .run = aRun,
                  .worker = aWorker,
-                 .end = aKind });
-  RecordEnd(*job, *step, *task, spec, aRun, aKind, aAt);
+                 .end = aKind,
+                 .evidence = aEvidence });
+  if (aKind == EndKind::kWorkerCrashed) {
+    RecordCrash(*job, *task, aEvidence, aAt);
+  } else {
+    RecordEnd(*job, *step, *task, spec, aRun, aKind, aAt);
+  }
   UpdateLive(*job);
 }
 
@@ -308,6 +333,31 @@
   }
 }
 
+void
+FleetState::RecordCrash(Job& aJob,
+                        Task& aTask,
+                        CrashEvidence aEvidence,
+                        Millis aAt)
+{
+  if (aEvidence == CrashEvidence::kExonerated) {
+    aTask.crashes = 0;
+    aTask.crashesAtStart = 0;
+    return;
+  }
+  ++aTask.crashes;
+  aTask.crashesAtStart += aEvidence == CrashEvidence::kNone ? 0 : 1;
+  bool proven = aEvidence == CrashEvidence::kAloneAtStart &&
+                aTask.crashesAtStart >= kMaxProvenCrashes;
+  if (aJob.Ended() || !(proven || aTask.crashesAtStart >= kMaxCrashesAtStart ||
+                        aTask.crashes >= kMaxCrashes)) {
+    return;
+  }
+  EndJob(aJob,
+         JobStatus::kFailed,
+         "a task crashed " + std::to_string(aTask.crashes) + " workers",
+         aAt);
+}
+
 void
 FleetState::CheckCompletion(Job& aJob, uint32_t aOccurrence, Millis aAt)
 {
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -51,12 +51,25 @@
   Attempt attempt{};
   // Number of attempts that failed.
   uint32_t failures = 0;
-  // Worker of the active run; empty otherwise.
+  // Number of workers that crashed while they ran the task, and of those the
+  // ones that crashed when it had just started. Both are cleared by a run that
+  // was active long enough to show that the task does not crash workers.
+  uint32_t crashes = 0;
+  uint32_t crashesAtStart = 0;
+  // Worker of the active run and its process that the run was started on;
+  // empty otherwise. The process is also empty for runs that are older than
+  // this field.
   WorkerId worker{};
+  Incarnation incarnation{};
   // The latest checkpoint of an ended run; empty if there is none.
   std::string checkpoint{};
 };
 
+// A task is suspected of crashing its workers and is tried apart from other
+// work.
+bool
+IsSuspect(const Task& aTask);
+
 struct Step
 {
   std::vector<Task> tasks{};
@@ -142,6 +155,7 @@
   WorkerId worker{};
   // Set for `kRunEnded`.
   EndKind end = EndKind::kDone;
+  CrashEvidence evidence = CrashEvidence::kNone;
 };
 
 class FleetState
@@ -191,7 +205,8 @@
                 const WorkerId& aWorker,
                 EndKind aKind,
                 const std::string& aCheckpoint,
-                Millis aAt);
+                Millis aAt,
+                CrashEvidence aEvidence = CrashEvidence::kNone);
   void ApplyForget(const JobId& aId);
 
   // Ends all runs on a worker as lost.
@@ -203,6 +218,10 @@
                  const RunRef& aRun,
                  EndKind aKind,
                  Millis aAt);
+  // Counts a crash against the task, whether its job is a gang, lasts, or
+  // neither. Each member of a gang answers for its own worker, so the crashes
+  // of one gang attempt are not added up.
+  void RecordCrash(Job& aJob, Task& aTask, CrashEvidence aEvidence, Millis aAt);
   void CheckCompletion(Job& aJob, uint32_t aOccurrence, Millis aAt);
   void EndJob(Job& aJob, JobStatus aStatus, std::string aReason, Millis aAt);
   // Finds a task, its job and step, and creates the occurrence if needed.
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -36,6 +36,9 @@
     task.failures = static_cast<int32_t>(it.failures);
     task.worker = it.worker.Value();
     task.checkpoint = it.checkpoint;
+    task.crashes = static_cast<int32_t>(it.crashes);
+    task.crashesAtStart = static_cast<int32_t>(it.crashesAtStart);
+    task.incarnation = static_cast<int64_t>(it.incarnation.Value());
     out.tasks.push_back(std::move(task));
   }
   out.gangFailures = static_cast<int32_t>(aStep.gangFailures);
@@ -55,6 +58,9 @@
     task.failures = static_cast<uint32_t>(it.failures);
     task.worker = WorkerId(it.worker);
     task.checkpoint = it.checkpoint;
+    task.crashes = static_cast<uint32_t>(it.crashes);
+    task.crashesAtStart = static_cast<uint32_t>(it.crashesAtStart);
+    task.incarnation = Incarnation(static_cast<uint64_t>(it.incarnation));
     out.done += task.phase == Task::Phase::kDone ? 1 : 0;
     out.active += task.phase == Task::Phase::kActive ? 1 : 0;
   }
@@ -101,6 +107,7 @@
     added.job = SubmissionOf(job);
     added.status = static_cast<int32_t>(job.status);
     added.endedAtMs = job.endedAt.Count();
+    added.reason = job.reason;
     for (const Occurrence& occurrence : job.occurrences) {
       gen::OccurrenceSnapshot& written = added.occurrences.emplace_back();
       for (const Step& step : occurrence.steps) {
@@ -130,6 +137,7 @@
     Job& job = aState.mJobs[JobId(it.job.id)];
     job.status = static_cast<JobStatus>(it.status);
     job.endedAt = Millis(it.endedAtMs);
+    job.reason = it.reason;
     uint32_t number = 0;
     for (const gen::OccurrenceSnapshot& occurrence : it.occurrences) {
       Occurrence& read = job.occurrences.emplace_back();
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -117,6 +117,124 @@
   EXPECT_EQ(OnlyJob(state).activeRuns, 1U);
 }
 
+// Ends a run because its worker crashed.
+void
+Crash(FleetState& aState,
+      uint32_t aIndex,
+      uint32_t aAttempt,
+      CrashEvidence aEvidence)
+{
+  gen::RunEnd end;
+  end.task = ToWire(TaskAt(aIndex));
+  end.run = static_cast<int32_t>(aAttempt);
+  end.worker = "w1";
+  end.kind = static_cast<int32_t>(EndKind::kWorkerCrashed);
+  end.evidence = static_cast<int32_t>(aEvidence);
+  gen::Command command;
+  command.ends.push_back(end);
+  aState.Apply(command);
+}
+
+// Number of crashes with this evidence after which the job is given up; 20 if
+// it never is.
+uint32_t
+CrashesUntilGivenUp(const StepSpec& aStep, CrashEvidence aEvidence)
+{
+  FleetState state = StateWith(aStep, 1);
+  uint32_t crashes = 0;
+  while (crashes < 20 && !OnlyJob(state).Ended()) {
+    Start(state, 0, ++crashes);
+    Crash(state, 0, crashes, aEvidence);
+  }
+  return crashes;
+}
+
+// Guards against a task that takes down worker after worker: the platform
+// allows two starts after three crashes.
+TEST(FleetStateCrashes, TaskThatCrashesWorkersIsGivenUp)
+{
+  StepSpec lasting = Tasks(1, false);
+  lasting.longRunning = true;
+  for (const StepSpec& step : { Tasks(1, false), Tasks(1, true), lasting }) {
+    EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kAloneAtStart), 2U);
+    EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kAtStart), 3U);
+    EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kNone), 5U);
+  }
+}
+
+// Guards against a sound job that is given up because its workers are lost for
+// other causes.
+TEST(FleetStateCrashes, OtherEndsDoNotCount)
+{
+  FleetState state = StateWith(Tasks(1, false), 1);
+  uint32_t attempt = 0;
+  for (EndKind it : { EndKind::kLost,
+                      EndKind::kStopped,
+                      EndKind::kLeaseExpired,
+                      EndKind::kGangMemberEnded,
+                      EndKind::kRejected }) {
+    for (int n = 0; n < 6; ++n) {
+      Start(state, 0, ++attempt);
+      End(state, 0, attempt, it);
+    }
+  }
+  EXPECT_FALSE(OnlyJob(state).Ended());
+  EXPECT_EQ(state.FindTask(TaskAt(0))->crashes, 0U);
+}
+
+// Guards against a task that lasts being given up after years because its
+// workers crash now and then.
+TEST(FleetStateCrashes, LongRunClearsTheCount)
+{
+  EXPECT_EQ(CrashesUntilGivenUp(Tasks(1, false), CrashEvidence::kExonerated),
+            20U);
+  FleetState state = StateWith(Tasks(1, false));
+  Start(state, 0, 1);
+  Crash(state, 0, 1, CrashEvidence::kAtStart);
+  EXPECT_TRUE(IsSuspect(*state.FindTask(TaskAt(0))));
+  Start(state, 0, 2);
+  Crash(state, 0, 2, CrashEvidence::kExonerated);
+  EXPECT_FALSE(IsSuspect(*state.FindTask(TaskAt(0))));
+}
+
+// Guards against a sound gang that is given up because one crash of a rack ends
+// several members: each answers for its own worker.
+TEST(FleetStateCrashes, MembersOfAGangAnswerForTheirOwnWorkers)
+{
+  FleetState state = StateWith(Tasks(4, true));
+  for (uint32_t n = 0; n < 4; ++n) {
+    Start(state, n, 1);
+  }
+  for (uint32_t n = 0; n < 4; ++n) {
+    Crash(state, n, 1, CrashEvidence::kAloneAtStart);
+  }
+  EXPECT_FALSE(OnlyJob(state).Ended());
+  Start(state, 2, 2);
+  Crash(state, 2, 2, CrashEvidence::kAloneAtStart);
+  EXPECT_EQ(OnlyJob(state).status, JobStatus::kFailed);
+}
+
+// Guards against a count, or the reason of a failure, that a restart from a
+// snapshot forgets.
+TEST(FleetStateCrashes, CountAndReasonSurviveASnapshot)
+{
+  FleetState state = StateWith(Tasks(1, false));
+  Start(state, 0, 1);
+  Crash(state, 0, 1, CrashEvidence::kAloneAtStart);
+  FleetState restored;
+  ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
+  Start(restored, 0, 2);
+  EXPECT_EQ(restored.FindTask(TaskAt(0))->incarnation, Incarnation(1));
+  FleetState again;
+  ASSERT_TRUE(again.Restore(restored.TakeSnapshot()));
+  EXPECT_EQ(again.FindTask(TaskAt(0))->incarnation, Incarnation(1));
+  Crash(again, 0, 2, CrashEvidence::kAloneAtStart);
+  EXPECT_EQ(OnlyJob(again).status, JobStatus::kFailed);
+  FleetState last;
+  ASSERT_TRUE(last.Restore(again.TakeSnapshot()));
+  EXPECT_EQ(OnlyJob(last).reason, "a task crashed 2 workers");
+}
+
 // Guards against two active runs of one task.
 TEST(FleetState, StartOfATaskThatIsActiveChangesNothing)
 {
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr FencingToken kToken(7);
 const ServiceId kService("service");
 // Longer than `kMinPlanInterval` of the dispatcher, 15 ms.
 constexpr Millis kAfterPlanPause(20);
@@ -16,7 +15,7 @@
 } // namespace
 
 FleetFixture::FleetFixture()
-  : mDispatcher(mOptions, mState, kToken, mNow)
+  : mDispatcher(std::make_unique<Dispatcher>(mOptions, mState, mToken, mNow))
 {
 }
 
@@ -24,20 +23,25 @@
 FleetFixture::RunUntilIdle()
 {
   for (int n = 0; n < 10; ++n) {
-    uint64_t passes = mDispatcher.Counters().planningPasses;
-    mDispatcher.Tick(mNow, mNow);
-    bool planned = mDispatcher.Counters().planningPasses > passes;
-    mDispatcher.OnTickDuration(planned ? mPassTime : Millis(0));
-    for (Order& it : mDispatcher.TakeOrders()) {
-      mOrders.push_back(std::move(it));
+    uint64_t passes = mDispatcher->Counters().planningPasses;
+    mDispatcher->Tick(mNow, mNow);
+    bool planned = mDispatcher->Counters().planningPasses > passes;
+    mDispatcher->OnTickDuration(planned ? mPassTime : Millis(0));
+    for (Order& it : mDispatcher->TakeOrders()) {
+      if (mCrashed.contains(it.worker)) {
+        mDispatcher->OnResult(
+          it, { .outcome = OrderResult::Outcome::kNotSent }, mNow);
+      } else {
+        mOrders.push_back(std::move(it));
+      }
     }
-    if (mCommitsHeld || !mDispatcher.HasCommand()) {
+    if (mCommitsHeld || !mDispatcher->HasCommand()) {
       return;
     }
-    gen::Command command = mDispatcher.TakeCommand();
+    gen::Command command = mDispatcher->TakeCommand();
     command.atMs = mNow.Count();
     mState.Apply(command);
-    mDispatcher.OnCommitted(command, mNow);
+    mDispatcher->OnCommitted(command, mNow);
   }
 }
 
@@ -63,7 +67,7 @@
   report.capacity = { .cpu = 64'000, .memoryMb = 256'000, .accelerators = 8 };
   report.sequence = ++mSequence;
   report.clock = WorkerClock();
-  mDispatcher.OnReport(report, mNow);
+  mDispatcher->OnReport(report, mNow);
   RunUntilIdle();
 }
 
@@ -75,16 +79,42 @@
   Report(aId, Incarnation(1), worker->report.rack.Value());
 }
 
+void
+FleetFixture::Crash(const std::string& aId)
+{
+  WorkerId id(aId);
+  mCrashed.insert(id);
+  for (const Order& it : std::exchange(mOrders, {})) {
+    if (it.worker == id) {
+      mDispatcher->OnResult(
+        it, { .outcome = OrderResult::Outcome::kNoAnswer }, mNow);
+    } else {
+      mOrders.push_back(it);
+    }
+  }
+  RunUntilIdle();
+}
+
+void
+FleetFixture::ChangeLeader()
+{
+  mOrders.clear();
+  mToken = FencingToken(mToken.Value() + 1);
+  mDispatcher = std::make_unique<Dispatcher>(mOptions, mState, mToken, mNow);
+  RunUntilIdle();
+}
+
 void
 FleetFixture::Restart(const std::string& aId, Incarnation aIncarnation)
 {
+  mCrashed.erase(WorkerId(aId));
   Report(aId, aIncarnation, "r1");
 }
 
 bool
 FleetFixture::Leave(const std::string& aId, Incarnation aIncarnation)
 {
-  bool waits = mDispatcher.OnLeave(WorkerId(aId), aIncarnation, mNow);
+  bool waits = mDispatcher->OnLeave(WorkerId(aId), aIncarnation, mNow);
   RunUntilIdle();
   return waits;
 }
@@ -131,7 +161,7 @@
   gen::Command command;
   command.jobs.push_back(std::move(job));
   mState.Apply(command);
-  mDispatcher.OnChanged();
+  mDispatcher->OnChanged();
   Advance(kAfterPlanPause);
 }
 
@@ -141,7 +171,7 @@
   gen::Command command;
   command.cancelled.push_back(aId);
   mState.Apply(command);
-  mDispatcher.OnJobEnded(JobId(aId), mNow);
+  mDispatcher->OnJobEnded(JobId(aId), mNow);
   RunUntilIdle();
 }
 
@@ -174,7 +204,7 @@
   if (aOutcome == OrderResult::Outcome::kAnswered) {
     result.clock = WorkerClock();
   }
-  mDispatcher.OnResult(aOrder, result, mNow);
+  mDispatcher->OnResult(aOrder, result, mNow);
   RunUntilIdle();
 }
 
@@ -184,14 +214,14 @@
   OrderResult result;
   result.outcome = OrderResult::Outcome::kRefused;
   result.refusal = aRefusal;
-  mDispatcher.OnResult(aOrder, result, mNow);
+  mDispatcher->OnResult(aOrder, result, mNow);
   RunUntilIdle();
 }
 
 void
 FleetFixture::Deliver(const Order& aOrder, const OrderResult& aResult)
 {
-  mDispatcher.OnResult(aOrder, aResult, mNow);
+  mDispatcher->OnResult(aOrder, aResult, mNow);
   RunUntilIdle();
 }
 
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -7,6 +7,8 @@
 
 #include "fleet/dispatcher.h"
 
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,11 @@
 
   // Sends a further report of the worker's first process.
   void Heartbeat(const std::string& aId);
+  // Ends the process of a worker: renewals that it holds back, and all later
+  // ones, get no answer.
+  void Crash(const std::string& aId);
+  // Another worker answers at the address of a crashed one from now on.
+  void ReplaceCrashed(const std::string& aId) { mCrashed.erase(WorkerId(aId)); }
   // Reports a new process of the worker under the same id.
   void Restart(const std::string& aId, Incarnation aIncarnation);
   // Reports that the worker has left. Returns true if the answer has to wait
@@ -49,6 +56,9 @@
               const StepSpec& aStep,
               int32_t aPriority = 1);
 
+  // Replaces the leader by one that knows the committed state only.
+  void ChangeLeader();
+
   // Commits the cancellation of a job, even while commits are held back.
   void Cancel(const std::string& aId);
 
@@ -58,7 +68,7 @@
   void SetPassTime(Millis aTime) { mPassTime = aTime; }
   void HoldCommits(bool aHold) { mCommitsHeld = aHold; }
   // Simulates a log that does not accept the pending command.
-  void RefuseCommand() { mDispatcher.Requeue(mDispatcher.TakeCommand()); }
+  void RefuseCommand() { mDispatcher->Requeue(mDispatcher->TakeCommand()); }
 
   std::vector<Order> TakeOrders(Order::Kind aKind);
   // Returns the only queued order of a kind; fails the test if there is not
@@ -81,7 +91,7 @@
   bool IsActive(const Order& aStart) const;
   const FleetState& State() const { return mState; }
   const DispatcherOptions& Options() const { return mOptions; }
-  const Dispatcher& GetDispatcher() const { return mDispatcher; }
+  const Dispatcher& GetDispatcher() const { return *mDispatcher; }
   Millis Now() const { return mNow; }
 
 private:
@@ -94,8 +104,10 @@
   DispatcherOptions mOptions;
   FleetState mState;
   Millis mNow{ 100'000 };
-  Dispatcher mDispatcher;
+  FencingToken mToken{ 7 };
+  std::unique_ptr<Dispatcher> mDispatcher;
   std::vector<Order> mOrders;
+  std::set<WorkerId> mCrashed;
   bool mCommitsHeld = false;
   uint64_t mSequence = 0;
   Millis mPassTime{};
--- a/packages/fleet/types.cc
+++ b/packages/fleet/types.cc
@@ -29,10 +29,28 @@
       return "alone";
     case EndKind::kRejected:
       return "rejected";
+    case EndKind::kWorkerCrashed:
+      return "worker_crashed";
     case EndKind::kLost:
       break;
   }
   return "lost";
 }
 
+std::string_view
+CrashEvidenceName(CrashEvidence aEvidence)
+{
+  switch (aEvidence) {
+    case CrashEvidence::kAtStart:
+      return "at_start";
+    case CrashEvidence::kAloneAtStart:
+      return "alone_at_start";
+    case CrashEvidence::kExonerated:
+      return "exonerated";
+    case CrashEvidence::kNone:
+      break;
+  }
+  return "none";
+}
+
 } // namespace limpetwood::fleet
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -205,13 +205,33 @@
   kRejected,
   // The worker was removed, or does not know the run.
   kLost,
+  // The worker's process ended without notice while the run was active.
+  kWorkerCrashed,
 };
 
-inline constexpr int kEndKindCount = 8;
+inline constexpr int kEndKindCount = 9;
 
 std::string_view
 EndKindName(EndKind aKind);
 
+// What the time of a worker's crash says about the part of one of its runs in
+// it. The values are stored; they must not change.
+enum class CrashEvidence
+{
+  // The run had been active for a while, and another run started just before
+  // the crash or none did.
+  kNone,
+  // The run had started just before the crash, or its age is unknown.
+  kAtStart,
+  // Like `kAtStart`, and the worker ran nothing else.
+  kAloneAtStart,
+  // The run had been active for so long that it is not the cause.
+  kExonerated,
+};
+
+std::string_view
+CrashEvidenceName(CrashEvidence aEvidence);
+
 // State that a worker reports about itself.
 struct WorkerReport
 {
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -45,6 +45,13 @@
   // Empty while the start is queued, and for runs that an earlier leader
   // started.
   std::optional<Millis> startSentAt{};
+  // Time since which this leader knows the run.
+  Millis trackedSince{};
+  // The worker listed the run when it had been active for `kStartWatchTime`.
+  bool passedStart = false;
+  // Set if the worker's process that the run was started on has ended without
+  // notice.
+  std::optional<CrashEvidence> crash{};
   Progress progress{};
   std::string checkpoint{};
 };
@@ -76,6 +83,8 @@
   bool tokenAcknowledged = false;
   // False after an unanswered order until the next answer.
   bool reachable = true;
+  // Time of the first unanswered order since the last answer.
+  std::optional<Millis> unreachableSince{};
   // The worker reported itself unhealthy and receives no tasks before this
   // time.
   Millis unhealthyUntil{ -1'000'000 };
@@ -86,6 +95,8 @@
   // proposed once nothing is outstanding that may report the end of a run, so
   // that no end is proposed beside or after the removal.
   bool gone = false;
+  // The worker is gone and did not announce it.
+  bool crashed = false;
   // A worker that leaves is renewed until it does not answer or lists no run,
   // because ends that no renewal has listed are lost with its process.
   // `leftAt` is set when it leaves. While such a renewal is due,
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -42,6 +42,19 @@
   return out;
 }
 
+bool
+WorkerPool::HasRunOnTrial(const Worker& aWorker) const
+{
+  auto link = mLinks.find(aWorker.report.id);
+  return link != mLinks.end() &&
+         std::any_of(
+           aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
+             auto run = link->second.runs.find(it);
+             return run != link->second.runs.end() &&
+                    mMonitor.IsOnTrial(it, run->second);
+           });
+}
+
 std::vector<Candidate>
 WorkerPool::Candidates(Millis aNow) const
 {
@@ -49,7 +62,7 @@
   std::vector<Candidate> excluded;
   for (const auto& [id, worker] : mState.Workers()) {
     bool usable = IsUsable(id, aNow) && !worker.report.draining &&
-                  !mProposals.HasProposedRemoval(id);
+                  !mProposals.HasProposedRemoval(id) && !HasRunOnTrial(worker);
     if (!usable) {
       continue;
     }
@@ -58,6 +71,7 @@
                      .service = worker.report.service,
                      .report = &worker.report,
                      .available = worker.report.capacity - worker.used,
+                     .idle = worker.active.empty(),
                      .faultScore = mHealth.FaultScoreOf(id, aNow) });
   }
   // If a large part of the workers looks faulty, the jobs are the likelier
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -10,6 +10,7 @@
 #include "fleet/health.h"
 #include "fleet/placement.h"
 #include "fleet/proposals.h"
+#include "fleet/run_monitor.h"
 #include "fleet/state.h"
 #include "fleet/worker_link.h"
 
@@ -25,11 +26,13 @@
              const WorkerLinks& aLinks,
              const Health& aHealth,
              const Proposals& aProposals,
+             const RunMonitor& aMonitor,
              Millis aHeartbeatInterval)
     : mState(aState)
     , mLinks(aLinks)
     , mHealth(aHealth)
     , mProposals(aProposals)
+    , mMonitor(aMonitor)
     , mHeartbeatInterval(aHeartbeatInterval)
   {
   }
@@ -43,14 +46,18 @@
   Resources UsableResources(Millis aNow) const;
 
   // The usable workers with their available resources, without those that are
-  // excluded for their fault score or about to be removed.
+  // excluded for their fault score, about to be removed, or run a task on
+  // trial.
   std::vector<Candidate> Candidates(Millis aNow) const;
 
 private:
+  bool HasRunOnTrial(const Worker& aWorker) const;
+
   const FleetState& mState;
   const WorkerLinks& mLinks;
   const Health& mHealth;
   const Proposals& mProposals;
+  const RunMonitor& mMonitor;
   const Millis mHeartbeatInterval;
 };
 
