Start nothing beyond a capacity that has shrunk

A worker's capacity may shrink and grow while it runs; what it reports says so.

Cause: starts were decided on the committed capacity and sent when their entry was committed, however long they had waited, and nothing looked at the capacity again. A worker over its capacity still took tasks that need none of what is short. A worker that answers orders but whose reports do not arrive was planned with its last known capacity for ever, and so was every worker after a change of leader that took long.

Class: a decision on a figure that may be outdated when it takes effect. The leader keeps the capacity of the latest report beside the committed one and plans with the smaller; a start is withdrawn before it is sent if the active runs no longer fit, runs that are being stopped included; nothing fits into a negative amount. A worker takes tasks only while its last report is at most three intervals old, after a change of leader one interval plus the time without a leader less.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -24,7 +24,8 @@
 Dispatcher::Dispatcher(DispatcherOptions aOptions,
                        const FleetState& aState,
                        FencingToken aToken,
-                       Millis aNow)
+                       Millis aNow,
+                       Millis aSilence)
   : mOptions(aOptions)
   , mState(aState)
   , mToken(aToken)
@@ -41,8 +42,12 @@
   , mNextPlan(aNow)
   , mNextTick(aNow)
 {
+  // The stored capacities are trusted for one report interval, in which the
+  // workers report to this leader.
+  Millis reportedAt =
+    aNow - aSilence - mOptions.heartbeatInterval * (kMaxMissedReports - 1);
   for (const auto& [id, worker] : aState.Workers()) {
-    LinkOf(worker, aNow);
+    LinkOf(worker, aNow).reportedAt = reportedAt;
   }
 }
 
@@ -58,6 +63,8 @@
   WorkerLink added(report.incarnation, aNow, mOptions.leaseDuration);
   added.draining = report.draining;
   added.sequence = report.sequence;
+  added.capacity = report.capacity;
+  added.reportedAt = aNow;
   bool replaced = it != mLinks.end();
   bool announced = replaced && (it->second.draining || it->second.leftAt);
   std::map<RunRef, CrashEvidence> evidence;
@@ -127,6 +134,8 @@
     // The report can make a silent worker usable again.
     mPlanDue = mPlanDue || !mPool.IsUsable(aReport.id, aNow);
     link.lastHeard = aNow;
+    link.reportedAt = aNow;
+    link.capacity = aReport.capacity;
     link.OnClock(aReport.clock, aNow);
     const WorkerReport& stored = known->report;
     if (stored.draining == aReport.draining &&
@@ -210,7 +219,24 @@
   }
   // The worker may be lost, and a start that was not sent can go to another
   // worker.
-  return aLink.reachable ? "" : "worker_silent";
+  if (!aLink.reachable) {
+    return "worker_silent";
+  }
+  return FitsCapacity(*mState.FindWorker(aStart.worker), aLink) ? ""
+                                                                : "no_room";
+}
+
+bool
+Dispatcher::FitsCapacity(const Worker& aWorker, const WorkerLink& aLink) const
+{
+  Resources used = aWorker.used;
+  for (const RunRef& it : aWorker.active) {
+    if (mProposals.HasProposedEnd(it)) {
+      const Job& job = *mState.FindJob(it.task.job);
+      used -= job.spec.steps[it.task.step].CountedResources();
+    }
+  }
+  return used.FitsIn(aLink.capacity);
 }
 
 void
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -86,11 +86,13 @@
 {
 public:
   // `aState` must outlive the dispatcher. `aToken` is sent with each order, so
-  // that workers can refuse orders of earlier leaders.
+  // that workers can refuse orders of earlier leaders. `aSilence` is the time
+  // for which no leader may have recorded what workers reported.
   Dispatcher(DispatcherOptions aOptions,
              const FleetState& aState,
              FencingToken aToken,
-             Millis aNow);
+             Millis aNow,
+             Millis aSilence = Millis(0));
 
   // Returns true if the report changes the replicated state; acknowledge it
   // only after the pending command is committed. Returns false if the report
@@ -196,6 +198,9 @@
   // Reason for which a queued start must be dropped; empty if it may be sent.
   std::string_view WithdrawalReason(const Order& aStart,
                                     const WorkerLink& aLink) const;
+  // Whether the active runs of the worker fit in the capacity that it reported
+  // last.
+  bool FitsCapacity(const Worker& aWorker, const WorkerLink& aLink) const;
 
   void TickWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RenewWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
--- a/packages/fleet/dispatcher_crash_test.cc
+++ b/packages/fleet/dispatcher_crash_test.cc
@@ -84,7 +84,7 @@
 void
 CrashAndReturn(FleetFixture& aFleet, const WorkerId& aWorker, Return aReturn)
 {
-  const std::string id = aWorker.Value();
+  const std::string& id = aWorker.Value();
   Incarnation next = NextIncarnation(aFleet, aWorker);
   aFleet.Crash(id);
   aFleet.Advance(Seconds(3));
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -21,6 +21,9 @@
 // Bound of that time, so that one stall of the disk does not delay what follows
 // it.
 constexpr Millis kMaxProposalInterval(100);
+// Stands for the time since an earlier leader after a restart; long enough that
+// no stored capacity is trusted.
+constexpr Millis kUnknownSilence = Minutes(60);
 
 } // namespace
 
@@ -121,8 +124,9 @@
       }
     }
     mTerm = mGroup->Term();
+    Millis silence = mLeaderKnownAt ? mNow - *mLeaderKnownAt : kUnknownSilence;
     mDispatcher = std::make_unique<Dispatcher>(
-      mOptions.dispatcher, mState, FencingToken(mTerm), mNow);
+      mOptions.dispatcher, mState, FencingToken(mTerm), mNow, silence);
     StartLeading();
   });
 }
@@ -208,6 +212,10 @@
 {
   mNow = aNow;
   mWallNow = aWallNow;
+  auto leader = mGroup->Leader();
+  if (mLeading || (leader && *leader != mOptions.group.self)) {
+    mLeaderKnownAt = aNow;
+  }
   UpdateLeadership(aNow);
   if (mLeading) {
     Millis startTime = mEnvironment.CostClock();
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -188,6 +188,9 @@
   // them from those of a new dispatcher with the same token.
   std::unique_ptr<Dispatcher> mDispatcher;
   uint64_t mTerm = 0;
+  // Time at which this replica last knew a leader that could record reports of
+  // workers; empty if it has known none since its start.
+  std::optional<Millis> mLeaderKnownAt;
   // The leader lease is held, and the state is known to be up to date.
   bool mLeading = false;
   // Incremented when leadership is being gained, is abandoned before it is
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -183,6 +183,9 @@
 uint32_t
 TasksThatFit(const StepSpec& aStep, Resources aAvailable, uint32_t aLimit)
 {
+  if (aAvailable.HasNegative()) {
+    return 0;
+  }
   Resources resources = aStep.CountedResources();
   auto bound = [&](int64_t aPerTask, int64_t aFree, uint32_t aMaxTasks) {
     if (aPerTask <= 0) {
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -467,6 +467,7 @@
   bool complete = chosen.size() == aUnit.tasks.size();
   if (aUnit.onTrial) {
     std::vector<WorkerId> used;
+    used.reserve(chosen.size());
     for (size_t it : chosen) {
       used.push_back(aView.candidates[it].id);
     }
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -65,6 +65,9 @@
   report.rack = RackId(aRack);
   report.labels = { "a", aRack };
   report.capacity = { .cpu = 64'000, .memoryMb = 256'000, .accelerators = 8 };
+  if (auto it = mCapacities.find(aId); it != mCapacities.end()) {
+    report.capacity = it->second;
+  }
   report.sequence = ++mSequence;
   report.clock = WorkerClock();
   mDispatcher->OnReport(report, mNow);
@@ -96,11 +99,12 @@
 }
 
 void
-FleetFixture::ChangeLeader()
+FleetFixture::ChangeLeader(Millis aSilence)
 {
   mOrders.clear();
   mToken = FencingToken(mToken.Value() + 1);
-  mDispatcher = std::make_unique<Dispatcher>(mOptions, mState, mToken, mNow);
+  mDispatcher =
+    std::make_unique<Dispatcher>(mOptions, mState, mToken, mNow, aSilence);
   RunUntilIdle();
 }
 
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -7,6 +7,7 @@
 
 #include "fleet/dispatcher.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -56,8 +57,14 @@
               const StepSpec& aStep,
               int32_t aPriority = 1);
 
-  // Replaces the leader by one that knows the committed state only.
-  void ChangeLeader();
+  // Replaces the leader by one that knows the committed state only. Before, no
+  // leader recorded reports for `aSilence`.
+  void ChangeLeader(Millis aSilence = Millis(0));
+  // Sets the capacity that the worker's next reports state.
+  void SetCapacity(const std::string& aId, Resources aCapacity)
+  {
+    mCapacities[aId] = aCapacity;
+  }
 
   // Commits the cancellation of a job, even while commits are held back.
   void Cancel(const std::string& aId);
@@ -108,6 +115,7 @@
   std::unique_ptr<Dispatcher> mDispatcher;
   std::vector<Order> mOrders;
   std::set<WorkerId> mCrashed;
+  std::map<std::string, Resources> mCapacities;
   bool mCommitsHeld = false;
   uint64_t mSequence = 0;
   Millis mPassTime{};
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -6,6 +6,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -26,6 +27,11 @@
 
   bool operator==(const Resources&) const = default;
 
+  bool HasNegative() const
+  {
+    return cpu < 0 || memoryMb < 0 || accelerators < 0;
+  }
+
   bool FitsIn(const Resources& aAvailable) const
   {
     return cpu <= aAvailable.cpu && memoryMb <= aAvailable.memoryMb &&
@@ -54,6 +60,15 @@
   }
 };
 
+// The smaller amount of each resource.
+inline Resources
+Min(const Resources& x, const Resources& y)
+{
+  return { .cpu = std::min(x.cpu, y.cpu),
+           .memoryMb = std::min(x.memoryMb, y.memoryMb),
+           .accelerators = std::min(x.accelerators, y.accelerators) };
+}
+
 // One step of a job: a set of identical tasks.
 struct StepSpec
 {
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -90,6 +90,10 @@
   Millis unhealthyUntil{ -1'000'000 };
   // Highest sequence number of the worker's reports.
   uint64_t sequence = 0;
+  // Capacity by the latest report, which may not be committed yet, and the time
+  // of that report. The capacity can shrink while the worker runs.
+  Resources capacity{};
+  Millis reportedAt{};
   bool draining = false;
   // The worker has left, or another one listens at its address. Its removal is
   // proposed once nothing is outstanding that may report the end of a run, so
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-// A worker that was silent for this many report intervals takes no tasks.
-constexpr int64_t kMaxMissedReports = 3;
 // Workers are excluded for their fault score only while their number is at most
 // the number of the others divided by this.
 constexpr size_t kMaxExcludedDivisor = 2;
@@ -27,6 +25,7 @@
          !link.gone && link.unconfirmedStarts.empty() &&
          aNow >= link.unhealthyUntil &&
          aNow - link.lastHeard < mHeartbeatInterval * kMaxMissedReports &&
+         aNow - link.reportedAt < mHeartbeatInterval * kMaxMissedReports &&
          link.ClockLowerBound(aNow).has_value();
 }
 
@@ -67,12 +66,14 @@
       continue;
     }
     auto& into = mHealth.IsExcluded(id, aNow) ? excluded : out;
-    into.push_back({ .id = id,
-                     .service = worker.report.service,
-                     .report = &worker.report,
-                     .available = worker.report.capacity - worker.used,
-                     .idle = worker.active.empty(),
-                     .faultScore = mHealth.FaultScoreOf(id, aNow) });
+    into.push_back(
+      { .id = id,
+        .service = worker.report.service,
+        .report = &worker.report,
+        .available =
+          Min(worker.report.capacity, mLinks.at(id).capacity) - worker.used,
+        .idle = worker.active.empty(),
+        .faultScore = mHealth.FaultScoreOf(id, aNow) });
   }
   // If a large part of the workers looks faulty, the jobs are the likelier
   // cause.
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -18,6 +18,10 @@
 
 namespace limpetwood::fleet {
 
+// A worker that was silent for this many report intervals takes no tasks; nor
+// does one whose reports were, because its capacity may have shrunk.
+inline constexpr int64_t kMaxMissedReports = 3;
+
 class WorkerPool
 {
 public:
