--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -24,6 +24,9 @@
 // How long proposals wait for a voter to receive the whole log before the
 // leader stops.
 constexpr Millis kMaxHandOverPause(250);
+// Stands for the time since an earlier leader after a restart; long enough that
+// no stored capacity is trusted.
+constexpr Millis kUnknownSilence = Minutes(60);
 
 } // namespace
 
@@ -124,8 +127,9 @@
       }
     }
     mTerm = mGroup->Term();
+    Millis silence = mLeaderKnownAt ? mNow - *mLeaderKnownAt : kUnknownSilence;
     mDispatcher = std::make_unique<Dispatcher>(
-      mOptions.dispatcher, mState, FencingToken(mTerm), mNow);
+      mOptions.dispatcher, mState, FencingToken(mTerm), mNow, silence);
     StartLeading();
   });
 }
@@ -211,6 +215,10 @@
 {
   mNow = aNow;
   mWallNow = aWallNow;
+  auto leader = mGroup->Leader();
+  if (mLeading || (leader && *leader != mOptions.group.self)) {
+    mLeaderKnownAt = aNow;
+  }
   UpdateLeadership(aNow);
   if (mLeading) {
     Millis startTime = mEnvironment.CostClock();
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -7,6 +7,9 @@
 
 #include "fleet/dispatcher.h"
 
+#include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +36,11 @@
 
   // Sends a further report of the worker's first process.
   void Heartbeat(const std::string& aId);
+  // Ends the process of a worker: renewals that it holds back, and all later
+  // ones, get no answer.
+  void Crash(const std::string& aId);
+  // Another worker answers at the address of a crashed one from now on.
+  void ReplaceCrashed(const std::string& aId) { mCrashed.erase(WorkerId(aId)); }
   // Reports a new process of the worker under the same id.
   void Restart(const std::string& aId, Incarnation aIncarnation);
   // Reports that the worker has left. Returns true if the answer has to wait
@@ -49,6 +57,15 @@
               const StepSpec& aStep,
               int32_t aPriority = 1);
 
+  // Replaces the leader by one that knows the committed state only. Before, no
+  // leader recorded reports for `aSilence`.
+  void ChangeLeader(Millis aSilence = Millis(0));
+  // Sets the capacity that the worker's next reports state.
+  void SetCapacity(const std::string& aId, Resources aCapacity)
+  {
+    mCapacities[aId] = aCapacity;
+  }
+
   // Commits the cancellation of a job, even while commits are held back.
   void Cancel(const std::string& aId);
 
@@ -58,7 +75,7 @@
   void SetPassTime(Millis aTime) { mPassTime = aTime; }
   void HoldCommits(bool aHold) { mCommitsHeld = aHold; }
   // Simulates a log that does not accept the pending command.
-  void RefuseCommand() { mDispatcher.Requeue(mDispatcher.TakeCommand()); }
+  void RefuseCommand() { mDispatcher->Requeue(mDispatcher->TakeCommand()); }
 
   std::vector<Order> TakeOrders(Order::Kind aKind);
   // Returns the only queued order of a kind; fails the test if there is not
@@ -81,7 +98,7 @@
   bool IsActive(const Order& aStart) const;
   const FleetState& State() const { return mState; }
   const DispatcherOptions& Options() const { return mOptions; }
-  const Dispatcher& GetDispatcher() const { return mDispatcher; }
+  const Dispatcher& GetDispatcher() const { return *mDispatcher; }
   Millis Now() const { return mNow; }
 
 private:
@@ -94,8 +111,11 @@
   DispatcherOptions mOptions;
   FleetState mState;
   Millis mNow{ 100'000 };
-  Dispatcher mDispatcher;
+  FencingToken mToken{ 7 };
+  std::unique_ptr<Dispatcher> mDispatcher;
   std::vector<Order> mOrders;
+  std::set<WorkerId> mCrashed;
+  std::map<std::string, Resources> mCapacities;
   bool mCommitsHeld = false;
   uint64_t mSequence = 0;
   Millis mPassTime{};
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-// A worker that was silent for this many report intervals takes no tasks.
-constexpr int64_t kMaxMissedReports = 3;
 // Workers are excluded for their fault score only while their number is at most
 // the number of the others divided by this.
 constexpr size_t kMaxExcludedDivisor = 2;
@@ -27,6 +25,7 @@
          !link.gone && link.unconfirmedStarts.empty() &&
          aNow >= link.unhealthyUntil &&
          aNow - link.lastHeard < mHeartbeatInterval * kMaxMissedReports &&
+         aNow - link.reportedAt < mHeartbeatInterval * kMaxMissedReports &&
          link.ClockLowerBound(aNow).has_value();
 }
 
@@ -42,6 +41,19 @@
   return out;
 }
 
+bool
+WorkerPool::HasRunOnTrial(const Worker& aWorker) const
+{
+  auto link = mLinks.find(aWorker.report.id);
+  return link != mLinks.end() &&
+         std::any_of(
+           aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
+             auto run = link->second.runs.find(it);
+             return run != link->second.runs.end() &&
+                    mMonitor.IsOnTrial(it, run->second);
+           });
+}
+
 std::vector<Candidate>
 WorkerPool::Candidates(Millis aNow) const
 {
@@ -49,16 +61,19 @@
   std::vector<Candidate> excluded;
   for (const auto& [id, worker] : mState.Workers()) {
     bool usable = IsUsable(id, aNow) && !worker.report.draining &&
-                  !mProposals.HasProposedRemoval(id);
+                  !mProposals.HasProposedRemoval(id) && !HasRunOnTrial(worker);
     if (!usable) {
       continue;
     }
     auto& into = mHealth.IsExcluded(id, aNow) ? excluded : out;
-    into.push_back({ .id = id,
-                     .service = worker.report.service,
-                     .report = &worker.report,
-                     .available = worker.report.capacity - worker.used,
-                     .faultScore = mHealth.FaultScoreOf(id, aNow) });
+    into.push_back(
+      { .id = id,
+        .service = worker.report.service,
+        .report = &worker.report,
+        .available =
+          Min(worker.report.capacity, mLinks.at(id).capacity) - worker.used,
+        .idle = worker.active.empty(),
+        .faultScore = mHealth.FaultScoreOf(id, aNow) });
   }
   // If a large part of the workers looks faulty, the jobs are the likelier
   // cause.
