Tell callers and operators why a job was given up

A job that is given up because its tasks crash workers showed only `failed`: the caller could not tell it from exhausted attempts, and the operator had to search the lines of several workers.

The status of a failed job carries its reason, from the replicated state to the caller; `limpetctl log explain` lists each crash under the request with worker, run, time and evidence, and the reason of the end.

--- a/packages/ctl/request_timeline.cc
+++ b/packages/ctl/request_timeline.cc
@@ -220,8 +220,10 @@
   std::optional<Millis> accepted;
   std::optional<Millis> started;
   bool ended = false;
+  std::string reason;
   uint64_t starts = 0;
   std::map<std::string, uint64_t> failureCounts;
+  std::vector<std::string> crashes;
   // Failed runs of other jobs on this request's workers, by worker.
   std::set<std::string> workers = WorkersOf();
   std::map<std::string, uint64_t> otherFailures;
@@ -240,10 +242,19 @@
       ++starts;
     } else if (it.event == "run_ended") {
       ++failureCounts["run_ended " + FieldOf(it.fields, "how")];
+      if (FieldOf(it.fields, "how") == "worker_crashed") {
+        crashes.push_back(
+          "worker " + worker + " crashed under " + FieldOf(it.fields, "run") +
+          " at " + it.time + ", evidence " + FieldOf(it.fields, "evidence") +
+          ", crashes of the task " + FieldOf(it.fields, "crashes"));
+      }
     } else if (it.event.starts_with("run_") || it.event.starts_with("start_")) {
       ++failureCounts[it.event];
     }
     ended = ended || it.event == "job_ended";
+    if (it.event == "job_ended") {
+      reason = FieldOf(it.fields, "reason");
+    }
   }
   if (accepted && started) {
     aOut << "waited " << (*started - *accepted).Count()
@@ -254,6 +265,12 @@
   for (const auto& [what, count] : failureCounts) {
     aOut << what << ": " << count << '\n';
   }
+  for (const std::string& it : crashes) {
+    aOut << it << '\n';
+  }
+  if (!reason.empty()) {
+    aOut << "ended because " << reason << '\n';
+  }
   for (const auto& [worker, count] : otherFailures) {
     if (count > 0) {
       aOut << "worker " << worker << " also failed " << count
--- a/packages/ctl/request_timeline_test.cc
+++ b/packages/ctl/request_timeline_test.cc
@@ -96,6 +96,36 @@
   EXPECT_NE(text.find("no end in these lines"), std::string::npos);
 }
 
+// Guards against a job given up for crashes whose workers must be searched for
+// by hand.
+TEST(RequestTimeline, ListsEachCrashUnderTheRequest)
+{
+  std::string text = FormatTimeline(
+    kAccepted + kStarted +
+    LineAt("03.000",
+           "core-1",
+           R"("event":"run_ended","run":"00000000000000a1.0.0.0#1",)"
+           R"("how":"worker_crashed","worker":"w1","evidence":"at_start",)"
+           R"("crashes":1,"crashes_at_start":1)") +
+    LineAt("07.000",
+           "core-2",
+           R"("event":"run_ended","run":"00000000000000a1.0.0.0#2",)"
+           R"("how":"worker_crashed","worker":"w2",)"
+           R"("evidence":"alone_at_start","crashes":2,"crashes_at_start":2)") +
+    LineAt("07.000",
+           "core-2",
+           R"("event":"job_ended","job":"00000000000000a1",)"
+           R"("status":"failed","reason":"a task crashed 2 workers")"));
+  EXPECT_NE(text.find("run_ended worker_crashed: 2"), std::string::npos);
+  EXPECT_NE(text.find("worker w1 crashed under 00000000000000a1.0.0.0#1 at "
+                      "2026-12-04T10:00:03.000Z, evidence at_start"),
+            std::string::npos);
+  EXPECT_NE(text.find("worker w2 crashed under 00000000000000a1.0.0.0#2"),
+            std::string::npos);
+  EXPECT_NE(text.find("ended because a task crashed 2 workers"),
+            std::string::npos);
+}
+
 TEST(RequestTimeline, ReportsMissingAndUnreadableLines)
 {
   std::string text = FormatTimeline(
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -233,6 +233,7 @@
     return;
   }
   reply.jobStatus = static_cast<int32_t>(job->status);
+  reply.text = job->reason;
   Answer(aDone, std::move(reply));
 }
 
