Try suspects on workers that have been up for a while

A worker that restarts again and again is idle whenever it is back, so trials, which need an idle worker, went there; the next restart then counted against a sound task, and two of them give its job up.

Trials use workers whose process has been known for less than 10 s only if the others do not suffice.

Before the change, DispatcherCrash.TrialAvoidsWorkersThatHaveJustRestarted failed: the trial went to the restarted worker. The tests of gangs on trial now answer stops, as workers do; without that a start waited behind a stop on the worker that the new order of workers chose.

--- a/packages/fleet/dispatcher_crash_test.cc
+++ b/packages/fleet/dispatcher_crash_test.cc
@@ -54,6 +54,14 @@
   }
 }
 
+void
+AnswerStops(FleetFixture& aFleet)
+{
+  for (const Order& it : aFleet.TakeOrders(Order::Kind::kStop)) {
+    aFleet.Answer(it, OrderResult::Outcome::kAnswered);
+  }
+}
+
 // Lets time pass while all workers answer and report.
 void
 RunFor(FleetFixture& aFleet, Millis aTime)
@@ -150,9 +158,7 @@
     fleet.Restart(id, NextIncarnation(fleet, sent[0].worker));
     for (int n = 0; n < 10; ++n) {
       fleet.Advance(Millis(100));
-      for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
-        fleet.Answer(it, OrderResult::Outcome::kAnswered);
-      }
+      AnswerStops(fleet);
       AnswerRenewals(fleet);
     }
   }
@@ -270,6 +276,36 @@
   EXPECT_TRUE(joined);
 }
 
+// Guards against a sound job that is given up because its trial runs on a
+// worker that restarts again and again, which is idle whenever it is back.
+TEST(DispatcherCrash, TrialAvoidsWorkersThatHaveJustRestarted)
+{
+  FleetFixture fleet;
+  for (const char* it : { "w1", "w2", "w3" }) {
+    fleet.AddWorker(it);
+  }
+  for (int n = 0; n < 12; ++n) {
+    RunFor(fleet, Seconds(1));
+    for (const char* it : { "w1", "w2", "w3" }) {
+      fleet.Heartbeat(it);
+    }
+  }
+  fleet.Submit(kJob, TasksOf(1, 2));
+  Order suspect = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(suspect, OrderResult::Outcome::kAnswered);
+  fleet.Advance(Millis(10));
+  // The first idle worker restarts while the task crashes another one.
+  const char* restarted = suspect.worker == WorkerId("w1") ? "w2" : "w1";
+  const char* steady = suspect.worker == WorkerId("w3") ? "w2" : "w3";
+  fleet.Crash(restarted);
+  fleet.Restart(restarted, Incarnation(2));
+  fleet.Crash(suspect.worker.Value());
+  fleet.Restart(suspect.worker.Value(), Incarnation(2));
+  RunFor(fleet, Millis(300));
+  Order trial = fleet.ExpectOrder(Order::Kind::kStart);
+  EXPECT_EQ(trial.worker, WorkerId(steady));
+}
+
 // Guards against a gang that crashes one worker for each member in each
 // attempt: once suspected, one member starts first.
 TEST(DispatcherCrash, SuspectedGangStartsWithOneMember)
@@ -290,6 +326,7 @@
     fleet.Heartbeat("w3");
     fleet.Heartbeat("w4");
     fleet.Heartbeat("w5");
+    AnswerStops(fleet);
   }
   fleet.Advance(Millis(100));
   Order first = fleet.ExpectOrder(Order::Kind::kStart);
@@ -317,12 +354,14 @@
     fleet.Heartbeat("w3");
     fleet.Heartbeat("w4");
     fleet.Heartbeat("w5");
+    AnswerStops(fleet);
   }
   fleet.Advance(Millis(100));
   Order first = fleet.ExpectOrder(Order::Kind::kStart);
   fleet.Answer(first, OrderResult::Outcome::kAnswered);
   fleet.Advance(Millis(10));
   CrashAndReturn(fleet, first.worker, Return::kSameId);
+  AnswerStops(fleet);
   EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
   EXPECT_EQ(StatusOf(fleet), JobStatus::kFailed);
 }
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -61,7 +61,8 @@
 EffectiveFaultScore(const PlacementRequest& aRequest,
                     const Candidate& aCandidate)
 {
-  bool avoided = aRequest.isAvoided && aRequest.isAvoided(aCandidate.id);
+  bool avoided = (aRequest.isAvoided && aRequest.isAvoided(aCandidate.id)) ||
+                 (aRequest.avoidsNewWorkers && aCandidate.isNew);
   return aCandidate.faultScore + (avoided ? 1 : 0);
 }
 
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -29,6 +29,8 @@
   Resources available{};
   // Nothing runs on the worker.
   bool idle = false;
+  // Its process has been known for a short time only.
+  bool isNew = false;
   // Higher is worse; 0 for a worker without faults.
   int faultScore = 0;
 };
@@ -48,6 +50,9 @@
   bool maySpanRacks = false;
   // Uses idle workers only, with one task on each unless the step is a gang.
   bool onIdleWorkers = false;
+  // Uses new workers only if the others do not suffice: a worker that restarts
+  // again and again is new and idle.
+  bool avoidsNewWorkers = false;
   // Fills the fullest workers first; otherwise the first workers that fit.
   bool bestFit = true;
 };
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -420,6 +420,7 @@
     .maySpanRacks = MaySpanRacks(aUnit, aView),
     .onIdleWorkers =
       aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait,
+    .avoidsNewWorkers = aUnit.onTrial,
     .bestFit = mOptions.bestFit,
   };
 }
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -7,6 +7,8 @@
 
 namespace {
 
+// Time for which a worker is new.
+constexpr Millis kNewWorkerTime = Seconds(10);
 // Workers are excluded for their fault score only while their number is at most
 // the number of the others divided by this.
 constexpr size_t kMaxExcludedDivisor = 2;
@@ -73,6 +75,7 @@
         .available =
           Min(worker.report.capacity, mLinks.at(id).capacity) - worker.used,
         .idle = worker.active.empty(),
+        .isNew = aNow - mLinks.at(id).CreatedAt() < kNewWorkerTime,
         .faultScore = mHealth.FaultScoreOf(id, aNow) });
   }
   // If a large part of the workers looks faulty, the jobs are the likelier
