--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -448,8 +448,8 @@
   auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
   std::vector<uint32_t> tasksByRack;
   uint64_t tasksThatFit = 0;
-  int64_t idleAccelerators = 0;
-  int64_t totalAccelerators = 0;
+  Resources idle;
+  Resources total;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(step, aUnit.job->service, *it.report)) {
       continue;
@@ -457,15 +457,20 @@
     tasksByRack.resize(std::max<size_t>(tasksByRack.size(), it.rack + 1));
     tasksByRack[it.rack] += TasksThatFit(step, it.report->capacity, tasks);
     tasksThatFit += TasksThatFit(step, it.available, tasks);
-    idleAccelerators += it.available.accelerators;
-    totalAccelerators += it.report->capacity.accelerators;
+    idle += it.available;
+    total += it.report->capacity;
   }
   // No rack could hold all tasks even if it were idle.
   bool neverFits = std::all_of(tasksByRack.begin(),
                                tasksByRack.end(),
                                [&](uint32_t it) { return it < tasks; });
-  bool ampleRoom = tasksThatFit >= uint64_t{ tasks } * 2 ||
-                   idleAccelerators * 2 > totalAccelerators;
+  bool halfIdle = total.accelerators > 0
+                    ? idle.accelerators * 2 > total.accelerators
+                    : idle.cpu * 2 > total.cpu;
+  // A step that lasts must not stand still while there is room. Others would
+  // only run slower for having started earlier.
+  bool ampleRoom =
+    halfIdle || (step.longRunning && tasksThatFit >= uint64_t{ tasks } * 2);
   return neverFits || (ampleRoom && WaitedForRack(aUnit, aView));
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -52,8 +52,9 @@
   // Maximum number of runs to stop for one unit.
   size_t maxVictims = 128;
   // A step that prefers one rack may be placed on several after this time if
-  // there is room for twice its tasks, or more than half of the matching
-  // accelerators are idle: waiting longer is then unlikely to free a rack.
+  // more than half of the matching accelerators (processors, if there are none)
+  // are idle, because waiting longer is then unlikely to free a whole rack; a
+  // step that lasts also if there is room for twice its tasks.
   Millis maxRackWait = Millis(1500);
   // A task on trial that has waited this long for an idle worker shares one.
   Millis maxTrialWait = Millis(1500);
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -283,28 +283,32 @@
   EXPECT_EQ(StartsOf(plan, JobName(3)), 3U);
 }
 
-// Guards against a gang that waits for one rack as long as the fleet is more
-// than half full, although there is room for it twice over.
-TEST(Planner, RackSensitiveGangSpansRacksWhenThereIsAmpleRoom)
+// Guards against a gang that lasts and waits for one rack as long as the fleet
+// is more than half full, although there is room for it twice over; and against
+// a gang that would end sooner had it waited for a rack.
+TEST(Planner, RackSensitiveGangSpansRacksOfAFullFleetOnlyIfItLasts)
 {
-  Fleet fleet;
-  fleet.Submit(JobName(1), StepOf(8, 8, false), 1);
-  for (uint32_t n = 0; n < 4; ++n) {
-    std::string rack = "r" + std::to_string(n);
-    std::string first = "w" + std::to_string(n * 3);
-    std::string second = "w" + std::to_string(n * 3 + 1);
-    fleet.AddWorker(first, rack);
-    fleet.AddWorker(second, rack);
-    fleet.AddWorker("w" + std::to_string(n * 3 + 2), rack);
-    fleet.StartRun(JobName(1), n * 2, first, Millis(0), Millis(9000));
-    fleet.StartRun(JobName(1), n * 2 + 1, second, Millis(0), Millis(9000));
+  for (bool lasts : { false, true }) {
+    Fleet fleet;
+    fleet.Submit(JobName(1), StepOf(8, 8, false), 1);
+    for (uint32_t n = 0; n < 4; ++n) {
+      std::string rack = "r" + std::to_string(n);
+      std::string first = "w" + std::to_string(n * 3);
+      std::string second = "w" + std::to_string(n * 3 + 1);
+      fleet.AddWorker(first, rack);
+      fleet.AddWorker(second, rack);
+      fleet.AddWorker("w" + std::to_string(n * 3 + 2), rack);
+      fleet.StartRun(JobName(1), n * 2, first, Millis(0), Millis(9000));
+      fleet.StartRun(JobName(1), n * 2 + 1, second, Millis(0), Millis(9000));
+    }
+    StepSpec step = StepOf(2, 8, true);
+    step.prefersOneRack = true;
+    step.longRunning = lasts;
+    fleet.Submit(JobName(2), step, 1);
+    EXPECT_TRUE(fleet.Decide().starts.empty());
+    fleet.Advance(Seconds(2));
+    EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), lasts ? 2U : 0U);
   }
-  StepSpec step = StepOf(2, 8, true);
-  step.prefersOneRack = true;
-  fleet.Submit(JobName(2), step, 1);
-  EXPECT_TRUE(fleet.Decide().starts.empty());
-  fleet.Advance(Seconds(2));
-  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), 2U);
 }
 
 // Guards against starvation: while small tasks wait, a gang that needs whole
