--- a/packages/fleet/crash_evidence.cc
+++ b/packages/fleet/crash_evidence.cc
@@ -49,9 +49,8 @@
     CrashEvidence evidence = CrashEvidence::kNone;
     if (age >= kExonerationTime) {
       evidence = CrashEvidence::kExonerated;
-    } else if (age < kStartWatchTime) {
-      evidence = alone && view.startSentAt ? CrashEvidence::kAloneAtStart
-                                           : CrashEvidence::kAtStart;
+    } else if (view.startSentAt && age < kStartWatchTime) {
+      evidence = alone ? CrashEvidence::kAloneAtStart : CrashEvidence::kAtStart;
     }
     out.emplace(it, evidence);
   }
--- a/packages/fleet/crash_evidence.h
+++ b/packages/fleet/crash_evidence.h
@@ -27,14 +27,11 @@
 
 // Returns the evidence for each run of the worker that may have been active
 // when its process ended, at `aLink.unreachableSince` or else `aNow`. Runs
-// whose start was not sent are left out.
+// whose start was not sent are left out. The age of a run that an earlier
+// leader started is unknown, so it does not become a suspect by one crash.
 std::map<RunRef, CrashEvidence>
 JudgeCrash(const Worker& aWorker, const WorkerLink& aLink, Millis aNow);
 
-// Evidence for a run on an earlier process of its worker if the leader has not
-// seen that process.
-inline constexpr CrashEvidence kEvidenceOfUnseenCrash = CrashEvidence::kAtStart;
-
 // Whether the run is a suspect, or a member of a gang that contains one.
 bool
 IsSuspect(const FleetState& aState, const RunRef& aRun);
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -91,7 +91,7 @@
     if (auto judged = evidence.find(run); judged != evidence.end()) {
       view.crash = judged->second;
     } else if (ofUnseenProcess) {
-      view.crash = kEvidenceOfUnseenCrash;
+      view.crash = CrashEvidence::kNone;
     }
   }
   mHealth.Forget(report.id);
@@ -236,7 +236,7 @@
       used -= job.spec.steps[it.task.step].CountedResources();
     }
   }
-  return used.FitsIn(aLink.capacity);
+  return used.FitsIn(Min(aWorker.report.capacity, aLink.capacity));
 }
 
 void
@@ -473,14 +473,16 @@
     return;
   }
   // A worker that has been silent since a start may have crashed or be cut off.
-  // Only a start that it answered counts, and never as the only run.
+  // A start that it answered makes a suspect, one that it may not have received
+  // only counts.
   for (const auto& [run, evidence] : JudgeCrash(aWorker, aLink, aNow)) {
     RunView& view = aLink.runs.at(run);
-    bool started = view.phase == RunView::Phase::kConfirmed && view.startSentAt;
     bool atStart = evidence == CrashEvidence::kAtStart ||
                    evidence == CrashEvidence::kAloneAtStart;
-    if (started && atStart && !view.crash) {
-      view.crash = CrashEvidence::kAtStart;
+    if (atStart && !view.crash) {
+      view.crash = view.phase == RunView::Phase::kConfirmed
+                     ? CrashEvidence::kAtStart
+                     : CrashEvidence::kNone;
     }
   }
   for (const RunRef& it : aWorker.active) {
--- a/packages/fleet/dispatcher_crash_test.cc
+++ b/packages/fleet/dispatcher_crash_test.cc
@@ -185,10 +185,46 @@
     fleet.ChangeLeader();
     RunFor(fleet, Millis(300));
   }
-  EXPECT_LE(starts, 5);
+  EXPECT_LE(starts, 4);
   EXPECT_EQ(StatusOf(fleet), JobStatus::kFailed);
 }
 
+// Guards against a crash that counts as a loss because two orders reach the
+// process that answers at the worker's address before the leader's next tick.
+TEST(DispatcherCrash, SecondAnswerOfAnotherProcessKeepsTheCrash)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit(kJob, TasksOf(2, 2));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Order next = fleet.ExpectOrder(Order::Kind::kStart);
+  std::vector<Order> renewals = fleet.TakeOrders(Order::Kind::kRenew);
+  ASSERT_FALSE(renewals.empty());
+  renewals.push_back(next);
+  fleet.DeliverTogether(renewals,
+                        { .outcome = OrderResult::Outcome::kOtherIncarnation });
+  fleet.Advance(Millis(50));
+  EXPECT_FALSE(fleet.IsActive(start));
+  EXPECT_EQ(TaskOf(fleet, start).crashes, 1U);
+}
+
+// Guards against suspecting all that ran on a worker, however long, because
+// the leader that started it is gone.
+TEST(DispatcherCrash, RunsOfUnknownAgeDoNotBecomeSuspectsByOneCrash)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit(kJob, TasksOf(1, 2));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.ChangeLeader();
+  fleet.Advance(Millis(10));
+  CrashAndReturn(fleet, WorkerId("w1"), Return::kSameId);
+  EXPECT_EQ(TaskOf(fleet, start).crashes, 1U);
+  EXPECT_FALSE(IsSuspect(TaskOf(fleet, start)));
+}
+
 // Guards against a sound job that is suspected because its worker was emptied,
 // left, or was cut off and came back.
 TEST(DispatcherCrash, AnnouncedAndSilentLossesAreNoCrashes)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -49,7 +49,9 @@
     link.orderQueue.Done();
   }
   if (aResult.outcome == OrderResult::Outcome::kOtherIncarnation) {
-    link.crashed = !link.gone && !link.draining;
+    if (!link.gone) {
+      link.crashed = !link.draining;
+    }
     link.gone = true;
     link.unreachableSince = link.unreachableSince.value_or(aNow);
     auto refused = link.runs.find(aOrder.run);
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -27,7 +27,7 @@
         (aRequest.onIdleWorkers && !it.idle)) {
       continue;
     }
-    uint32_t limit = aRequest.onIdleWorkers && !step.gang ? 1 : aRequest.tasks;
+    uint32_t limit = aRequest.onTrial && !step.gang ? 1 : aRequest.tasks;
     if (step.perWorkerLimit > 0) {
       uint32_t placed =
         aRequest.activeTasksOn ? aRequest.activeTasksOn(it.id) : 0;
@@ -62,7 +62,7 @@
                     const Candidate& aCandidate)
 {
   bool avoided = (aRequest.isAvoided && aRequest.isAvoided(aCandidate.id)) ||
-                 (aRequest.avoidsNewWorkers && aCandidate.isNew);
+                 (aRequest.onTrial && aCandidate.isNew);
   return aCandidate.faultScore + (avoided ? 1 : 0);
 }
 
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -48,11 +48,12 @@
   std::function<bool(const WorkerId&)> isAvoided{};
   // Whether tasks that prefer one rack may be placed on several.
   bool maySpanRacks = false;
-  // Uses idle workers only, with one task on each unless the step is a gang.
+  // The tasks may crash their workers: at most one on each, unless the step is
+  // a gang. New workers are used only if the others do not suffice, because a
+  // worker that restarts again and again is new and idle.
+  bool onTrial = false;
+  // Uses idle workers only.
   bool onIdleWorkers = false;
-  // Uses new workers only if the others do not suffice: a worker that restarts
-  // again and again is new and idle.
-  bool avoidsNewWorkers = false;
   // Fills the fullest workers first; otherwise the first workers that fit.
   bool bestFit = true;
 };
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -237,18 +237,16 @@
       continue;
     }
     ++plan.blockedUnits;
-    // A trial needs idle workers, and whether there are any says nothing about
-    // other units. Nothing is stopped or reserved for it.
-    if (it.onTrial) {
-      continue;
-    }
-    if (!knownNotToFit) {
+    // Whether there are idle workers says nothing about other units, and
+    // nothing is stopped or reserved to get one.
+    bool needsIdleWorkers = NeedsIdleWorkers(it, aView);
+    if (!knownNotToFit && !needsIdleWorkers) {
       mUnplaceable.push_back(
         { .unit = &it, .needsOneRack = NeedsOneRack(it, aView) });
     }
     auto pending = mPendingPreemptions.find(it.job->id);
     if (pending == mPendingPreemptions.end() &&
-        handledUnits >= mOptions.maxBlockedUnitsPerPass) {
+        (needsIdleWorkers || handledUnits >= mOptions.maxBlockedUnitsPerPass)) {
       continue;
     }
     ++handledUnits;
@@ -418,9 +416,8 @@
                failed->second.contains(aWorker);
       },
     .maySpanRacks = MaySpanRacks(aUnit, aView),
-    .onIdleWorkers =
-      aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait,
-    .avoidsNewWorkers = aUnit.onTrial,
+    .onTrial = aUnit.onTrial,
+    .onIdleWorkers = NeedsIdleWorkers(aUnit, aView),
     .bestFit = mOptions.bestFit,
   };
 }
@@ -428,7 +425,7 @@
 Planner::UnitKey
 Planner::KeyOf(const Unit& aUnit)
 {
-  return { aUnit.job->id, aUnit.occurrence, aUnit.step };
+  return { aUnit.job->id, aUnit.occurrence, aUnit.step, aUnit.onTrial };
 }
 
 Millis
@@ -438,6 +435,12 @@
   return since == mWaitingSince.end() ? Millis(0) : aView.now - since->second;
 }
 
+bool
+Planner::NeedsIdleWorkers(const Unit& aUnit, const FleetView& aView) const
+{
+  return aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait;
+}
+
 bool
 Planner::MaySpanRacks(const Unit& aUnit, const FleetView& aView) const
 {
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -213,7 +213,7 @@
   static bool IsGuaranteed(const Unit& aUnit, const FleetView& aView);
 
   // Identifies a unit across planning passes.
-  using UnitKey = std::tuple<JobId, uint32_t, uint32_t>;
+  using UnitKey = std::tuple<JobId, uint32_t, uint32_t, bool>;
   static UnitKey KeyOf(const Unit& aUnit);
 
   // Sort key of a unit, the most significant part first.
@@ -241,6 +241,8 @@
 
   // Time for which the unit has been startable.
   Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit is on trial and has not waited for `maxTrialWait`.
+  bool NeedsIdleWorkers(const Unit& aUnit, const FleetView& aView) const;
   // Whether a unit that prefers one rack may be placed on several.
   bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
   // Whether the unit is placed in one rack or not at all.
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -98,6 +98,21 @@
     mRemaining[run] = aRemaining;
   }
 
+  // Starts the job's first task and ends it by a crash of the worker.
+  void CrashUnder(const std::string& aId, const std::string& aWorker)
+  {
+    StartRun(aId, 0, aWorker, Millis(0), Millis(0));
+    gen::RunEnd end;
+    end.task = ToWire(TaskRef{ .job = JobId(aId) });
+    end.run = 1;
+    end.worker = aWorker;
+    end.kind = static_cast<int32_t>(EndKind::kWorkerCrashed);
+    end.evidence = static_cast<int32_t>(CrashEvidence::kAtStart);
+    gen::Command command;
+    command.ends.push_back(end);
+    mState.Apply(command);
+  }
+
   Plan Decide() { return mPlanner.Decide(View()); }
 
   FleetView View()
@@ -311,6 +326,23 @@
   }
 }
 
+// Guards against an urgent suspect that waits for ever in a full fleet: when it
+// has waited for an idle worker, other runs are stopped for it.
+TEST(Planner, SuspectInAFullFleetIsTreatedLikeOtherWorkInTheEnd)
+{
+  Fleet fleet;
+  fleet.AddWorker("w1", "r1");
+  fleet.Submit(JobName(1), StepOf(1, 8, false), 2);
+  fleet.Submit(JobName(2), StepOf(1, 8, false), 0);
+  fleet.CrashUnder(JobName(2), "w1");
+  fleet.StartRun(JobName(1), 0, "w1", Millis(10), Seconds(60));
+  Plan plan = fleet.Decide();
+  EXPECT_TRUE(plan.starts.empty());
+  EXPECT_TRUE(plan.stops.empty());
+  fleet.Advance(Seconds(2));
+  EXPECT_EQ(fleet.Decide().stops.size(), 1U);
+}
+
 // Guards against starvation: while small tasks wait, a gang that needs whole
 // workers must get the workers that become free.
 TEST(Planner, WaitingGangReservesWorkers)
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -12,10 +12,11 @@
 
 // A job is given up when one of its tasks has crashed this many workers: when
 // the last one ran nothing else, when the task had just started on each, or in
-// all. The platform requires two and allows at most five.
+// all. The platform requires two and allows at most five; the last limit leaves
+// one for a crash that no leader saw.
 constexpr uint32_t kMaxProvenCrashes = 2;
 constexpr uint32_t kMaxCrashesAtStart = 3;
-constexpr uint32_t kMaxCrashes = 5;
+constexpr uint32_t kMaxCrashes = 4;
 // Number of crashes after which a task is tried apart although it had not just
 // started on any of the workers.
 constexpr uint32_t kSuspectCrashes = 2;
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -158,7 +158,7 @@
   for (const StepSpec& step : { Tasks(1, false), Tasks(1, true), lasting }) {
     EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kAloneAtStart), 2U);
     EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kAtStart), 3U);
-    EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kNone), 5U);
+    EXPECT_EQ(CrashesUntilGivenUp(step, CrashEvidence::kNone), 4U);
   }
 }
 
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -222,6 +222,16 @@
   RunUntilIdle();
 }
 
+void
+FleetFixture::DeliverTogether(const std::vector<Order>& aOrders,
+                              const OrderResult& aResult)
+{
+  for (const Order& it : aOrders) {
+    mDispatcher->OnResult(it, aResult, mNow);
+  }
+  RunUntilIdle();
+}
+
 void
 FleetFixture::Deliver(const Order& aOrder, const OrderResult& aResult)
 {
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -85,6 +85,9 @@
 
   void Answer(const Order& aOrder, OrderResult::Outcome aOutcome);
   void Deliver(const Order& aOrder, const OrderResult& aResult);
+  // Delivers the result of several orders before the next tick.
+  void DeliverTogether(const std::vector<Order>& aOrders,
+                       const OrderResult& aResult);
   void Refuse(const Order& aOrder, OrderRefusal aRefusal);
   // Returns a successful result that lists no runs.
   OrderResult EmptyRenewalResult() const;
