--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -29,6 +29,8 @@
   Resources available{};
   // Nothing runs on the worker.
   bool idle = false;
+  // Its process has been known for a short time only.
+  bool isNew = false;
   // Higher is worse; 0 for a worker without faults.
   int faultScore = 0;
 };
@@ -46,7 +48,11 @@
   std::function<bool(const WorkerId&)> isAvoided{};
   // Whether tasks that prefer one rack may be placed on several.
   bool maySpanRacks = false;
-  // Uses idle workers only, with one task on each unless the step is a gang.
+  // The tasks may crash their workers: at most one on each, unless the step is
+  // a gang. New workers are used only if the others do not suffice, because a
+  // worker that restarts again and again is new and idle.
+  bool onTrial = false;
+  // Uses idle workers only.
   bool onIdleWorkers = false;
   // Fills the fullest workers first; otherwise the first workers that fit.
   bool bestFit = true;
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -237,18 +237,16 @@
       continue;
     }
     ++plan.blockedUnits;
-    // A trial needs idle workers, and whether there are any says nothing about
-    // other units. Nothing is stopped or reserved for it.
-    if (it.onTrial) {
-      continue;
-    }
-    if (!knownNotToFit) {
+    // Whether there are idle workers says nothing about other units, and
+    // nothing is stopped or reserved to get one.
+    bool needsIdleWorkers = NeedsIdleWorkers(it, aView);
+    if (!knownNotToFit && !needsIdleWorkers) {
       mUnplaceable.push_back(
         { .unit = &it, .needsOneRack = NeedsOneRack(it, aView) });
     }
     auto pending = mPendingPreemptions.find(it.job->id);
     if (pending == mPendingPreemptions.end() &&
-        handledUnits >= mOptions.maxBlockedUnitsPerPass) {
+        (needsIdleWorkers || handledUnits >= mOptions.maxBlockedUnitsPerPass)) {
       continue;
     }
     ++handledUnits;
@@ -418,8 +416,8 @@
                failed->second.contains(aWorker);
       },
     .maySpanRacks = MaySpanRacks(aUnit, aView),
-    .onIdleWorkers =
-      aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait,
+    .onTrial = aUnit.onTrial,
+    .onIdleWorkers = NeedsIdleWorkers(aUnit, aView),
     .bestFit = mOptions.bestFit,
   };
 }
@@ -427,7 +425,7 @@
 Planner::UnitKey
 Planner::KeyOf(const Unit& aUnit)
 {
-  return { aUnit.job->id, aUnit.occurrence, aUnit.step };
+  return { aUnit.job->id, aUnit.occurrence, aUnit.step, aUnit.onTrial };
 }
 
 Millis
@@ -437,6 +435,12 @@
   return since == mWaitingSince.end() ? Millis(0) : aView.now - since->second;
 }
 
+bool
+Planner::NeedsIdleWorkers(const Unit& aUnit, const FleetView& aView) const
+{
+  return aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait;
+}
+
 bool
 Planner::MaySpanRacks(const Unit& aUnit, const FleetView& aView) const
 {
@@ -447,8 +451,8 @@
   auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
   std::vector<uint32_t> tasksByRack;
   uint64_t tasksThatFit = 0;
-  int64_t idleAccelerators = 0;
-  int64_t totalAccelerators = 0;
+  Resources idle;
+  Resources total;
   for (const Candidate& it : aView.candidates) {
     if (!MayRun(step, aUnit.job->service, *it.report)) {
       continue;
@@ -456,15 +460,20 @@
     tasksByRack.resize(std::max<size_t>(tasksByRack.size(), it.rack + 1));
     tasksByRack[it.rack] += TasksThatFit(step, it.report->capacity, tasks);
     tasksThatFit += TasksThatFit(step, it.available, tasks);
-    idleAccelerators += it.available.accelerators;
-    totalAccelerators += it.report->capacity.accelerators;
+    idle += it.available;
+    total += it.report->capacity;
   }
   // No rack could hold all tasks even if it were idle.
   bool neverFits = std::all_of(tasksByRack.begin(),
                                tasksByRack.end(),
                                [&](uint32_t it) { return it < tasks; });
-  bool ampleRoom = tasksThatFit >= uint64_t{ tasks } * 2 ||
-                   idleAccelerators * 2 > totalAccelerators;
+  bool halfIdle = total.accelerators > 0
+                    ? idle.accelerators * 2 > total.accelerators
+                    : idle.cpu * 2 > total.cpu;
+  // A step that lasts must not stand still while there is room. Others would
+  // only run slower for having started earlier.
+  bool ampleRoom =
+    halfIdle || (step.longRunning && tasksThatFit >= uint64_t{ tasks } * 2);
   return neverFits || (ampleRoom && WaitedForRack(aUnit, aView));
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -52,8 +52,9 @@
   // Maximum number of runs to stop for one unit.
   size_t maxVictims = 128;
   // A step that prefers one rack may be placed on several after this time if
-  // there is room for twice its tasks, or more than half of the matching
-  // accelerators are idle: waiting longer is then unlikely to free a rack.
+  // more than half of the matching accelerators (processors, if there are none)
+  // are idle, because waiting longer is then unlikely to free a whole rack; a
+  // step that lasts also if there is room for twice its tasks.
   Millis maxRackWait = Millis(1500);
   // A task on trial that has waited this long for an idle worker shares one.
   Millis maxTrialWait = Millis(1500);
@@ -212,7 +213,7 @@
   static bool IsGuaranteed(const Unit& aUnit, const FleetView& aView);
 
   // Identifies a unit across planning passes.
-  using UnitKey = std::tuple<JobId, uint32_t, uint32_t>;
+  using UnitKey = std::tuple<JobId, uint32_t, uint32_t, bool>;
   static UnitKey KeyOf(const Unit& aUnit);
 
   // Sort key of a unit, the most significant part first.
@@ -240,6 +241,8 @@
 
   // Time for which the unit has been startable.
   Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
+  // Whether the unit is on trial and has not waited for `maxTrialWait`.
+  bool NeedsIdleWorkers(const Unit& aUnit, const FleetView& aView) const;
   // Whether a unit that prefers one rack may be placed on several.
   bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
   // Whether the unit is placed in one rack or not at all.
