Count and log requests that get no complete answer

Callers saw: an answer that breaks off around planned work (LOST), of which an entry instance left no trace: a connection closed without a line, and a shutdown that ran out of time ended the process without naming what it cut.

--- a/packages/http/internal/session.cc
+++ b/packages/http/internal/session.cc
@@ -40,7 +40,7 @@
   auto expire = [weak] {
     if (auto self = weak.lock()) {
       ++self->mServer->counters.timedOut;
-      self->Close();
+      self->Close(UnansweredReason::kTimedOut);
     }
   };
   mReadTimer.SetCallback(expire);
@@ -109,6 +109,7 @@
   ++mServer->counters.requests;
   ++mServer->inFlight;
   mInExchange = true;
+  mRequestReceivedAt = MonotonicNow();
   mResponseStarted = false;
   mServer->handler(
     std::make_shared<Exchange>(shared_from_this(), std::move(head)));
@@ -450,11 +451,23 @@
 {
   ErrorCode ignored;
   mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-  Close();
+  Close(UnansweredReason::kAbandoned);
 }
 
 void
-Session::Close()
+Session::ReportUnanswered(UnansweredReason aReason)
+{
+  ++mServer->counters.unanswered[static_cast<size_t>(aReason)];
+  if (mServer->onUnanswered) {
+    mServer->onUnanswered({ .reason = aReason,
+                            .age = MonotonicNow() - mRequestReceivedAt,
+                            .responseStarted = mResponseStarted,
+                            .draining = mServer->draining });
+  }
+}
+
+void
+Session::Close(UnansweredReason aReason)
 {
   if (mClosed) {
     return;
@@ -467,6 +480,9 @@
   mSocket.close(ignored);
   if (std::exchange(mInExchange, false)) {
     --mServer->inFlight;
+    if (mReader.Done()) {
+      ReportUnanswered(aReason);
+    }
   }
   mServer->Remove(self);
   // A write in progress completes through its own handler.
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -45,6 +45,7 @@
   ServerLimits limits;
   StreamHandler handler;
   ServerCounters counters;
+  UnansweredCallback onUnanswered;
   // Every session with an open socket.
   std::set<std::shared_ptr<Session>> sessions;
   size_t inFlight = 0;
@@ -70,7 +71,8 @@
   // Closes the connection unless a request is in progress or has arrived.
   void CloseIfIdle();
   // Closes the connection; a pending body read and the peer watch complete.
-  void Close();
+  // `aReason` is reported if a request is left unanswered.
+  void Close(UnansweredReason aReason = UnansweredReason::kPeerClosed);
   // Closes the connection with a TCP reset.
   void Reset();
 
@@ -111,6 +113,7 @@
   // response.
   void Linger();
   void OnPeerReadable(ErrorCode aError);
+  void ReportUnanswered(UnansweredReason aReason);
   // Detects whether a peer that has shut down its sending side still reads.
   void ProbePeer();
 
@@ -124,6 +127,7 @@
   WriteCallback mWriteDone;
   std::function<void()> mPeerLostDone;
   uint64_t mLingeredBytes = 0;
+  Millis mRequestReceivedAt;
   Framing mFraming = Framing::kNone;
   // True while no byte of a request has arrived.
   bool mIdle = true;
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -61,6 +61,10 @@
   size_t InFlight() const;
 
   const ServerCounters& Counters() const;
+  void SetUnansweredCallback(UnansweredCallback aCallback)
+  {
+    mServer.SetUnansweredCallback(std::move(aCallback));
+  }
   // Number of requests whose handler failed with an exception. They are
   // answered with status 500 and the verdict "may_have_run".
   uint64_t Failures() const { return mState->failures; }
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -311,6 +312,99 @@
   EXPECT_TRUE(mDrained);
 }
 
+// A server that answers nothing by itself, and one caller's connection.
+class UnansweredTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    mServer.SetUnansweredCallback(
+      [this](const UnansweredRequest& it) { mReported.push_back(it); });
+    mEndpoint = mServer.Listen({ "127.0.0.1", 0 }).Value();
+    mSocket.connect(
+      { boost::asio::ip::make_address("127.0.0.1"), mEndpoint.port });
+  }
+
+  void Send(std::string_view aBytes)
+  {
+    boost::asio::write(mSocket,
+                       boost::asio::buffer(aBytes.data(), aBytes.size()));
+    Run();
+  }
+
+  void Run()
+  {
+    mContext.run_for(std::chrono::milliseconds(kRound.Count()));
+    mContext.restart();
+  }
+
+  uint64_t Count(UnansweredReason aReason) const
+  {
+    return mServer.Counters().unanswered[static_cast<size_t>(aReason)];
+  }
+
+  boost::asio::io_context mContext;
+  std::vector<Responder> mResponders;
+  std::vector<UnansweredRequest> mReported;
+  Server mServer{ mContext, {}, [this](Request, Responder aRespond) {
+                   mResponders.push_back(std::move(aRespond));
+                 } };
+  Endpoint mEndpoint;
+  tcp::socket mSocket{ mContext };
+};
+
+constexpr std::string_view kRequestBytes = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+// Guards against a shutdown that cuts a request without a trace.
+TEST_F(UnansweredTest, RequestCutByTheServerIsReported)
+{
+  Send(kRequestBytes);
+  ASSERT_EQ(mResponders.size(), 1U);
+  mServer.Drain([] {});
+  mServer.Close();
+  Run();
+  EXPECT_EQ(Count(UnansweredReason::kServerClosed), 1U);
+  ASSERT_EQ(mReported.size(), 1U);
+  EXPECT_EQ(mReported[0].reason, UnansweredReason::kServerClosed);
+  EXPECT_TRUE(mReported[0].draining);
+  EXPECT_FALSE(mReported[0].responseStarted);
+}
+
+// Guards against a request that its handler forgets without a trace.
+TEST_F(UnansweredTest, RequestWithoutAResponderIsReported)
+{
+  Send(kRequestBytes);
+  mResponders.clear();
+  Run();
+  EXPECT_EQ(Count(UnansweredReason::kAbandoned), 1U);
+  ASSERT_EQ(mReported.size(), 1U);
+  EXPECT_FALSE(mReported[0].draining);
+}
+
+// Guards against reports of answered requests and of incomplete ones.
+TEST_F(UnansweredTest, AnsweredAndIncompleteRequestsAreNotReported)
+{
+  Send(kRequestBytes);
+  ASSERT_EQ(mResponders.size(), 1U);
+  mResponders[0]({ .status = 204, .headers = {}, .body = {} });
+  Run();
+  mResponders.clear();
+  Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf");
+  mServer.Close();
+  Run();
+  EXPECT_TRUE(mReported.empty());
+}
+
+// Guards against a reason that is counted under the name of another.
+TEST(UnansweredReasons, HaveDistinctNames)
+{
+  std::set<std::string_view> names;
+  for (int n = 0; n < kUnansweredReasonCount; ++n) {
+    names.insert(UnansweredReasonName(static_cast<UnansweredReason>(n)));
+  }
+  EXPECT_EQ(names.size(), static_cast<size_t>(kUnansweredReasonCount));
+}
+
 TEST(Client, RefusedConnectionDidNotRun)
 {
   Endpoint unused;
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -19,6 +19,22 @@
 
 } // namespace
 
+std::string_view
+UnansweredReasonName(UnansweredReason aReason)
+{
+  switch (aReason) {
+    case UnansweredReason::kTimedOut:
+      return "timed_out";
+    case UnansweredReason::kAbandoned:
+      return "abandoned";
+    case UnansweredReason::kServerClosed:
+      return "server_closed";
+    case UnansweredReason::kPeerClosed:
+      break;
+  }
+  return "peer_closed";
+}
+
 Exchange::Exchange(std::shared_ptr<Session> aSession, RequestHead aHead)
   : mSession(std::move(aSession))
   , mHead(std::move(aHead))
@@ -240,10 +256,16 @@
   mImpl->acceptor.close(ec);
   auto sessions = mImpl->sessions;
   for (const auto& it : sessions) {
-    it->Close();
+    it->Close(UnansweredReason::kServerClosed);
   }
 }
 
+void
+StreamServer::SetUnansweredCallback(UnansweredCallback aCallback)
+{
+  mImpl->onUnanswered = std::move(aCallback);
+}
+
 const ServerLimits&
 StreamServer::Limits() const
 {
--- a/packages/http/stream_server.h
+++ b/packages/http/stream_server.h
@@ -17,9 +17,11 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace limpetwood::http {
 
@@ -44,6 +46,36 @@
   Millis drainGrace = Millis(200);
 };
 
+// Why a connection closed before the response to its request was complete.
+enum class UnansweredReason
+{
+  // The peer closed the connection, or it broke.
+  kPeerClosed,
+  // The peer did not take the response in time.
+  kTimedOut,
+  // The handler dropped the exchange.
+  kAbandoned,
+  // `Close` was called.
+  kServerClosed,
+};
+
+inline constexpr int kUnansweredReasonCount = 4;
+
+std::string_view
+UnansweredReasonName(UnansweredReason aReason);
+
+// A request that was received completely and got no complete response.
+struct UnansweredRequest
+{
+  UnansweredReason reason{};
+  // Time since its head was received.
+  Millis age{};
+  bool responseStarted = false;
+  bool draining = false;
+};
+
+using UnansweredCallback = std::function<void(const UnansweredRequest&)>;
+
 // Connections and requests, and those that the limits rejected, for metrics.
 struct ServerCounters
 {
@@ -63,6 +95,8 @@
   uint64_t timedOut = 0;
   // Requests whose head was received.
   uint64_t requests = 0;
+  // Complete requests without a complete response, by reason.
+  std::array<uint64_t, kUnansweredReasonCount> unanswered{};
 };
 
 class Session;
@@ -167,6 +201,9 @@
   size_t Connections() const;
 
   const ServerCounters& Counters() const;
+  // Sets the function that is called for each request that is counted in
+  // `ServerCounters::unanswered`. It must not destroy the server.
+  void SetUnansweredCallback(UnansweredCallback aCallback);
 
 private:
   std::shared_ptr<StreamServerImpl> mImpl;
