--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -284,6 +284,9 @@
     return;
   }
   auto version = static_cast<uint64_t>(aRequest.configuration.version);
+  mEnvironment.Log(LogEvent("configuration_received")
+                     .Add("version", version)
+                     .Add("in_force", mState.Version()));
   // A repeated or outdated configuration is acknowledged and changes nothing.
   if (version <= mState.Version().Value()) {
     Answer(aDone, RequestOutcome::kOk);
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -75,7 +75,7 @@
   return request;
 }
 
-class NullEnvironment : public NodeEnvironment
+class TestEnvironment : public NodeEnvironment
 {
 public:
   void SendReplication(const InstanceId& /*aTo*/,
@@ -83,7 +83,12 @@
   {
   }
   void SendOrder(Order /*aOrder*/) override {}
-  void Log(const LogEvent& /*aEvent*/) override {}
+  void Log(const LogEvent& aEvent) override
+  {
+    events.push_back(aEvent.JsonMembers());
+  }
+
+  std::vector<std::string> events;
 };
 
 class NodeTest : public testing::Test
@@ -139,7 +144,7 @@
   }
 
   replication::MemoryDisk mDisk;
-  NullEnvironment mEnvironment;
+  TestEnvironment mEnvironment;
   std::unique_ptr<Node> mNode;
   Millis mNow{ 1'000'000 };
   Millis mWallOffset{};
@@ -331,6 +336,24 @@
   EXPECT_EQ(Ask(read)->text, "text");
 }
 
+// Guards against a configuration that reaches the leader without a log line, so
+// that one lost before the leader cannot be told from one that it delayed.
+TEST_F(NodeTest, ReceiptOfAConfigurationIsLogged)
+{
+  Open();
+  Configure();
+  Configure();
+  std::vector<std::string> received;
+  for (const std::string& it : mEnvironment.events) {
+    if (it.find("\"configuration_received\"") != std::string::npos) {
+      received.push_back(it);
+    }
+  }
+  ASSERT_EQ(received.size(), 2U);
+  EXPECT_NE(received[0].find("\"in_force\":0"), std::string::npos);
+  EXPECT_NE(received[1].find("\"in_force\":1"), std::string::npos);
+}
+
 // Three replicas whose messages can be held back, and one worker.
 class GroupTest : public testing::Test
 {
