Sync the folder above the log when the log is opened

Callers saw: nothing yet; found by reading what an acknowledgement relies on. Cause: the log store syncs its files and its own folder, but not the folder above, in which its own name stands. Where the file system promises no more than the calls do, a loss of power after the first start may remove the whole folder, with entries that were acknowledged. Change: opening the store syncs the folder above. The disk of the tests drops folders whose parent was not synced, as it drops files.

--- a/packages/replication/disk.h
+++ b/packages/replication/disk.h
@@ -32,6 +32,8 @@
 public:
   virtual ~Disk() = default;
 
+  // Creates a folder, with those above it. Until `SyncFolder` of the one above,
+  // a crash may remove it with all files in it.
   virtual std::error_code MakeFolder(const std::string& aFolder) = 0;
   // Names of the files in a folder, in any order.
   virtual Result<std::vector<std::string>> List(const std::string& aFolder) = 0;
@@ -42,7 +44,8 @@
   virtual std::error_code Rename(const std::string& aFrom,
                                  const std::string& aTo) = 0;
   virtual std::error_code Remove(const std::string& aPath) = 0;
-  // Makes earlier creations, renames and removals in the folder durable.
+  // Makes earlier creations, renames and removals in the folder durable. An
+  // empty path is the working folder.
   virtual std::error_code SyncFolder(const std::string& aFolder) = 0;
 };
 
--- a/packages/replication/log_store.cc
+++ b/packages/replication/log_store.cc
@@ -30,6 +30,17 @@
   return std::string(aPrefix) + std::string(20 - digits.size(), '0') + digits;
 }
 
+// The folder above; empty for a relative path of one component.
+std::string
+ParentOf(const std::string& aFolder)
+{
+  size_t slash = aFolder.rfind('/');
+  if (slash == std::string::npos) {
+    return {};
+  }
+  return aFolder.substr(0, std::max<size_t>(slash, 1));
+}
+
 // The numbers in the names of the files with a prefix, ascending.
 std::vector<uint64_t>
 ParseFileNumbers(const std::vector<std::string>& aNames,
@@ -81,6 +92,10 @@
   if (std::error_code ec = mDisk.MakeFolder(mOptions.folder)) {
     return ec;
   }
+  // An earlier start may have made the folder and lost power before this sync.
+  if (std::error_code ec = mDisk.SyncFolder(ParentOf(mOptions.folder))) {
+    return ec;
+  }
   if (std::error_code ec = LoadState(aLoaded)) {
     return ec;
   }
--- a/packages/replication/memory_disk.cc
+++ b/packages/replication/memory_disk.cc
@@ -2,6 +2,8 @@
 
 #include "base/error.h"
 
+#include <utility>
+
 namespace limpetwood::replication {
 namespace {
 
@@ -63,9 +65,15 @@
 };
 
 std::error_code
-MemoryDisk::MakeFolder(const std::string& /*aFolder*/)
+MemoryDisk::MakeFolder(const std::string& aFolder)
 {
-  return mInjectedError;
+  if (mInjectedError) {
+    return mInjectedError;
+  }
+  if (mFolders.insert(aFolder).second) {
+    mUnsyncedFolders.insert(aFolder);
+  }
+  return {};
 }
 
 Result<std::vector<std::string>>
@@ -137,6 +145,8 @@
   if (mIgnoreSyncs) {
     return {};
   }
+  std::erase_if(mUnsyncedFolders,
+                [&](const std::string& it) { return FolderOf(it) == aFolder; });
   std::erase_if(mDurableFiles, [&](const auto& aFile) {
     return FolderOf(aFile.first) == aFolder;
   });
@@ -151,6 +161,12 @@
 void
 MemoryDisk::Crash(Random& aRandom)
 {
+  for (const std::string& it : std::exchange(mUnsyncedFolders, {})) {
+    mFolders.erase(it);
+    std::erase_if(mDurableFiles, [&](const auto& aFile) {
+      return FolderOf(aFile.first) == it;
+    });
+  }
   mFiles = mDurableFiles;
   for (auto& [path, content] : mFiles) {
     size_t unsynced = content->bytes.size() - content->synced;
@@ -165,6 +181,8 @@
 {
   mFiles.clear();
   mDurableFiles.clear();
+  mFolders.clear();
+  mUnsyncedFolders.clear();
 }
 
 bool
--- a/packages/replication/memory_disk.h
+++ b/packages/replication/memory_disk.h
@@ -8,11 +8,13 @@
 #include <cstddef>
 #include <limits>
 #include <map>
+#include <set>
 
 namespace limpetwood::replication {
 
 // Models a disk that loses unsynced data at a crash: it keeps the synced part
-// of each file, and each folder as of its last `SyncFolder`. A crash may also
+// of each file, each folder as of its last `SyncFolder`, and nothing in a
+// folder that was made since the last `SyncFolder` above it. A crash may also
 // leave some of the unsynced bytes of a file (a torn write).
 //
 // File objects must not be used after `Crash` or `Erase`.
@@ -58,6 +60,9 @@
   Files mFiles;
   // The folder entries as of the last `SyncFolder`, which survive a crash.
   Files mDurableFiles;
+  std::set<std::string> mFolders;
+  // Folders whose creation does not survive a crash yet.
+  std::set<std::string> mUnsyncedFolders;
   std::error_code mInjectedError;
   size_t mCapacity = std::numeric_limits<size_t>::max();
   bool mIgnoreSyncs = false;
--- a/packages/replication/real_disk.cc
+++ b/packages/replication/real_disk.cc
@@ -162,8 +162,8 @@
 
   std::error_code SyncFolder(const std::string& aFolder) override
   {
-    FileDescriptor fd(
-      ::open(aFolder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    const char* path = aFolder.empty() ? "." : aFolder.c_str();
+    FileDescriptor fd(::open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (fd.Get() < 0) {
       return ToErrorCode(errno);
     }
