Bound the connections that a leader opens to workers

Callers saw: no request served at 300 instances and 3,000 workers; earlier, a valid configuration without an acknowledgement in calm at that size. Cause: a renewal that a worker holds back keeps its connection, the servers' shares of the file descriptors were enforced and the workers' share was not. Once the descriptors are used up the leader accepts nothing. Pings, renewals and replication go on over connections that are open, so it keeps leading, and each new request times out. Change: a pool may bound its connections to all servers; at the bound it closes the one that was idle longest, or refuses. Orders keep to their share. Evidence: Pool.ConnectionsToAllServersAreBounded fails without the bound.

--- a/packages/fleetd/file_budget.h
+++ b/packages/fleetd/file_budget.h
@@ -4,7 +4,7 @@
 // the leader at once, as after an election. Without shares, whoever comes first
 // takes all descriptors, and the group's own traffic or a read of the
 // configuration fails to connect. Each server closes connections above its
-// share at once; the orders to workers use what the servers leave.
+// share at once, and an order above the share of the workers is not sent.
 
 #pragma once
 
@@ -18,7 +18,7 @@
   uint32_t requestConnections = 0;
   // Connections of workers and operators to the control server.
   uint32_t controlConnections = 0;
-  // Connections to workers; not enforced here, two for each worker.
+  // Connections to workers.
   uint32_t workerConnections = 0;
 };
 
--- a/packages/http/pool.cc
+++ b/packages/http/pool.cc
@@ -59,6 +59,7 @@
       }
       ++(expired ? counters.closedIdle : counters.closedStale);
       --aServer.open;
+      --open;
       entry.connection->Close();
     }
     return nullptr;
@@ -69,6 +70,7 @@
                AcquireCallback aDone)
   {
     ++servers[aEndpoint].open;
+    ++open;
     auto connection = Connection::Create(context, limits.connection);
     connection->Connect(aEndpoint,
                         std::min(aTimeout, limits.connectTimeout),
@@ -96,6 +98,7 @@
       return;
     }
     ServerConnections& server = found->second;
+    --open;
     if (--server.open == 0 && server.limit.value_or(0) == 0) {
       servers.erase(found);
     }
@@ -112,10 +115,34 @@
       return close;
     });
     aServer.open -= static_cast<uint32_t>(closed);
+    open -= closed;
     idleConnections -= closed;
     return closed;
   }
 
+  // Closes the connection that has been idle longest; false if none is idle.
+  bool CloseLongestIdle()
+  {
+    ServerConnections* longest = nullptr;
+    for (auto& [endpoint, server] : servers) {
+      if (!server.idle.empty() &&
+          (longest == nullptr ||
+           server.idle.front().idleSince < longest->idle.front().idleSince)) {
+        longest = &server;
+      }
+    }
+    if (longest == nullptr) {
+      return false;
+    }
+    longest->idle.front().connection->Close();
+    longest->idle.erase(longest->idle.begin());
+    --longest->open;
+    --open;
+    --idleConnections;
+    ++counters.closedIdle;
+    return true;
+  }
+
   // Closes idle connections that have expired or that the peer has closed.
   void Sweep()
   {
@@ -147,6 +174,8 @@
   PoolLimits limits;
   std::map<Endpoint, ServerConnections> servers;
   DeadlineTimer sweepTimer;
+  // Sum of `open` over all servers.
+  size_t open = 0;
   size_t idleConnections = 0;
   PoolCounters counters;
 };
@@ -175,7 +204,10 @@
     aDone({}, std::move(connection));
     return;
   }
-  if (server.open >= mImpl->MaxConnections(server)) {
+  bool atLimit = server.open >= mImpl->MaxConnections(server) ||
+                 (mImpl->open >= mImpl->limits.maxTotalConnections &&
+                  !mImpl->CloseLongestIdle());
+  if (atLimit) {
     ++mImpl->counters.refused;
     aDone(make_error_code(Errc::kUnavailable), nullptr);
     return;
@@ -235,6 +267,7 @@
     server.idle.front().connection->Close();
     server.idle.erase(server.idle.begin());
     --server.open;
+    --mImpl->open;
     --mImpl->idleConnections;
     ++mImpl->counters.closedIdle;
   }
@@ -255,11 +288,7 @@
 size_t
 Pool::Open() const
 {
-  size_t open = 0;
-  for (const auto& [endpoint, server] : mImpl->servers) {
-    open += server.open;
-  }
-  return open;
+  return mImpl->open;
 }
 
 size_t
--- a/packages/http/pool.h
+++ b/packages/http/pool.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace limpetwood::http {
@@ -27,6 +28,9 @@
   // Maximum open connections to one server without a limit of its own from
   // `SetLimit`.
   uint32_t maxConnections = 60;
+  // Maximum open connections to all servers. At the limit, the connection that
+  // has been idle longest is closed for a new one.
+  size_t maxTotalConnections = std::numeric_limits<size_t>::max();
   // Shorter than common idle timeouts of servers (60 s and more), so that a
   // server rarely closes a connection while a request is being sent.
   Millis idleTimeout = Seconds(20);
@@ -51,7 +55,7 @@
   uint64_t opened = 0;
   uint64_t reused = 0;
   uint64_t connectFailed = 0;
-  // Acquisitions that failed because the connection limit was reached.
+  // Acquisitions that failed because a connection limit was reached.
   uint64_t refused = 0;
   // Idle connections closed because the peer had closed them or sent
   // unsolicited bytes.
--- a/packages/http/server_test.cc
+++ b/packages/http/server_test.cc
@@ -1,7 +1,9 @@
 // Tests of the HTTP server's limits: invalid input gets an error response or
 // closes its connection, and does not affect other connections.
 
+#include "base/error.h"
 #include "http/client.h"
+#include "http/pool.h"
 #include "http/server.h"
 
 #include <boost/asio/connect.hpp>
@@ -405,6 +407,52 @@
   EXPECT_EQ(names.size(), static_cast<size_t>(kUnansweredReasonCount));
 }
 
+// Guards against connections to many servers that use up the descriptors of the
+// process, so that it can accept nothing more.
+TEST(Pool, ConnectionsToAllServersAreBounded)
+{
+  boost::asio::io_context context;
+  auto handler = [](Request, Responder) {};
+  Server first(context, {}, handler);
+  Server second(context, {}, handler);
+  Endpoint a = first.Listen({ "127.0.0.1", 0 }).Value();
+  Endpoint b = second.Listen({ "127.0.0.1", 0 }).Value();
+  PoolLimits limits;
+  limits.maxTotalConnections = 1;
+  Pool pool(context, limits);
+  std::shared_ptr<Connection> connection;
+  std::error_code error;
+  auto acquire = [&](const Endpoint& aServer) {
+    connection = nullptr;
+    bool done = false;
+    pool.Acquire(aServer,
+                 Seconds(1),
+                 [&](std::error_code ec, std::shared_ptr<Connection> it) {
+                   error = ec;
+                   connection = std::move(it);
+                   done = true;
+                 });
+    while (!done) {
+      context.run_one();
+    }
+  };
+  acquire(a);
+  ASSERT_NE(connection, nullptr);
+  pool.Release(connection);
+  // An idle connection makes room, one in use does not.
+  acquire(b);
+  ASSERT_NE(connection, nullptr);
+  EXPECT_EQ(pool.Open(), 1U);
+  EXPECT_EQ(pool.Idle(), 0U);
+  std::shared_ptr<Connection> held = connection;
+  acquire(a);
+  EXPECT_EQ(connection, nullptr);
+  EXPECT_EQ(error, Errc::kUnavailable);
+  EXPECT_EQ(pool.Counters().refused, 1U);
+  EXPECT_EQ(pool.Open(), 1U);
+  pool.Release(held);
+}
+
 TEST(Client, RefusedConnectionDidNotRun)
 {
   Endpoint unused;
