Draw the simulated requests in a defined order

Cause: SendRandom drew the instance and the workspace of a request in one argument list, whose order of evaluation C++ leaves to the compiler. A seed therefore meant other runs with other compilers, against what base/random.h promises. It does not depend on load or time, and the routing decisions are not at fault.

Change: the draws are statements of their own, the workspace first. The number of seeds and all checks are as before.

--- a/packages/routing/simulation_test.cc
+++ b/packages/routing/simulation_test.cc
@@ -90,9 +90,11 @@
   if (!info.repeatable && random.Chance(0.5)) {
     info.key = IdempotencyKey("k" + std::to_string(random.Below(aKeys)));
   }
-  uint64_t id = aRun.Send(static_cast<uint32_t>(random.Below(6)),
-                          static_cast<uint32_t>(random.Below(2)),
-                          info);
+  // Two draws in one argument list have no specified order, so that a seed
+  // would mean different runs with different compilers.
+  auto workspace = static_cast<uint32_t>(random.Below(2));
+  auto instance = static_cast<uint32_t>(random.Below(6));
+  uint64_t id = aRun.Send(instance, workspace, info);
   if (random.Chance(0.05)) {
     aRun.At(aRun.Now() + random.Between(Millis(1), Millis(300)),
             [&aRun, id] { aRun.Cancel(id); });
