Give up a request under which two servers were lost

Callers saw: nothing distinct; a request that crashes the server executing it was retried on other servers until its attempts or the retry budget were used up, and took down three servers, each with the other requests on it.

Cause: retries count attempts, and a connection that breaks without an answer counted like a refusal. Nothing remembered how many servers may have crashed under a request. Attempts on borrowed slots belong to the same request, so lending does not raise the number; a request that is not repeatable runs on one server at most, also with the same idempotency key.

Change: the router records the servers whose connection broke under a request without an answer and gives the request up at the second one, with may_have_run and the reason servers_lost. Refused connections, refusals and timeouts do not count, nor do servers that are leaving. The counter limpetwood_requests_ended_total has the new reason; the event request_given_up names the request and the servers. The simulation gains requests that crash their servers.

--- a/packages/daemon/request_path.cc
+++ b/packages/daemon/request_path.cc
@@ -1,5 +1,7 @@
 #include "daemon/request_path.h"
 
+#include "daemon/log.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -26,6 +28,7 @@
   proxy::ProxyOptions options;
   options.server.maxConnections = aSettings.limits.callerConnections;
   options.server.maxBodyBytes = aSettings.limits.requestBodyBytes;
+  options.log = LogWarn;
   return options;
 }
 
--- a/packages/proxy/failure_test.cc
+++ b/packages/proxy/failure_test.cc
@@ -246,6 +246,35 @@
   EXPECT_GT(discrepancies.answered, discrepancies.sent / 2);
 }
 
+// Guards against a request that is retried on a third server after two of them
+// closed the connection while they executed it, and against an end that leaves
+// no trace in the log.
+TEST(Failures, RequestThatLostTwoServersIsGivenUp)
+{
+  std::vector<std::unique_ptr<TestServer>> servers;
+  std::string event;
+  TestInstanceOptions options;
+  // The retry budget allows all attempts.
+  options.router.retryRatio = 3;
+  options.proxy.log = [&](const LogEvent& aEvent) {
+    event = aEvent.JsonMembers();
+  };
+  TestInstance instance(options);
+  for (const char* id : { "s1", "s2", "s3", "s4" }) {
+    servers.push_back(std::make_unique<TestServer>(
+      standin::BackendOptions{ .id = id, .closeShare = 1 }));
+    instance.Announce(id, servers.back()->Address());
+  }
+  EXPECT_EQ(FormatOutcome(instance.Call(MakeRequest("r1"))),
+            "may_have_run 502 servers_lost");
+  uint64_t executed = 0;
+  for (const auto& it : servers) {
+    executed += it->Executed();
+  }
+  EXPECT_EQ(executed, 2U);
+  EXPECT_NE(event.find("request_given_up"), std::string::npos) << event;
+}
+
 // Guards against a retry that sends only a part of a body larger than the
 // replay buffer.
 TEST(Failures, LargeBodyIsNotRepeated)
--- a/packages/proxy/options.h
+++ b/packages/proxy/options.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "base/log_event.h"
 #include "base/time.h"
 #include "http/pool.h"
 #include "http/stream_server.h"
@@ -35,6 +36,8 @@
   // Maximum time between two parts of a response body, and for the backend
   // server to accept one part of a request body.
   Millis stallTimeout = Seconds(30);
+  // Receives the log events; may be empty.
+  LogFunction log{};
 
   // Disables individual safeguards, so that tests can verify that their checks
   // detect the resulting failures.
--- a/packages/proxy/proxy.cc
+++ b/packages/proxy/proxy.cc
@@ -83,6 +83,8 @@
                      std::string_view aReason);
   void EnqueueEffects(routing::Effects aEffects);
   void ApplyEffects(const routing::Effects& aEffects);
+  void LogServersLost(const RequestForwarder& aForwarder,
+                      const routing::RequestEnd& aEnd) const;
   void ScheduleRouterTimer();
   // Counts the end of a request that a forwarder handled.
   void CountOutcome(const RequestForwarder& aForwarder,
@@ -193,6 +195,9 @@
   }
   for (const auto& it : aEffects.endedRequests) {
     if (auto forwarder = FindForwarder(it.request)) {
+      if (it.reason == routing::Reason::kServersLost) {
+        LogServersLost(*forwarder, it);
+      }
       forwarder->End(it.verdict, it.reason);
     }
   }
@@ -203,6 +208,25 @@
   }
 }
 
+void
+Proxy::Impl::LogServersLost(const RequestForwarder& aForwarder,
+                            const routing::RequestEnd& aEnd) const
+{
+  if (!options.log) {
+    return;
+  }
+  std::string servers;
+  for (const routing::ServerRef& it : aEnd.lostServers) {
+    servers += (servers.empty() ? "" : " ") + it->id.Value();
+  }
+  options.log(LogEvent("request_given_up")
+                .Add("reason", routing::ReasonName(aEnd.reason))
+                .Add("service", aForwarder.Info().service)
+                .Add("workspace", aForwarder.Info().workspace)
+                .Add("path", aForwarder.Target())
+                .Add("servers", servers));
+}
+
 void
 Proxy::Impl::ScheduleRouterTimer()
 {
--- a/packages/proxy/request_forwarder.h
+++ b/packages/proxy/request_forwarder.h
@@ -60,6 +60,7 @@
                    routing::RequestInfo aInfo);
 
   const routing::RequestInfo& Info() const { return mInfo; }
+  const std::string& Target() const { return mExchange->Head().target; }
 
   // Reads the body up to the size of the replay buffer and then calls
   // `OnReadyForAdmission`, or rejects the request.
--- a/packages/routing/components_test.cc
+++ b/packages/routing/components_test.cc
@@ -155,6 +155,31 @@
             AnnounceStatus::kStaleIncarnation);
 }
 
+// Guards against a server that is punished after its restart for the requests
+// that crashed it.
+TEST(ServerTable, RestartedServerIsNotEjected)
+{
+  RouterOptions options;
+  options.testOnly.skipHomeWait = true;
+  ServerTable table(options, ZoneId("z"));
+  Random random(1);
+  table.Announce(Announcement(1), 0, Millis(0));
+  table.Announce(Announcement(2), 0, Millis(0));
+  AttemptOutcome lost{ .result = AttemptResult::kConnectionLost };
+  while (table.Ejections() == 0) {
+    auto taken = table.TakeLocalSlot(0, {}, Millis(0), random);
+    ASSERT_TRUE(taken);
+    ServerRef server = table.At(*taken).identity;
+    table.ReleaseLocalSlot(*taken, server, Millis(0), lost, Millis(0));
+  }
+  for (uint32_t n = 1; n <= 2; ++n) {
+    ServerAnnouncement restarted = Announcement(n);
+    restarted.incarnation = restarted.incarnation.Next();
+    auto index = table.Announce(restarted, 0, Millis(1000)).server;
+    EXPECT_FALSE(table.At(*index).health.Ejected());
+  }
+}
+
 // Guards against retries that multiply the load on failing servers.
 TEST(RetryPolicy, BudgetLimitsRetriesToTheirShare)
 {
@@ -180,6 +205,27 @@
   EXPECT_EQ(CheckRetry(failed, {}, Millis(0)), Reason::kNone);
 }
 
+// Guards against a request that crashes a third server, and against giving up a
+// request because of failures that no request causes.
+TEST(RetryPolicy, RequestIsGivenUpAfterTwoLostServers)
+{
+  FailedAttempt failed;
+  failed.deadline = Seconds(1);
+  failed.outcome.result = AttemptResult::kConnectionLost;
+  failed.lostServers = 1;
+  EXPECT_EQ(CheckRetry(failed, {}, Millis(0)), Reason::kNone);
+  failed.lostServers = 2;
+  EXPECT_EQ(CheckRetry(failed, {}, Millis(0)), Reason::kServersLost);
+  for (AttemptResult result : { AttemptResult::kNotSent,
+                                AttemptResult::kServerRefused,
+                                AttemptResult::kTimedOut }) {
+    EXPECT_FALSE(MayHaveCrashed({ .result = result }, false));
+  }
+  AttemptOutcome lost{ .result = AttemptResult::kConnectionLost };
+  EXPECT_TRUE(MayHaveCrashed(lost, false));
+  EXPECT_FALSE(MayHaveCrashed(lost, true));
+}
+
 std::vector<InstanceConfig>
 Instances(int aFirst, int aCount)
 {
--- a/packages/routing/internal/router_impl.h
+++ b/packages/routing/internal/router_impl.h
@@ -51,6 +51,8 @@
   // Combined verdict of the attempts before the current one.
   Verdict verdict = Verdict::kNotRun;
   std::vector<ServerRef> triedServers{};
+  // The tried servers that the request may have crashed.
+  std::vector<ServerRef> lostServers{};
   // The server of the current attempt, which uses a slot of a server in
   // `mServers`, or a borrowed slot if `lease` is set.
   ServerRef server{};
@@ -270,6 +272,9 @@
                        const AttemptOutcome& aOutcome,
                        Millis aNow,
                        Effects& aEffects);
+  // True if the server of the current attempt takes no new work, because it is
+  // leaving or, for a borrowed slot, its home instance has revoked the lease.
+  bool IsServerLeaving(const RequestRecord& aRequest);
   bool WasTried(const RequestRecord& aRequest, const ServerId& aServer) const;
   void RecordLease(const LeaseKey& aKey,
                    ServerIndex aServer,
--- a/packages/routing/internal/router_requests.cc
+++ b/packages/routing/internal/router_requests.cc
@@ -360,6 +360,16 @@
   }
 }
 
+bool
+Router::Impl::IsServerLeaving(const RequestRecord& aRequest)
+{
+  if (!aRequest.lease) {
+    return mServers.IsLeaving(aRequest.serverIndex, aRequest.server);
+  }
+  const BorrowedLease* lease = mBorrower.Find(*aRequest.lease);
+  return lease && lease->revoked;
+}
+
 void
 Router::Impl::AttemptEnded(RequestId aRequest,
                            uint32_t aAttempt,
@@ -375,6 +385,9 @@
   }
   RequestRecord& request = found->second;
   uint32_t service = request.service;
+  if (MayHaveCrashed(aOutcome, IsServerLeaving(request))) {
+    request.lostServers.push_back(request.server);
+  }
   ReleaseSlot(request, aOutcome, aNow, aEffects);
   if (aOutcome.result == AttemptResult::kAnswered) {
     mServices[service].waitEstimator.AddSample(aNow - request.grantedAt);
@@ -403,6 +416,7 @@
   failed.outcome = aOutcome;
   failed.attempt = aRequest.attempts;
   failed.repeatable = aRequest.repeatable;
+  failed.lostServers = static_cast<uint32_t>(aRequest.lostServers.size());
   failed.deadline = aRequest.deadline;
   failed.hasOtherServer =
     mServers.HasUntriedServer(aRequest.service, aRequest.triedServers) ||
@@ -473,8 +487,12 @@
     mRequestByKeyNonce.erase(request.key->Holder().nonce);
     SendKeyOutcome(*request.key, aVerdict, aEffects);
   }
+  RequestEnd end{ aId, aVerdict, aReason };
+  if (aReason == Reason::kServersLost) {
+    end.lostServers = std::move(request.lostServers);
+  }
   mRequests.erase(found);
-  aEffects.endedRequests.push_back(RequestEnd{ aId, aVerdict, aReason });
+  aEffects.endedRequests.push_back(std::move(end));
 }
 
 void
--- a/packages/routing/options.h
+++ b/packages/routing/options.h
@@ -38,6 +38,10 @@
   double retryRatio = 0.1;
   // Attempts per request, including the first one.
   uint32_t maxAttempts = 3;
+  // Servers whose connection may break under one request without an answer
+  // before it is given up. A second loss on another server makes the request a
+  // more likely cause than either server.
+  uint32_t maxLostServers = 2;
   // Maximum delay before the first retry. Doubles with each further one, up to
   // `backoffMax`.
   Millis backoffBase = Millis(10);
@@ -79,6 +83,7 @@
     bool ignoreReportedBusy = false;
     bool ignoreLeaving = false;
     bool retryAlways = false;
+    bool ignoreLostServers = false;
     bool alwaysReportNotRun = false;
     bool skipKeyRecording = false;
     bool skipAbstention = false;
--- a/packages/routing/request.cc
+++ b/packages/routing/request.cc
@@ -21,6 +21,7 @@
                    "not_repeatable",
                    "retry_budget",
                    "attempts_exhausted",
+                   "servers_lost",
                    "answer_broken",
                    "shutdown",
                    "cancelled" };
--- a/packages/routing/request.h
+++ b/packages/routing/request.h
@@ -71,6 +71,10 @@
   // An attempt failed and was not retried: the maximum number of attempts was
   // reached, or no other server is left.
   kAttemptsExhausted,
+  // An attempt failed and was not retried: `maxLostServers` servers closed
+  // their connection while they processed the request, which may have crashed
+  // them.
+  kServersLost,
   // An attempt failed and was not retried: part of the answer had already been
   // passed to the caller.
   kAnswerBroken,
@@ -190,6 +194,9 @@
   Verdict verdict = Verdict::kNotRun;
   // `kNone` when answered.
   Reason reason = Reason::kNone;
+  // The servers that the request may have crashed, if the reason is
+  // `kServersLost`.
+  std::vector<ServerRef> lostServers{};
 };
 
 // A changed limit on this instance's connections to a server. Idle connections
--- a/packages/routing/retry_policy.cc
+++ b/packages/routing/retry_policy.cc
@@ -2,6 +2,13 @@
 
 namespace limpetwood::routing {
 
+bool
+MayHaveCrashed(const AttemptOutcome& aOutcome, bool aLeaving)
+{
+  return aOutcome.result == AttemptResult::kConnectionLost &&
+         !aOutcome.answerStarted && !aLeaving;
+}
+
 Reason
 CheckRetry(const FailedAttempt& aFailed,
            const RouterOptions& aOptions,
@@ -17,6 +24,10 @@
   if (mayHaveRun && !aFailed.repeatable && !aOptions.testOnly.retryAlways) {
     return Reason::kNotRepeatable;
   }
+  if (aFailed.lostServers >= aOptions.maxLostServers &&
+      !aOptions.testOnly.ignoreLostServers) {
+    return Reason::kServersLost;
+  }
   if (aFailed.attempt >= aOptions.maxAttempts || !aFailed.hasOtherServer) {
     return Reason::kAttemptsExhausted;
   }
--- a/packages/routing/retry_policy.h
+++ b/packages/routing/retry_policy.h
@@ -27,12 +27,20 @@
   // 1 for the first attempt.
   uint32_t attempt = 1;
   bool repeatable = true;
+  // Servers that the request may have crashed, including that of this attempt.
+  uint32_t lostServers = 0;
   // This instance has a server that the request has not tried and that may take
   // it soon, or another instance reports servers of the service.
   bool hasOtherServer = true;
   Millis deadline{};
 };
 
+// True if the end of the attempt may mean that the request crashed its server:
+// the connection failed without an answer. A server that is leaving closes its
+// connections by intention, so `aLeaving` excludes it.
+bool
+MayHaveCrashed(const AttemptOutcome& aOutcome, bool aLeaving);
+
 // Returns `kNone` if a retry is allowed, subject to the retry budget, else the
 // reason why it is not.
 Reason
--- a/packages/routing/router_test.cc
+++ b/packages/routing/router_test.cc
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,7 @@
       for (const RequestEnd& it : aEffects.endedRequests) {
         --open;
         ++endsByReason[it.reason];
+        ends.push_back(it);
         longestLatency = std::max(longestLatency, mNow - mSentAt[it.request]);
       }
     };
@@ -124,6 +126,9 @@
   // end.
   std::map<Reason, int> endsByReason;
   Millis longestLatency;
+  // Servers that announce that they are leaving.
+  std::set<std::string> leavingServers;
+  std::vector<RequestEnd> ends;
 
 private:
   struct Attempt
@@ -149,7 +154,8 @@
                          .address = "127.0.0.1:1",
                          .incarnation = Incarnation(1),
                          .slots = 8,
-                         .connections = 60 },
+                         .connections = 60,
+                         .leaving = leavingServers.contains(it) },
                        mNow);
     }
   }
@@ -221,5 +227,61 @@
   EXPECT_LT(driver.longestLatency, Millis(100));
 }
 
+// Guards against a request that takes down one server after another: the second
+// connection that breaks without an answer ends it.
+TEST(Router, RequestThatLostTwoServersIsNotRetried)
+{
+  RouterDriver driver({ "s1", "s2", "s3", "s4" });
+  driver.Run(100, 10, [](const ServerId&) { return kAnsweredOutcome; });
+  driver.ends.clear();
+  std::vector<ServerId> tried;
+  driver.Run(1, 1, [&](const ServerId& aServer) {
+    tried.push_back(aServer);
+    return MakeOutcome(AttemptResult::kConnectionLost, Millis(1));
+  });
+  EXPECT_EQ(tried.size(), 2U);
+  ASSERT_EQ(driver.ends.size(), 1U);
+  const RequestEnd& end = driver.ends.front();
+  EXPECT_EQ(end.verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(end.reason, Reason::kServersLost);
+  ASSERT_EQ(end.lostServers.size(), 2U);
+  EXPECT_EQ(end.lostServers[0]->id, tried[0]);
+  EXPECT_EQ(end.lostServers[1]->id, tried[1]);
+}
+
+// Guards against giving up a request early for failures that do not indicate a
+// crash.
+TEST(Router, OtherFailuresAreRetriedAsOften)
+{
+  for (AttemptResult result : { AttemptResult::kNotSent,
+                                AttemptResult::kServerRefused,
+                                AttemptResult::kTimedOut }) {
+    RouterDriver driver({ "s1", "s2", "s3", "s4" });
+    driver.Run(100, 10, [](const ServerId&) { return kAnsweredOutcome; });
+    int attempts = 0;
+    driver.Run(1, 1, [&](const ServerId&) {
+      return ++attempts < 3 ? MakeOutcome(result, Millis(1)) : kAnsweredOutcome;
+    });
+    EXPECT_EQ(driver.endsByReason[Reason::kNone], 101);
+  }
+}
+
+// Guards against counting the connections that leaving servers close as
+// crashes.
+TEST(Router, LostConnectionOfALeavingServerIsNotACrash)
+{
+  RouterDriver driver({ "s1", "s2", "s3", "s4" });
+  driver.Run(100, 10, [](const ServerId&) { return kAnsweredOutcome; });
+  driver.Run(1, 1, [&](const ServerId& aServer) {
+    if (driver.leavingServers.size() == 2) {
+      return kAnsweredOutcome;
+    }
+    // Longer than the 100 ms between announcements.
+    driver.leavingServers.insert(aServer.Value());
+    return MakeOutcome(AttemptResult::kConnectionLost, Millis(150));
+  });
+  EXPECT_EQ(driver.endsByReason[Reason::kNone], 101);
+}
+
 } // namespace
 } // namespace limpetwood::routing
--- a/packages/routing/server_table.h
+++ b/packages/routing/server_table.h
@@ -151,6 +151,14 @@
   bool HasUntriedServer(uint32_t aService,
                         const std::vector<ServerRef>& aTried) const;
 
+  // True if the server is known with this identity and has announced that it is
+  // leaving.
+  bool IsLeaving(ServerIndex aServer, const ServerRef& aIdentity) const
+  {
+    return aServer < mServers.size() && mServers[aServer] &&
+           At(aServer).identity == aIdentity && At(aServer).leaving;
+  }
+
   uint64_t Ejections() const { return mEjections; }
   uint64_t Readmissions() const { return mReadmissions; }
   uint64_t EjectionsWithheld() const { return mEjectionsWithheld; }
--- a/packages/routing/simulation.cc
+++ b/packages/routing/simulation.cc
@@ -299,7 +299,10 @@
 // --- Requests ---
 
 uint64_t
-Simulation::Send(uint32_t aInstance, uint32_t aWorkspace, RequestInfo aInfo)
+Simulation::Send(uint32_t aInstance,
+                 uint32_t aWorkspace,
+                 RequestInfo aInfo,
+                 bool aCrashesServer)
 {
   uint64_t id = mCalls.size();
   aInfo.id = RequestId(id);
@@ -309,6 +312,7 @@
   call.info = aInfo;
   call.instance = aInstance;
   call.workspace = aWorkspace;
+  call.crashesServer = aCrashesServer;
   call.sentAt = mNow;
   call.instanceStopped = !mInstances[aInstance].up;
   mCalls.push_back(call);
@@ -425,6 +429,10 @@
   if (server.incarnation != aIncarnation || !server.up) {
     return;
   }
+  if (mCalls[aCall].crashesServer) {
+    Crash(aCall, aServer);
+    return;
+  }
   server.running.erase(aCall);
   ++server.served;
   if (!CanReach(mInstances[mCalls[aCall].instance], server)) {
@@ -436,6 +444,15 @@
   });
 }
 
+void
+Simulation::Crash(uint64_t aCall, uint32_t aServer)
+{
+  ++mCounts.crashes;
+  ++mCalls[aCall].crashes;
+  StopServer(aServer);
+  At(mNow + mOptions.restartTime, [this, aServer] { StartServer(aServer); });
+}
+
 void
 Simulation::EndAttempt(uint64_t aCall,
                        uint32_t aAttempt,
--- a/packages/routing/simulation.h
+++ b/packages/routing/simulation.h
@@ -47,6 +47,8 @@
   uint32_t workspaces = 2;
   RouterOptions router{};
   ServiceConfig service{};
+  // Time until a server that crashed is back.
+  Millis restartTime = Seconds(3);
 };
 
 // Violations of guarantees; all counts are zero in a correct run.
@@ -86,6 +88,8 @@
   // Executions that a server started.
   uint64_t starts = 0;
   uint64_t homeChanges = 0;
+  // Servers that a request crashed.
+  uint64_t crashes = 0;
 };
 
 class Simulation
@@ -138,6 +142,9 @@
     Millis endedAt;
     uint32_t starts = 0;
     uint32_t attempts = 0;
+    // Crashes each server that executes it, at the end of its execution time.
+    bool crashesServer = false;
+    uint32_t crashes = 0;
     // The instance that handled the request stopped before its end.
     bool instanceStopped = false;
     std::optional<RequestEnd> ended;
@@ -157,7 +164,8 @@
   // `Calls()`. The id, workspace and service of `aInfo` are set here.
   uint64_t Send(uint32_t aInstance,
                 uint32_t aWorkspace,
-                RequestInfo aInfo = {});
+                RequestInfo aInfo = {},
+                bool aCrashesServer = false);
   void Cancel(uint64_t aCall);
 
   void Stop(uint32_t aInstance);
@@ -214,6 +222,7 @@
                 uint32_t aAttempt,
                 uint32_t aServer,
                 Incarnation aIncarnation);
+  void Crash(uint64_t aCall, uint32_t aServer);
   void EndAttempt(uint64_t aCall, uint32_t aAttempt, AttemptOutcome aOutcome);
   void RecordEnd(uint64_t aCall, const RequestEnd& aEnd);
   void Announce(uint32_t aServer, bool aChangeHome);
--- a/packages/routing/simulation_test.cc
+++ b/packages/routing/simulation_test.cc
@@ -267,6 +267,73 @@
     << answered[0] << " " << answered[1];
 }
 
+// The outcome of a run in which one request in 800 crashes each server that
+// executes it.
+struct CrashingRunResult
+{
+  // Servers that the worst request crashed, and all crashes.
+  uint32_t mostCrashes = 0;
+  uint64_t crashes = 0;
+  uint64_t harmless = 0;
+  uint64_t harmlessAnswered = 0;
+  uint64_t ejectedAtEnd = 0;
+};
+
+CrashingRunResult
+RunWithCrashingRequests(uint64_t aSeed, bool aIgnoreLostServers)
+{
+  SimulationOptions options;
+  options.seed = aSeed;
+  options.zones = 2;
+  options.instancesPerZone = 2;
+  options.serversPerZone = 8;
+  options.executionTimeMin = Millis(50);
+  options.executionTimeMax = Millis(150);
+  options.service.attemptTimeout = Seconds(1);
+  options.router.testOnly.ignoreLostServers = aIgnoreLostServers;
+  Simulation run(options);
+  run.RunUntil(Seconds(10));
+  // About 33 of the 128 slots are in use.
+  for (int64_t n = 0; n < 8000; ++n) {
+    run.At(run.Now() + Millis(n * 3), [&run, n] {
+      run.Send(static_cast<uint32_t>(n % 4), 0, {}, n % 800 == 400);
+    });
+  }
+  run.RunUntil(Seconds(50));
+  CrashingRunResult result;
+  result.crashes = run.Counts().crashes;
+  for (const Simulation::Call& it : run.Calls()) {
+    if (it.crashesServer) {
+      result.mostCrashes = std::max(result.mostCrashes, it.crashes);
+      continue;
+    }
+    ++result.harmless;
+    result.harmlessAnswered +=
+      it.ended && it.ended->verdict == Verdict::kAnswered ? 1 : 0;
+  }
+  for (const auto& it : run.Instances()) {
+    for (const ServerView& server : it.router->Servers(run.Now())) {
+      result.ejectedAtEnd += server.ejected ? 1 : 0;
+    }
+  }
+  return result;
+}
+
+// Guards against a request that crashes one server after another through its
+// retries, against harmless requests that fail with it, and against servers
+// that stay ejected after their restart.
+TEST(Simulation, CrashingRequestTakesDownTwoServersAtMost)
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    CrashingRunResult result = RunWithCrashingRequests(seed, false);
+    EXPECT_GT(result.crashes, 0U) << seed;
+    EXPECT_LE(result.mostCrashes, 2U) << seed;
+    // 99% of the harmless requests are answered.
+    EXPECT_GE(result.harmlessAnswered * 100, result.harmless * 99) << seed;
+    EXPECT_EQ(result.ejectedAtEnd, 0U) << seed;
+  }
+}
+
 TEST(SimulationWithout, SlotAccountingOvercommits)
 {
   EXPECT_GT(SumViolations({ .ignoreSlots = true }, 2).overcommitted, 0U);
@@ -315,5 +382,10 @@
     0U);
 }
 
+TEST(SimulationWithout, LostServerLimitCrashesMoreServers)
+{
+  EXPECT_GT(RunWithCrashingRequests(1, true).mostCrashes, 2U);
+}
+
 } // namespace
 } // namespace limpetwood::routing
