Remove an unassigned job whose task has stopped

After a change of the authority, a worker may report that a task has stopped before the leader has sent the job's order. The scheduler then put the job into its queue without a workspace, and the next pass accessed memory outside its tables: the zone authority ended with a segmentation fault.

Such a job is now removed, as after the loss of its worker; it starts when its order arrives.

--- a/packages/scheduler/internal/core_jobs.cc
+++ b/packages/scheduler/internal/core_jobs.cc
@@ -392,7 +392,10 @@
     case TaskState::kStopped:
       ReleaseMember(ref->slot, ref->member, MemberState::kReleased);
       if (mJobs[ref->slot].phase != Phase::kStopping) {
-        StopGang(ref->slot, AfterStop::kRequeue, "member_stopped");
+        StopGang(ref->slot,
+                 mJobs[ref->slot].assigned ? AfterStop::kRequeue
+                                           : AfterStop::kRemove,
+                 "member_stopped");
       } else {
         FinishIfStopped(ref->slot);
       }
--- a/packages/scheduler/scheduler_test.cc
+++ b/packages/scheduler/scheduler_test.cc
@@ -105,6 +105,44 @@
   return spec;
 }
 
+// Guards against a job that is queued without a workspace because its task
+// stopped between a change of the authority and the job's assignment.
+TEST(Takeover, TaskThatStopsBeforeItsJobIsAssigned)
+{
+  Scheduler scheduler({}, Epoch(2));
+  ConfigurationChanged config;
+  config.planned = SmallZone(1);
+  config.zones = config.planned.document.zones;
+  scheduler.Step(config, Millis(0));
+  WorkerAnnounced worker{ WorkerId("r0-0"),
+                          ZoneId("z"),
+                          RackId("r0"),
+                          Incarnation(1),
+                          32,
+                          64'000,
+                          Accelerators(4),
+                          "127.0.0.1:500",
+                          {} };
+  FencingToken token = FirstTokenOf(Epoch(1)) + FencingToken(1);
+  worker.tasks.push_back(
+    { JobId("j"), Attempt(1), MemberIndex(0), 1, token, {} });
+  scheduler.Step(worker, Millis(10));
+  TaskReport report{ worker.worker, JobId("j"),          Attempt(1), {},
+                     token,         TaskState::kStopped, {} };
+  scheduler.Step(report, Millis(20));
+  scheduler.Step(Tick{}, Seconds(1));
+  EXPECT_TRUE(scheduler.CheckInvariants().empty());
+  JobAssigned job;
+  job.job = JobId("j");
+  job.spec = Gang("b", 1, 4);
+  job.lastAttempt = Attempt(1);
+  scheduler.Step(job, Seconds(2));
+  scheduler.Step(worker, Seconds(15));
+  scheduler.Step(Tick{}, Seconds(17));
+  ASSERT_TRUE(scheduler.FindJob(JobId("j")));
+  EXPECT_EQ(scheduler.FindJob(JobId("j"))->state, model::JobState::kStarting);
+}
+
 // Guards against an urgent job that waits longer than 1.7 s for guaranteed
 // capacity that other workspaces use.
 TEST(Guarantee, IsReclaimedForUrgentWorkInTime)
