--- a/packages/control/codec.cc
+++ b/packages/control/codec.cc
@@ -31,6 +31,50 @@
 template Result<gen::ControlMessage> Decode(std::string_view);
 template Result<gen::StateSnapshot> Decode(std::string_view);
 
+gen::WorkerCrash
+ToWire(const model::WorkerCrash& aCrash)
+{
+  gen::WorkerCrash crash;
+  crash.attempt = static_cast<int32_t>(aCrash.attempt.Value());
+  crash.member = static_cast<int32_t>(aCrash.member.Value());
+  crash.worker = aCrash.worker.Value();
+  crash.afterStart = aCrash.afterStart;
+  crash.alone = aCrash.alone;
+  return crash;
+}
+
+gen::CrashHistory
+ToWire(const model::CrashHistory& aHistory)
+{
+  gen::CrashHistory history;
+  for (const model::WorkerCrash& it : aHistory.Crashes()) {
+    history.crashes.push_back(ToWire(it));
+  }
+  history.soundAttempt = static_cast<int32_t>(aHistory.SoundAttempt().Value());
+  return history;
+}
+
+model::WorkerCrash
+FromWire(const gen::WorkerCrash& aCrash)
+{
+  return { Attempt(static_cast<uint32_t>(aCrash.attempt)),
+           MemberIndex(static_cast<uint32_t>(aCrash.member)),
+           WorkerId(aCrash.worker),
+           aCrash.afterStart,
+           aCrash.alone };
+}
+
+model::CrashHistory
+FromWire(const gen::CrashHistory& aHistory)
+{
+  model::CrashHistory history;
+  history.ClearBefore(Attempt(static_cast<uint32_t>(aHistory.soundAttempt)));
+  for (const gen::WorkerCrash& it : aHistory.crashes) {
+    history.Add(FromWire(it));
+  }
+  return history;
+}
+
 gen::LeaseRequest
 ToWire(const membership::LeaseRequest& aRequest)
 {
--- a/packages/control/codec.h
+++ b/packages/control/codec.h
@@ -8,6 +8,7 @@
 #include "base/result.h"
 #include "control/gen-cpp/control_types.h"
 #include "membership/zone_lease.h"
+#include "model/crash_history.h"
 
 #include <string>
 #include <string_view>
@@ -41,6 +42,16 @@
 extern template Result<gen::ControlMessage> Decode(std::string_view);
 extern template Result<gen::StateSnapshot> Decode(std::string_view);
 
+// Converts the crashes of a job's workers between their model and Thrift types.
+gen::WorkerCrash
+ToWire(const model::WorkerCrash& aCrash);
+gen::CrashHistory
+ToWire(const model::CrashHistory& aHistory);
+model::WorkerCrash
+FromWire(const gen::WorkerCrash& aCrash);
+model::CrashHistory
+FromWire(const gen::CrashHistory& aHistory);
+
 // Converts lease messages between their membership and Thrift types.
 gen::LeaseRequest
 ToWire(const membership::LeaseRequest& aRequest);
--- a/packages/control/control.thrift
+++ b/packages/control/control.thrift
@@ -1,6 +1,8 @@
 // Commands of the replicated control state and the messages between instances
 // on the control channel. Points in time are in milliseconds since the Unix
 // epoch, except for sentAtMs.
+//
+// Generate with: thrift --gen cpp:no_skeleton -out gen-cpp control.thrift
 
 namespace cpp limpetwood.control.gen
 
@@ -28,6 +30,20 @@
   2: string zone
 }
 
+struct WorkerCrash {
+  1: i32 attempt
+  2: i32 member
+  3: string worker
+  4: bool afterStart
+  5: bool alone
+}
+
+struct CrashHistory {
+  1: list<WorkerCrash> crashes
+  // Crashes of attempts before this one do not count.
+  2: i32 soundAttempt
+}
+
 struct JobEvent {
   1: string job
   2: i32 attempt
@@ -36,6 +52,8 @@
   4: string reason
   5: string checkpoint
   6: i64 atMs
+  // Set only for kWorkerCrashed.
+  7: optional WorkerCrash crash
 }
 
 struct JobEvents {
@@ -79,6 +97,7 @@
   4: string checkpoint
   5: i64 submittedAtMs
   6: bool cancelled
+  7: optional CrashHistory crashes
 }
 
 struct Heartbeat {
@@ -229,6 +248,7 @@
   12: i64 endedAtMs
   13: bool cancelRequested
   14: i64 orderIndex
+  15: optional CrashHistory crashes
 }
 
 struct VersionSnapshot {
--- a/packages/control/control_group.cc
+++ b/packages/control/control_group.cc
@@ -35,6 +35,9 @@
   order.checkpoint = aJob.checkpoint;
   order.submittedAtMs = aJob.submittedAt.Count();
   order.cancelled = aJob.cancelRequested;
+  if (aJob.crashes != model::CrashHistory()) {
+    order.__set_crashes(ToWire(aJob.crashes));
+  }
   return order;
 }
 
--- a/packages/control/gen-cpp/control_types.cpp
+++ b/packages/control/gen-cpp/control_types.cpp
@@ -542,6 +542,310 @@
 }
 
 
+WorkerCrash::~WorkerCrash() noexcept {
+}
+
+
+void WorkerCrash::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
+
+void WorkerCrash::__set_member(const int32_t val) {
+  this->member = val;
+}
+
+void WorkerCrash::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void WorkerCrash::__set_afterStart(const bool val) {
+  this->afterStart = val;
+}
+
+void WorkerCrash::__set_alone(const bool val) {
+  this->alone = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->afterStart);
+          this->__isset.afterStart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->alone);
+          this->__isset.alone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerCrash");
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("afterStart", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->afterStart);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alone", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->alone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerCrash &a, WorkerCrash &b) {
+  using ::std::swap;
+  swap(a.attempt, b.attempt);
+  swap(a.member, b.member);
+  swap(a.worker, b.worker);
+  swap(a.afterStart, b.afterStart);
+  swap(a.alone, b.alone);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerCrash::WorkerCrash(const WorkerCrash& other14) {
+  attempt = other14.attempt;
+  member = other14.member;
+  worker = other14.worker;
+  afterStart = other14.afterStart;
+  alone = other14.alone;
+  __isset = other14.__isset;
+}
+WorkerCrash& WorkerCrash::operator=(const WorkerCrash& other15) {
+  attempt = other15.attempt;
+  member = other15.member;
+  worker = other15.worker;
+  afterStart = other15.afterStart;
+  alone = other15.alone;
+  __isset = other15.__isset;
+  return *this;
+}
+void WorkerCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerCrash(";
+  out << "attempt=" << to_string(attempt);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "afterStart=" << to_string(afterStart);
+  out << ", " << "alone=" << to_string(alone);
+  out << ")";
+}
+
+
+CrashHistory::~CrashHistory() noexcept {
+}
+
+
+void CrashHistory::__set_crashes(const std::vector<WorkerCrash> & val) {
+  this->crashes = val;
+}
+
+void CrashHistory::__set_soundAttempt(const int32_t val) {
+  this->soundAttempt = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashHistory& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashHistory::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->crashes.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += this->crashes[_i20].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->soundAttempt);
+          this->__isset.soundAttempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashHistory::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashHistory");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<WorkerCrash> ::const_iterator _iter21;
+    for (_iter21 = this->crashes.begin(); _iter21 != this->crashes.end(); ++_iter21)
+    {
+      xfer += (*_iter21).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("soundAttempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->soundAttempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashHistory &a, CrashHistory &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.soundAttempt, b.soundAttempt);
+  swap(a.__isset, b.__isset);
+}
+
+CrashHistory::CrashHistory(const CrashHistory& other22) {
+  crashes = other22.crashes;
+  soundAttempt = other22.soundAttempt;
+  __isset = other22.__isset;
+}
+CrashHistory& CrashHistory::operator=(const CrashHistory& other23) {
+  crashes = other23.crashes;
+  soundAttempt = other23.soundAttempt;
+  __isset = other23.__isset;
+  return *this;
+}
+void CrashHistory::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashHistory(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "soundAttempt=" << to_string(soundAttempt);
+  out << ")";
+}
+
+
 JobEvent::~JobEvent() noexcept {
 }
 
@@ -569,6 +873,11 @@
 void JobEvent::__set_atMs(const int64_t val) {
   this->atMs = val;
 }
+
+void JobEvent::__set_crash(const WorkerCrash& val) {
+  this->crash = val;
+__isset.crash = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobEvent& obj)
 {
   obj.printTo(out);
@@ -645,6 +954,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash.read(iprot);
+          this->__isset.crash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -686,6 +1003,11 @@
   xfer += oprot->writeI64(this->atMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crash) {
+    xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->crash.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -699,26 +1021,29 @@
   swap(a.reason, b.reason);
   swap(a.checkpoint, b.checkpoint);
   swap(a.atMs, b.atMs);
+  swap(a.crash, b.crash);
   swap(a.__isset, b.__isset);
 }
 
-JobEvent::JobEvent(const JobEvent& other14) {
-  job = other14.job;
-  attempt = other14.attempt;
-  kind = other14.kind;
-  reason = other14.reason;
-  checkpoint = other14.checkpoint;
-  atMs = other14.atMs;
-  __isset = other14.__isset;
+JobEvent::JobEvent(const JobEvent& other24) {
+  job = other24.job;
+  attempt = other24.attempt;
+  kind = other24.kind;
+  reason = other24.reason;
+  checkpoint = other24.checkpoint;
+  atMs = other24.atMs;
+  crash = other24.crash;
+  __isset = other24.__isset;
 }
-JobEvent& JobEvent::operator=(const JobEvent& other15) {
-  job = other15.job;
-  attempt = other15.attempt;
-  kind = other15.kind;
-  reason = other15.reason;
-  checkpoint = other15.checkpoint;
-  atMs = other15.atMs;
-  __isset = other15.__isset;
+JobEvent& JobEvent::operator=(const JobEvent& other25) {
+  job = other25.job;
+  attempt = other25.attempt;
+  kind = other25.kind;
+  reason = other25.reason;
+  checkpoint = other25.checkpoint;
+  atMs = other25.atMs;
+  crash = other25.crash;
+  __isset = other25.__isset;
   return *this;
 }
 void JobEvent::printTo(std::ostream& out) const {
@@ -730,6 +1055,7 @@
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "atMs=" << to_string(atMs);
+  out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
   out << ")";
 }
 
@@ -797,14 +1123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->events.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->events.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->events[_i20].read(iprot);
+              xfer += this->events[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -841,10 +1167,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<JobEvent> ::const_iterator _iter21;
-    for (_iter21 = this->events.begin(); _iter21 != this->events.end(); ++_iter21)
+    std::vector<JobEvent> ::const_iterator _iter31;
+    for (_iter31 = this->events.begin(); _iter31 != this->events.end(); ++_iter31)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -863,17 +1189,17 @@
   swap(a.__isset, b.__isset);
 }
 
-JobEvents::JobEvents(const JobEvents& other22) {
-  zone = other22.zone;
-  epoch = other22.epoch;
-  events = other22.events;
-  __isset = other22.__isset;
+JobEvents::JobEvents(const JobEvents& other32) {
+  zone = other32.zone;
+  epoch = other32.epoch;
+  events = other32.events;
+  __isset = other32.__isset;
 }
-JobEvents& JobEvents::operator=(const JobEvents& other23) {
-  zone = other23.zone;
-  epoch = other23.epoch;
-  events = other23.events;
-  __isset = other23.__isset;
+JobEvents& JobEvents::operator=(const JobEvents& other33) {
+  zone = other33.zone;
+  epoch = other33.epoch;
+  events = other33.events;
+  __isset = other33.__isset;
   return *this;
 }
 void JobEvents::printTo(std::ostream& out) const {
@@ -961,13 +1287,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceZone::FenceZone(const FenceZone& other24) {
-  zone = other24.zone;
-  __isset = other24.__isset;
+FenceZone::FenceZone(const FenceZone& other34) {
+  zone = other34.zone;
+  __isset = other34.__isset;
 }
-FenceZone& FenceZone::operator=(const FenceZone& other25) {
-  zone = other25.zone;
-  __isset = other25.__isset;
+FenceZone& FenceZone::operator=(const FenceZone& other35) {
+  zone = other35.zone;
+  __isset = other35.__isset;
   return *this;
 }
 void FenceZone::printTo(std::ostream& out) const {
@@ -1067,14 +1393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->assignJobs.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->assignJobs.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->assignJobs.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->assignJobs[_i30].read(iprot);
+              xfer += this->assignJobs[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1135,10 +1461,10 @@
     xfer += oprot->writeFieldBegin("assignJobs", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->assignJobs.size()));
-      std::vector<AssignJob> ::const_iterator _iter31;
-      for (_iter31 = this->assignJobs.begin(); _iter31 != this->assignJobs.end(); ++_iter31)
+      std::vector<AssignJob> ::const_iterator _iter41;
+      for (_iter41 = this->assignJobs.begin(); _iter41 != this->assignJobs.end(); ++_iter41)
       {
-        xfer += (*_iter31).write(oprot);
+        xfer += (*_iter41).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1170,23 +1496,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other32) {
-  submitConfiguration = other32.submitConfiguration;
-  submitJob = other32.submitJob;
-  cancelJobs = other32.cancelJobs;
-  assignJobs = other32.assignJobs;
-  jobEvents = other32.jobEvents;
-  fenceZone = other32.fenceZone;
-  __isset = other32.__isset;
+Command::Command(const Command& other42) {
+  submitConfiguration = other42.submitConfiguration;
+  submitJob = other42.submitJob;
+  cancelJobs = other42.cancelJobs;
+  assignJobs = other42.assignJobs;
+  jobEvents = other42.jobEvents;
+  fenceZone = other42.fenceZone;
+  __isset = other42.__isset;
 }
-Command& Command::operator=(const Command& other33) {
-  submitConfiguration = other33.submitConfiguration;
-  submitJob = other33.submitJob;
-  cancelJobs = other33.cancelJobs;
-  assignJobs = other33.assignJobs;
-  jobEvents = other33.jobEvents;
-  fenceZone = other33.fenceZone;
-  __isset = other33.__isset;
+Command& Command::operator=(const Command& other43) {
+  submitConfiguration = other43.submitConfiguration;
+  submitJob = other43.submitJob;
+  cancelJobs = other43.cancelJobs;
+  assignJobs = other43.assignJobs;
+  jobEvents = other43.jobEvents;
+  fenceZone = other43.fenceZone;
+  __isset = other43.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -1305,14 +1631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->changes.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->changes.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += iprot->readString(this->changes[_i38]);
+              xfer += iprot->readString(this->changes[_i48]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1369,10 +1695,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter39;
-    for (_iter39 = this->changes.begin(); _iter39 != this->changes.end(); ++_iter39)
+    std::vector<std::string> ::const_iterator _iter49;
+    for (_iter49 = this->changes.begin(); _iter49 != this->changes.end(); ++_iter49)
     {
-      xfer += oprot->writeString((*_iter39));
+      xfer += oprot->writeString((*_iter49));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1399,25 +1725,25 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other40) {
-  accepted = other40.accepted;
-  reason = other40.reason;
-  version = other40.version;
-  hash = other40.hash;
-  job = other40.job;
-  changes = other40.changes;
-  repeated = other40.repeated;
-  __isset = other40.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other41) {
-  accepted = other41.accepted;
-  reason = other41.reason;
-  version = other41.version;
-  hash = other41.hash;
-  job = other41.job;
-  changes = other41.changes;
-  repeated = other41.repeated;
-  __isset = other41.__isset;
+CommandResult::CommandResult(const CommandResult& other50) {
+  accepted = other50.accepted;
+  reason = other50.reason;
+  version = other50.version;
+  hash = other50.hash;
+  job = other50.job;
+  changes = other50.changes;
+  repeated = other50.repeated;
+  __isset = other50.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other51) {
+  accepted = other51.accepted;
+  reason = other51.reason;
+  version = other51.version;
+  hash = other51.hash;
+  job = other51.job;
+  changes = other51.changes;
+  repeated = other51.repeated;
+  __isset = other51.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -1461,6 +1787,11 @@
 void JobOrder::__set_cancelled(const bool val) {
   this->cancelled = val;
 }
+
+void JobOrder::__set_crashes(const CrashHistory& val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobOrder& obj)
 {
   obj.printTo(out);
@@ -1537,6 +1868,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crashes.read(iprot);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1578,6 +1917,11 @@
   xfer += oprot->writeBool(this->cancelled);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->crashes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1591,26 +1935,29 @@
   swap(a.checkpoint, b.checkpoint);
   swap(a.submittedAtMs, b.submittedAtMs);
   swap(a.cancelled, b.cancelled);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-JobOrder::JobOrder(const JobOrder& other42) {
-  job = other42.job;
-  spec = other42.spec;
-  attempts = other42.attempts;
-  checkpoint = other42.checkpoint;
-  submittedAtMs = other42.submittedAtMs;
-  cancelled = other42.cancelled;
-  __isset = other42.__isset;
+JobOrder::JobOrder(const JobOrder& other52) {
+  job = other52.job;
+  spec = other52.spec;
+  attempts = other52.attempts;
+  checkpoint = other52.checkpoint;
+  submittedAtMs = other52.submittedAtMs;
+  cancelled = other52.cancelled;
+  crashes = other52.crashes;
+  __isset = other52.__isset;
 }
-JobOrder& JobOrder::operator=(const JobOrder& other43) {
-  job = other43.job;
-  spec = other43.spec;
-  attempts = other43.attempts;
-  checkpoint = other43.checkpoint;
-  submittedAtMs = other43.submittedAtMs;
-  cancelled = other43.cancelled;
-  __isset = other43.__isset;
+JobOrder& JobOrder::operator=(const JobOrder& other53) {
+  job = other53.job;
+  spec = other53.spec;
+  attempts = other53.attempts;
+  checkpoint = other53.checkpoint;
+  submittedAtMs = other53.submittedAtMs;
+  cancelled = other53.cancelled;
+  crashes = other53.crashes;
+  __isset = other53.__isset;
   return *this;
 }
 void JobOrder::printTo(std::ostream& out) const {
@@ -1622,6 +1969,7 @@
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "submittedAtMs=" << to_string(submittedAtMs);
   out << ", " << "cancelled=" << to_string(cancelled);
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1890,35 +2238,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other44) {
-  instance = other44.instance;
-  zone = other44.zone;
-  incarnation = other44.incarnation;
-  version = other44.version;
-  ready = other44.ready;
-  draining = other44.draining;
-  authorityEpoch = other44.authorityEpoch;
-  freeAccelerators = other44.freeAccelerators;
-  queuedAccelerators = other44.queuedAccelerators;
-  ordersIndex = other44.ordersIndex;
-  sentAtMs = other44.sentAtMs;
-  liveAccelerators = other44.liveAccelerators;
-  __isset = other44.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other45) {
-  instance = other45.instance;
-  zone = other45.zone;
-  incarnation = other45.incarnation;
-  version = other45.version;
-  ready = other45.ready;
-  draining = other45.draining;
-  authorityEpoch = other45.authorityEpoch;
-  freeAccelerators = other45.freeAccelerators;
-  queuedAccelerators = other45.queuedAccelerators;
-  ordersIndex = other45.ordersIndex;
-  sentAtMs = other45.sentAtMs;
-  liveAccelerators = other45.liveAccelerators;
-  __isset = other45.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other54) {
+  instance = other54.instance;
+  zone = other54.zone;
+  incarnation = other54.incarnation;
+  version = other54.version;
+  ready = other54.ready;
+  draining = other54.draining;
+  authorityEpoch = other54.authorityEpoch;
+  freeAccelerators = other54.freeAccelerators;
+  queuedAccelerators = other54.queuedAccelerators;
+  ordersIndex = other54.ordersIndex;
+  sentAtMs = other54.sentAtMs;
+  liveAccelerators = other54.liveAccelerators;
+  __isset = other54.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other55) {
+  instance = other55.instance;
+  zone = other55.zone;
+  incarnation = other55.incarnation;
+  version = other55.version;
+  ready = other55.ready;
+  draining = other55.draining;
+  authorityEpoch = other55.authorityEpoch;
+  freeAccelerators = other55.freeAccelerators;
+  queuedAccelerators = other55.queuedAccelerators;
+  ordersIndex = other55.ordersIndex;
+  sentAtMs = other55.sentAtMs;
+  liveAccelerators = other55.liveAccelerators;
+  __isset = other55.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -2028,14 +2376,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->orders.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->orders.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->orders[_i50].read(iprot);
+              xfer += this->orders[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2100,10 +2448,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<JobOrder> ::const_iterator _iter51;
-    for (_iter51 = this->orders.begin(); _iter51 != this->orders.end(); ++_iter51)
+    std::vector<JobOrder> ::const_iterator _iter61;
+    for (_iter61 = this->orders.begin(); _iter61 != this->orders.end(); ++_iter61)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2139,25 +2487,25 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other52) {
-  sentAtMs = other52.sentAtMs;
-  term = other52.term;
-  version = other52.version;
-  orders = other52.orders;
-  ordersIndex = other52.ordersIndex;
-  moreOrders = other52.moreOrders;
-  afterIndex = other52.afterIndex;
-  __isset = other52.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other62) {
+  sentAtMs = other62.sentAtMs;
+  term = other62.term;
+  version = other62.version;
+  orders = other62.orders;
+  ordersIndex = other62.ordersIndex;
+  moreOrders = other62.moreOrders;
+  afterIndex = other62.afterIndex;
+  __isset = other62.__isset;
 }
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other53) {
-  sentAtMs = other53.sentAtMs;
-  term = other53.term;
-  version = other53.version;
-  orders = other53.orders;
-  ordersIndex = other53.ordersIndex;
-  moreOrders = other53.moreOrders;
-  afterIndex = other53.afterIndex;
-  __isset = other53.__isset;
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other63) {
+  sentAtMs = other63.sentAtMs;
+  term = other63.term;
+  version = other63.version;
+  orders = other63.orders;
+  ordersIndex = other63.ordersIndex;
+  moreOrders = other63.moreOrders;
+  afterIndex = other63.afterIndex;
+  __isset = other63.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -2319,21 +2667,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other54) {
-  version = other54.version;
-  hash = other54.hash;
-  baseVersion = other54.baseVersion;
-  body = other54.body;
-  linearizable = other54.linearizable;
-  __isset = other54.__isset;
+ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other64) {
+  version = other64.version;
+  hash = other64.hash;
+  baseVersion = other64.baseVersion;
+  body = other64.body;
+  linearizable = other64.linearizable;
+  __isset = other64.__isset;
 }
-ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other55) {
-  version = other55.version;
-  hash = other55.hash;
-  baseVersion = other55.baseVersion;
-  body = other55.body;
-  linearizable = other55.linearizable;
-  __isset = other55.__isset;
+ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other65) {
+  version = other65.version;
+  hash = other65.hash;
+  baseVersion = other65.baseVersion;
+  body = other65.body;
+  linearizable = other65.linearizable;
+  __isset = other65.__isset;
   return *this;
 }
 void ConfigurationUpdate::printTo(std::ostream& out) const {
@@ -2440,15 +2788,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other56) noexcept {
-  knownVersion = other56.knownVersion;
-  linearizable = other56.linearizable;
-  __isset = other56.__isset;
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other66) noexcept {
+  knownVersion = other66.knownVersion;
+  linearizable = other66.linearizable;
+  __isset = other66.__isset;
 }
-ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other57) noexcept {
-  knownVersion = other57.knownVersion;
-  linearizable = other57.linearizable;
-  __isset = other57.__isset;
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other67) noexcept {
+  knownVersion = other67.knownVersion;
+  linearizable = other67.linearizable;
+  __isset = other67.__isset;
   return *this;
 }
 void ConfigurationRequest::printTo(std::ostream& out) const {
@@ -2552,15 +2900,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other58) {
-  id = other58.id;
-  command = other58.command;
-  __isset = other58.__isset;
+Propose::Propose(const Propose& other68) {
+  id = other68.id;
+  command = other68.command;
+  __isset = other68.__isset;
 }
-Propose& Propose::operator=(const Propose& other59) {
-  id = other59.id;
-  command = other59.command;
-  __isset = other59.__isset;
+Propose& Propose::operator=(const Propose& other69) {
+  id = other69.id;
+  command = other69.command;
+  __isset = other69.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -2700,19 +3048,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other60) {
-  id = other60.id;
-  verdict = other60.verdict;
-  reason = other60.reason;
-  result = other60.result;
-  __isset = other60.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other70) {
+  id = other70.id;
+  verdict = other70.verdict;
+  reason = other70.reason;
+  result = other70.result;
+  __isset = other70.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other61) {
-  id = other61.id;
-  verdict = other61.verdict;
-  reason = other61.reason;
-  result = other61.result;
-  __isset = other61.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other71) {
+  id = other71.id;
+  verdict = other71.verdict;
+  reason = other71.reason;
+  result = other71.result;
+  __isset = other71.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -2818,15 +3166,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Query::Query(const Query& other62) {
-  id = other62.id;
-  target = other62.target;
-  __isset = other62.__isset;
+Query::Query(const Query& other72) {
+  id = other72.id;
+  target = other72.target;
+  __isset = other72.__isset;
 }
-Query& Query::operator=(const Query& other63) {
-  id = other63.id;
-  target = other63.target;
-  __isset = other63.__isset;
+Query& Query::operator=(const Query& other73) {
+  id = other73.id;
+  target = other73.target;
+  __isset = other73.__isset;
   return *this;
 }
 void Query::printTo(std::ostream& out) const {
@@ -2947,17 +3295,17 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryReply::QueryReply(const QueryReply& other64) {
-  id = other64.id;
-  status = other64.status;
-  body = other64.body;
-  __isset = other64.__isset;
+QueryReply::QueryReply(const QueryReply& other74) {
+  id = other74.id;
+  status = other74.status;
+  body = other74.body;
+  __isset = other74.__isset;
 }
-QueryReply& QueryReply::operator=(const QueryReply& other65) {
-  id = other65.id;
-  status = other65.status;
-  body = other65.body;
-  __isset = other65.__isset;
+QueryReply& QueryReply::operator=(const QueryReply& other75) {
+  id = other75.id;
+  status = other75.status;
+  body = other75.body;
+  __isset = other75.__isset;
   return *this;
 }
 void QueryReply::printTo(std::ostream& out) const {
@@ -3113,21 +3461,21 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseRequest::LeaseRequest(const LeaseRequest& other66) {
-  zone = other66.zone;
-  candidate = other66.candidate;
-  epoch = other66.epoch;
-  round = other66.round;
-  contactAgeMs = other66.contactAgeMs;
-  __isset = other66.__isset;
+LeaseRequest::LeaseRequest(const LeaseRequest& other76) {
+  zone = other76.zone;
+  candidate = other76.candidate;
+  epoch = other76.epoch;
+  round = other76.round;
+  contactAgeMs = other76.contactAgeMs;
+  __isset = other76.__isset;
 }
-LeaseRequest& LeaseRequest::operator=(const LeaseRequest& other67) {
-  zone = other67.zone;
-  candidate = other67.candidate;
-  epoch = other67.epoch;
-  round = other67.round;
-  contactAgeMs = other67.contactAgeMs;
-  __isset = other67.__isset;
+LeaseRequest& LeaseRequest::operator=(const LeaseRequest& other77) {
+  zone = other77.zone;
+  candidate = other77.candidate;
+  epoch = other77.epoch;
+  round = other77.round;
+  contactAgeMs = other77.contactAgeMs;
+  __isset = other77.__isset;
   return *this;
 }
 void LeaseRequest::printTo(std::ostream& out) const {
@@ -3336,27 +3684,27 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseReply::LeaseReply(const LeaseReply& other68) {
-  zone = other68.zone;
-  voter = other68.voter;
-  epoch = other68.epoch;
-  round = other68.round;
-  granted = other68.granted;
-  highestEpoch = other68.highestEpoch;
-  knowsContact = other68.knowsContact;
-  contactAgeMs = other68.contactAgeMs;
-  __isset = other68.__isset;
+LeaseReply::LeaseReply(const LeaseReply& other78) {
+  zone = other78.zone;
+  voter = other78.voter;
+  epoch = other78.epoch;
+  round = other78.round;
+  granted = other78.granted;
+  highestEpoch = other78.highestEpoch;
+  knowsContact = other78.knowsContact;
+  contactAgeMs = other78.contactAgeMs;
+  __isset = other78.__isset;
 }
-LeaseReply& LeaseReply::operator=(const LeaseReply& other69) {
-  zone = other69.zone;
-  voter = other69.voter;
-  epoch = other69.epoch;
-  round = other69.round;
-  granted = other69.granted;
-  highestEpoch = other69.highestEpoch;
-  knowsContact = other69.knowsContact;
-  contactAgeMs = other69.contactAgeMs;
-  __isset = other69.__isset;
+LeaseReply& LeaseReply::operator=(const LeaseReply& other79) {
+  zone = other79.zone;
+  voter = other79.voter;
+  epoch = other79.epoch;
+  round = other79.round;
+  granted = other79.granted;
+  highestEpoch = other79.highestEpoch;
+  knowsContact = other79.knowsContact;
+  contactAgeMs = other79.contactAgeMs;
+  __isset = other79.__isset;
   return *this;
 }
 void LeaseReply::printTo(std::ostream& out) const {
@@ -3468,15 +3816,15 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other70) {
-  leader = other70.leader;
-  requestId = other70.requestId;
-  __isset = other70.__isset;
+NotLeader::NotLeader(const NotLeader& other80) {
+  leader = other80.leader;
+  requestId = other80.requestId;
+  __isset = other80.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other71) {
-  leader = other71.leader;
-  requestId = other71.requestId;
-  __isset = other71.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other81) {
+  leader = other81.leader;
+  requestId = other81.requestId;
+  __isset = other81.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -3614,19 +3962,19 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceCall::InstanceCall(const InstanceCall& other72) {
-  id = other72.id;
-  method = other72.method;
-  target = other72.target;
-  body = other72.body;
-  __isset = other72.__isset;
+InstanceCall::InstanceCall(const InstanceCall& other82) {
+  id = other82.id;
+  method = other82.method;
+  target = other82.target;
+  body = other82.body;
+  __isset = other82.__isset;
 }
-InstanceCall& InstanceCall::operator=(const InstanceCall& other73) {
-  id = other73.id;
-  method = other73.method;
-  target = other73.target;
-  body = other73.body;
-  __isset = other73.__isset;
+InstanceCall& InstanceCall::operator=(const InstanceCall& other83) {
+  id = other83.id;
+  method = other83.method;
+  target = other83.target;
+  body = other83.body;
+  __isset = other83.__isset;
   return *this;
 }
 void InstanceCall::printTo(std::ostream& out) const {
@@ -3749,17 +4097,17 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceCallReply::InstanceCallReply(const InstanceCallReply& other74) {
-  id = other74.id;
-  status = other74.status;
-  body = other74.body;
-  __isset = other74.__isset;
+InstanceCallReply::InstanceCallReply(const InstanceCallReply& other84) {
+  id = other84.id;
+  status = other84.status;
+  body = other84.body;
+  __isset = other84.__isset;
 }
-InstanceCallReply& InstanceCallReply::operator=(const InstanceCallReply& other75) {
-  id = other75.id;
-  status = other75.status;
-  body = other75.body;
-  __isset = other75.__isset;
+InstanceCallReply& InstanceCallReply::operator=(const InstanceCallReply& other85) {
+  id = other85.id;
+  status = other85.status;
+  body = other85.body;
+  __isset = other85.__isset;
   return *this;
 }
 void InstanceCallReply::printTo(std::ostream& out) const {
@@ -4077,37 +4425,37 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlMessage::ControlMessage(const ControlMessage& other76) {
-  heartbeat = other76.heartbeat;
-  heartbeatReply = other76.heartbeatReply;
-  configurationUpdate = other76.configurationUpdate;
-  configurationRequest = other76.configurationRequest;
-  propose = other76.propose;
-  proposeReply = other76.proposeReply;
-  query = other76.query;
-  queryReply = other76.queryReply;
-  leaseRequest = other76.leaseRequest;
-  leaseReply = other76.leaseReply;
-  notLeader = other76.notLeader;
-  instanceCall = other76.instanceCall;
-  instanceCallReply = other76.instanceCallReply;
-  __isset = other76.__isset;
+ControlMessage::ControlMessage(const ControlMessage& other86) {
+  heartbeat = other86.heartbeat;
+  heartbeatReply = other86.heartbeatReply;
+  configurationUpdate = other86.configurationUpdate;
+  configurationRequest = other86.configurationRequest;
+  propose = other86.propose;
+  proposeReply = other86.proposeReply;
+  query = other86.query;
+  queryReply = other86.queryReply;
+  leaseRequest = other86.leaseRequest;
+  leaseReply = other86.leaseReply;
+  notLeader = other86.notLeader;
+  instanceCall = other86.instanceCall;
+  instanceCallReply = other86.instanceCallReply;
+  __isset = other86.__isset;
 }
-ControlMessage& ControlMessage::operator=(const ControlMessage& other77) {
-  heartbeat = other77.heartbeat;
-  heartbeatReply = other77.heartbeatReply;
-  configurationUpdate = other77.configurationUpdate;
-  configurationRequest = other77.configurationRequest;
-  propose = other77.propose;
-  proposeReply = other77.proposeReply;
-  query = other77.query;
-  queryReply = other77.queryReply;
-  leaseRequest = other77.leaseRequest;
-  leaseReply = other77.leaseReply;
-  notLeader = other77.notLeader;
-  instanceCall = other77.instanceCall;
-  instanceCallReply = other77.instanceCallReply;
-  __isset = other77.__isset;
+ControlMessage& ControlMessage::operator=(const ControlMessage& other87) {
+  heartbeat = other87.heartbeat;
+  heartbeatReply = other87.heartbeatReply;
+  configurationUpdate = other87.configurationUpdate;
+  configurationRequest = other87.configurationRequest;
+  propose = other87.propose;
+  proposeReply = other87.proposeReply;
+  query = other87.query;
+  queryReply = other87.queryReply;
+  leaseRequest = other87.leaseRequest;
+  leaseReply = other87.leaseReply;
+  notLeader = other87.notLeader;
+  instanceCall = other87.instanceCall;
+  instanceCallReply = other87.instanceCallReply;
+  __isset = other87.__isset;
   return *this;
 }
 void ControlMessage::printTo(std::ostream& out) const {
@@ -4189,6 +4537,11 @@
 void JobSnapshot::__set_orderIndex(const int64_t val) {
   this->orderIndex = val;
 }
+
+void JobSnapshot::__set_crashes(const CrashHistory& val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobSnapshot& obj)
 {
   obj.printTo(out);
@@ -4329,6 +4682,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crashes.read(iprot);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4402,6 +4763,11 @@
   xfer += oprot->writeI64(this->orderIndex);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->crashes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4423,42 +4789,45 @@
   swap(a.endedAtMs, b.endedAtMs);
   swap(a.cancelRequested, b.cancelRequested);
   swap(a.orderIndex, b.orderIndex);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-JobSnapshot::JobSnapshot(const JobSnapshot& other78) {
-  job = other78.job;
-  key = other78.key;
-  spec = other78.spec;
-  state = other78.state;
-  zone = other78.zone;
-  assignedIndex = other78.assignedIndex;
-  attempt = other78.attempt;
-  reason = other78.reason;
-  checkpoint = other78.checkpoint;
-  submittedAtMs = other78.submittedAtMs;
-  startedAtMs = other78.startedAtMs;
-  endedAtMs = other78.endedAtMs;
-  cancelRequested = other78.cancelRequested;
-  orderIndex = other78.orderIndex;
-  __isset = other78.__isset;
+JobSnapshot::JobSnapshot(const JobSnapshot& other88) {
+  job = other88.job;
+  key = other88.key;
+  spec = other88.spec;
+  state = other88.state;
+  zone = other88.zone;
+  assignedIndex = other88.assignedIndex;
+  attempt = other88.attempt;
+  reason = other88.reason;
+  checkpoint = other88.checkpoint;
+  submittedAtMs = other88.submittedAtMs;
+  startedAtMs = other88.startedAtMs;
+  endedAtMs = other88.endedAtMs;
+  cancelRequested = other88.cancelRequested;
+  orderIndex = other88.orderIndex;
+  crashes = other88.crashes;
+  __isset = other88.__isset;
 }
-JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other79) {
-  job = other79.job;
-  key = other79.key;
-  spec = other79.spec;
-  state = other79.state;
-  zone = other79.zone;
-  assignedIndex = other79.assignedIndex;
-  attempt = other79.attempt;
-  reason = other79.reason;
-  checkpoint = other79.checkpoint;
-  submittedAtMs = other79.submittedAtMs;
-  startedAtMs = other79.startedAtMs;
-  endedAtMs = other79.endedAtMs;
-  cancelRequested = other79.cancelRequested;
-  orderIndex = other79.orderIndex;
-  __isset = other79.__isset;
+JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other89) {
+  job = other89.job;
+  key = other89.key;
+  spec = other89.spec;
+  state = other89.state;
+  zone = other89.zone;
+  assignedIndex = other89.assignedIndex;
+  attempt = other89.attempt;
+  reason = other89.reason;
+  checkpoint = other89.checkpoint;
+  submittedAtMs = other89.submittedAtMs;
+  startedAtMs = other89.startedAtMs;
+  endedAtMs = other89.endedAtMs;
+  cancelRequested = other89.cancelRequested;
+  orderIndex = other89.orderIndex;
+  crashes = other89.crashes;
+  __isset = other89.__isset;
   return *this;
 }
 void JobSnapshot::printTo(std::ostream& out) const {
@@ -4478,6 +4847,7 @@
   out << ", " << "endedAtMs=" << to_string(endedAtMs);
   out << ", " << "cancelRequested=" << to_string(cancelRequested);
   out << ", " << "orderIndex=" << to_string(orderIndex);
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4561,14 +4931,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->changes.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->changes.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += iprot->readString(this->changes[_i84]);
+              xfer += iprot->readString(this->changes[_i94]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4617,10 +4987,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter85;
-    for (_iter85 = this->changes.begin(); _iter85 != this->changes.end(); ++_iter85)
+    std::vector<std::string> ::const_iterator _iter95;
+    for (_iter95 = this->changes.begin(); _iter95 != this->changes.end(); ++_iter95)
     {
-      xfer += oprot->writeString((*_iter85));
+      xfer += oprot->writeString((*_iter95));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4645,21 +5015,21 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionSnapshot::VersionSnapshot(const VersionSnapshot& other86) {
-  version = other86.version;
-  hash = other86.hash;
-  acceptedAtMs = other86.acceptedAtMs;
-  changes = other86.changes;
-  delta = other86.delta;
-  __isset = other86.__isset;
-}
-VersionSnapshot& VersionSnapshot::operator=(const VersionSnapshot& other87) {
-  version = other87.version;
-  hash = other87.hash;
-  acceptedAtMs = other87.acceptedAtMs;
-  changes = other87.changes;
-  delta = other87.delta;
-  __isset = other87.__isset;
+VersionSnapshot::VersionSnapshot(const VersionSnapshot& other96) {
+  version = other96.version;
+  hash = other96.hash;
+  acceptedAtMs = other96.acceptedAtMs;
+  changes = other96.changes;
+  delta = other96.delta;
+  __isset = other96.__isset;
+}
+VersionSnapshot& VersionSnapshot::operator=(const VersionSnapshot& other97) {
+  version = other97.version;
+  hash = other97.hash;
+  acceptedAtMs = other97.acceptedAtMs;
+  changes = other97.changes;
+  delta = other97.delta;
+  __isset = other97.__isset;
   return *this;
 }
 void VersionSnapshot::printTo(std::ostream& out) const {
@@ -4766,15 +5136,15 @@
   swap(a.__isset, b.__isset);
 }
 
-KeySnapshot::KeySnapshot(const KeySnapshot& other88) {
-  key = other88.key;
-  result = other88.result;
-  __isset = other88.__isset;
+KeySnapshot::KeySnapshot(const KeySnapshot& other98) {
+  key = other98.key;
+  result = other98.result;
+  __isset = other98.__isset;
 }
-KeySnapshot& KeySnapshot::operator=(const KeySnapshot& other89) {
-  key = other89.key;
-  result = other89.result;
-  __isset = other89.__isset;
+KeySnapshot& KeySnapshot::operator=(const KeySnapshot& other99) {
+  key = other99.key;
+  result = other99.result;
+  __isset = other99.__isset;
   return *this;
 }
 void KeySnapshot::printTo(std::ostream& out) const {
@@ -4861,14 +5231,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->history.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->history.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->history[_i94].read(iprot);
+              xfer += this->history[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4881,14 +5251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->jobs.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->jobs.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->jobs[_i99].read(iprot);
+              xfer += this->jobs[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4901,14 +5271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->keys.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->keys.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->keys[_i104].read(iprot);
+              xfer += this->keys[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4921,17 +5291,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->zoneEpochs.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _ktype106;
-            ::apache::thrift::protocol::TType _vtype107;
-            xfer += iprot->readMapBegin(_ktype106, _vtype107, _size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _ktype116;
+            ::apache::thrift::protocol::TType _vtype117;
+            xfer += iprot->readMapBegin(_ktype116, _vtype117, _size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              std::string _key110;
-              xfer += iprot->readString(_key110);
-              int64_t& _val111 = this->zoneEpochs[_key110];
-              xfer += iprot->readI64(_val111);
+              std::string _key120;
+              xfer += iprot->readString(_key120);
+              int64_t& _val121 = this->zoneEpochs[_key120];
+              xfer += iprot->readI64(_val121);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4968,10 +5338,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<VersionSnapshot> ::const_iterator _iter112;
-    for (_iter112 = this->history.begin(); _iter112 != this->history.end(); ++_iter112)
+    std::vector<VersionSnapshot> ::const_iterator _iter122;
+    for (_iter122 = this->history.begin(); _iter122 != this->history.end(); ++_iter122)
     {
-      xfer += (*_iter112).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4980,10 +5350,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter113;
-    for (_iter113 = this->jobs.begin(); _iter113 != this->jobs.end(); ++_iter113)
+    std::vector<JobSnapshot> ::const_iterator _iter123;
+    for (_iter123 = this->jobs.begin(); _iter123 != this->jobs.end(); ++_iter123)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4992,10 +5362,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeySnapshot> ::const_iterator _iter114;
-    for (_iter114 = this->keys.begin(); _iter114 != this->keys.end(); ++_iter114)
+    std::vector<KeySnapshot> ::const_iterator _iter124;
+    for (_iter124 = this->keys.begin(); _iter124 != this->keys.end(); ++_iter124)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5004,11 +5374,11 @@
   xfer += oprot->writeFieldBegin("zoneEpochs", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->zoneEpochs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter115;
-    for (_iter115 = this->zoneEpochs.begin(); _iter115 != this->zoneEpochs.end(); ++_iter115)
+    std::map<std::string, int64_t> ::const_iterator _iter125;
+    for (_iter125 = this->zoneEpochs.begin(); _iter125 != this->zoneEpochs.end(); ++_iter125)
     {
-      xfer += oprot->writeString(_iter115->first);
-      xfer += oprot->writeI64(_iter115->second);
+      xfer += oprot->writeString(_iter125->first);
+      xfer += oprot->writeI64(_iter125->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5030,23 +5400,23 @@
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other116) {
-  document = other116.document;
-  version = other116.version;
-  history = other116.history;
-  jobs = other116.jobs;
-  keys = other116.keys;
-  zoneEpochs = other116.zoneEpochs;
-  __isset = other116.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other117) {
-  document = other117.document;
-  version = other117.version;
-  history = other117.history;
-  jobs = other117.jobs;
-  keys = other117.keys;
-  zoneEpochs = other117.zoneEpochs;
-  __isset = other117.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other126) {
+  document = other126.document;
+  version = other126.version;
+  history = other126.history;
+  jobs = other126.jobs;
+  keys = other126.keys;
+  zoneEpochs = other126.zoneEpochs;
+  __isset = other126.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other127) {
+  document = other127.document;
+  version = other127.version;
+  history = other127.history;
+  jobs = other127.jobs;
+  keys = other127.keys;
+  zoneEpochs = other127.zoneEpochs;
+  __isset = other127.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
--- a/packages/control/gen-cpp/control_types.h
+++ b/packages/control/gen-cpp/control_types.h
@@ -29,6 +29,10 @@
 
 class AssignJob;
 
+class WorkerCrash;
+
+class CrashHistory;
+
 class JobEvent;
 
 class JobEvents;
@@ -297,14 +301,135 @@
 
 std::ostream& operator<<(std::ostream& out, const AssignJob& obj);
 
+typedef struct _WorkerCrash__isset {
+  _WorkerCrash__isset() : attempt(false), member(false), worker(false), afterStart(false), alone(false) {}
+  bool attempt :1;
+  bool member :1;
+  bool worker :1;
+  bool afterStart :1;
+  bool alone :1;
+} _WorkerCrash__isset;
+
+class WorkerCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerCrash(const WorkerCrash&);
+  WorkerCrash& operator=(const WorkerCrash&);
+  WorkerCrash() noexcept
+              : attempt(0),
+                member(0),
+                worker(),
+                afterStart(0),
+                alone(0) {
+  }
+
+  virtual ~WorkerCrash() noexcept;
+  int32_t attempt;
+  int32_t member;
+  std::string worker;
+  bool afterStart;
+  bool alone;
+
+  _WorkerCrash__isset __isset;
+
+  void __set_attempt(const int32_t val);
+
+  void __set_member(const int32_t val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_afterStart(const bool val);
+
+  void __set_alone(const bool val);
+
+  bool operator == (const WorkerCrash & rhs) const
+  {
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(afterStart == rhs.afterStart))
+      return false;
+    if (!(alone == rhs.alone))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerCrash &a, WorkerCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerCrash& obj);
+
+typedef struct _CrashHistory__isset {
+  _CrashHistory__isset() : crashes(false), soundAttempt(false) {}
+  bool crashes :1;
+  bool soundAttempt :1;
+} _CrashHistory__isset;
+
+class CrashHistory : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashHistory(const CrashHistory&);
+  CrashHistory& operator=(const CrashHistory&);
+  CrashHistory() noexcept
+               : soundAttempt(0) {
+  }
+
+  virtual ~CrashHistory() noexcept;
+  std::vector<WorkerCrash>  crashes;
+  int32_t soundAttempt;
+
+  _CrashHistory__isset __isset;
+
+  void __set_crashes(const std::vector<WorkerCrash> & val);
+
+  void __set_soundAttempt(const int32_t val);
+
+  bool operator == (const CrashHistory & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(soundAttempt == rhs.soundAttempt))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashHistory &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashHistory & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashHistory &a, CrashHistory &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashHistory& obj);
+
 typedef struct _JobEvent__isset {
-  _JobEvent__isset() : job(false), attempt(false), kind(false), reason(false), checkpoint(false), atMs(false) {}
+  _JobEvent__isset() : job(false), attempt(false), kind(false), reason(false), checkpoint(false), atMs(false), crash(false) {}
   bool job :1;
   bool attempt :1;
   bool kind :1;
   bool reason :1;
   bool checkpoint :1;
   bool atMs :1;
+  bool crash :1;
 } _JobEvent__isset;
 
 class JobEvent : public virtual ::apache::thrift::TBase {
@@ -328,6 +453,7 @@
   std::string reason;
   std::string checkpoint;
   int64_t atMs;
+  WorkerCrash crash;
 
   _JobEvent__isset __isset;
 
@@ -343,6 +469,8 @@
 
   void __set_atMs(const int64_t val);
 
+  void __set_crash(const WorkerCrash& val);
+
   bool operator == (const JobEvent & rhs) const
   {
     if (!(job == rhs.job))
@@ -357,6 +485,10 @@
       return false;
     if (!(atMs == rhs.atMs))
       return false;
+    if (__isset.crash != rhs.__isset.crash)
+      return false;
+    else if (__isset.crash && !(crash == rhs.crash))
+      return false;
     return true;
   }
   bool operator != (const JobEvent &rhs) const {
@@ -643,13 +775,14 @@
 std::ostream& operator<<(std::ostream& out, const CommandResult& obj);
 
 typedef struct _JobOrder__isset {
-  _JobOrder__isset() : job(false), spec(false), attempts(false), checkpoint(false), submittedAtMs(false), cancelled(false) {}
+  _JobOrder__isset() : job(false), spec(false), attempts(false), checkpoint(false), submittedAtMs(false), cancelled(false), crashes(false) {}
   bool job :1;
   bool spec :1;
   bool attempts :1;
   bool checkpoint :1;
   bool submittedAtMs :1;
   bool cancelled :1;
+  bool crashes :1;
 } _JobOrder__isset;
 
 class JobOrder : public virtual ::apache::thrift::TBase {
@@ -673,6 +806,7 @@
   std::string checkpoint;
   int64_t submittedAtMs;
   bool cancelled;
+  CrashHistory crashes;
 
   _JobOrder__isset __isset;
 
@@ -688,6 +822,8 @@
 
   void __set_cancelled(const bool val);
 
+  void __set_crashes(const CrashHistory& val);
+
   bool operator == (const JobOrder & rhs) const
   {
     if (!(job == rhs.job))
@@ -702,6 +838,10 @@
       return false;
     if (!(cancelled == rhs.cancelled))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const JobOrder &rhs) const {
@@ -1750,7 +1890,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlMessage& obj);
 
 typedef struct _JobSnapshot__isset {
-  _JobSnapshot__isset() : job(false), key(false), spec(false), state(false), zone(false), assignedIndex(false), attempt(false), reason(false), checkpoint(false), submittedAtMs(false), startedAtMs(false), endedAtMs(false), cancelRequested(false), orderIndex(false) {}
+  _JobSnapshot__isset() : job(false), key(false), spec(false), state(false), zone(false), assignedIndex(false), attempt(false), reason(false), checkpoint(false), submittedAtMs(false), startedAtMs(false), endedAtMs(false), cancelRequested(false), orderIndex(false), crashes(false) {}
   bool job :1;
   bool key :1;
   bool spec :1;
@@ -1765,6 +1905,7 @@
   bool endedAtMs :1;
   bool cancelRequested :1;
   bool orderIndex :1;
+  bool crashes :1;
 } _JobSnapshot__isset;
 
 class JobSnapshot : public virtual ::apache::thrift::TBase {
@@ -1804,6 +1945,7 @@
   int64_t endedAtMs;
   bool cancelRequested;
   int64_t orderIndex;
+  CrashHistory crashes;
 
   _JobSnapshot__isset __isset;
 
@@ -1835,6 +1977,8 @@
 
   void __set_orderIndex(const int64_t val);
 
+  void __set_crashes(const CrashHistory& val);
+
   bool operator == (const JobSnapshot & rhs) const
   {
     if (!(job == rhs.job))
@@ -1865,6 +2009,10 @@
       return false;
     if (!(orderIndex == rhs.orderIndex))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const JobSnapshot &rhs) const {
--- a/packages/control/job_table.cc
+++ b/packages/control/job_table.cc
@@ -165,6 +165,10 @@
       return true;
     case JobEventKind::kCheckpointed:
       return true;
+    case JobEventKind::kWorkerCrashed:
+      return aEvent.crash && record.crashes.Add(*aEvent.crash);
+    case JobEventKind::kSound:
+      return record.crashes.ClearBefore(aEvent.attempt);
     case JobEventKind::kReturned:
       Unassign(record);
       record.reason = aEvent.reason;
--- a/packages/control/job_table.h
+++ b/packages/control/job_table.h
@@ -5,11 +5,13 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "model/crash_history.h"
 #include "model/job.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -35,6 +37,10 @@
   kCheckpointed = 8,
   // The zone returns the job to the control leader for another assignment.
   kReturned = 9,
+  // Only reports the crash of a worker under a task of the job.
+  kWorkerCrashed = 10,
+  // The attempt has run long enough to clear the crashes of earlier ones.
+  kSound = 11,
 };
 
 struct JobEvent
@@ -47,6 +53,8 @@
   std::string checkpoint;
   // Wall-clock time since the Unix epoch.
   Millis at;
+  // Set only for `kWorkerCrashed`.
+  std::optional<model::WorkerCrash> crash{};
 };
 
 struct JobRecord
@@ -67,6 +75,7 @@
   std::string reason;
   // Handle of the last reported checkpoint; empty if there is none.
   std::string checkpoint;
+  model::CrashHistory crashes;
   bool cancelRequested = false;
   // Wall-clock times since the Unix epoch; 0 while the job has not started or
   // ended.
--- a/packages/control/job_table_test.cc
+++ b/packages/control/job_table_test.cc
@@ -123,6 +123,31 @@
   EXPECT_TRUE(table.OrdersFor(kSogn, 6, 10)[0]->cancelRequested);
 }
 
+// A resent or late crash must not count twice, change the job's state, or bring
+// back crashes that a sound run has cleared.
+TEST(JobTable, CrashesAreRecordedOnceAndClearedBySoundRun)
+{
+  JobTable table;
+  table.Add(QueuedJob("j"));
+  table.Assign(JobId("j"), kSogn, 5);
+  table.ApplyEvent(kSogn, MakeEvent("j", 1, JobEventKind::kStarting), 6);
+  JobEvent crash = MakeEvent("j", 1, JobEventKind::kWorkerCrashed);
+  EXPECT_FALSE(table.ApplyEvent(kSogn, crash, 7));
+  crash.crash = { Attempt(1), MemberIndex(0), WorkerId("w"), true, false };
+  EXPECT_TRUE(table.ApplyEvent(kSogn, crash, 7));
+  EXPECT_FALSE(table.ApplyEvent(kSogn, crash, 8));
+  EXPECT_EQ(table.Find(JobId("j"))->state, JobState::kStarting);
+  EXPECT_EQ(table.Find(JobId("j"))->crashes.Crashes().size(), 1U);
+  table.UnassignJobsOf(kSogn);
+  table.Assign(JobId("j"), kHardanger, 9);
+  EXPECT_EQ(table.Find(JobId("j"))->crashes.Crashes().size(), 1U);
+  EXPECT_TRUE(
+    table.ApplyEvent(kHardanger, MakeEvent("j", 2, JobEventKind::kSound), 10));
+  crash.attempt = Attempt(2);
+  EXPECT_FALSE(table.ApplyEvent(kHardanger, crash, 11));
+  EXPECT_TRUE(table.Find(JobId("j"))->crashes.Crashes().empty());
+}
+
 // The limit must not split the orders of one log entry: the authority
 // acknowledges a log index, so the remaining orders would never be sent.
 TEST(JobTable, OrdersOfOneIndexAreNotSplit)
--- a/packages/control/query.cc
+++ b/packages/control/query.cc
@@ -57,6 +57,20 @@
   return { 404, body.dump() + "\n" };
 }
 
+json
+DescribeCrashes(const model::CrashHistory& aHistory)
+{
+  json crashes = json::array();
+  for (const model::WorkerCrash& it : aHistory.Crashes()) {
+    crashes.push_back({ { "attempt", it.attempt.Value() },
+                        { "member", it.member.Value() },
+                        { "worker", it.worker.Value() },
+                        { "afterStart", it.afterStart },
+                        { "alone", it.alone } });
+  }
+  return crashes;
+}
+
 json
 Describe(const JobRecord& aJob)
 {
@@ -70,6 +84,7 @@
            { "members", aJob.spec.members },
            { "accelerators", aJob.spec.TotalAccelerators().Value() },
            { "checkpoint", aJob.checkpoint },
+           { "crashes", DescribeCrashes(aJob.crashes) },
            { "cancelRequested", aJob.cancelRequested },
            { "submittedAtMs", aJob.submittedAt.Count() },
            { "startedAtMs", aJob.startedAt.Count() },
--- a/packages/control/state.cc
+++ b/packages/control/state.cc
@@ -28,6 +28,9 @@
   event.reason = aEvent.reason;
   event.checkpoint = aEvent.checkpoint;
   event.at = Millis(aEvent.atMs);
+  if (aEvent.__isset.crash) {
+    event.crash = control::FromWire(aEvent.crash);
+  }
   return event;
 }
 
--- a/packages/control/state_snapshot.cc
+++ b/packages/control/state_snapshot.cc
@@ -24,6 +24,9 @@
   job.startedAtMs = aRecord.startedAt.Count();
   job.endedAtMs = aRecord.endedAt.Count();
   job.cancelRequested = aRecord.cancelRequested;
+  if (aRecord.crashes != model::CrashHistory()) {
+    job.__set_crashes(control::ToWire(aRecord.crashes));
+  }
   return job;
 }
 
@@ -48,6 +51,9 @@
   record.startedAt = Millis(aJob.startedAtMs);
   record.endedAt = Millis(aJob.endedAtMs);
   record.cancelRequested = aJob.cancelRequested;
+  if (aJob.__isset.crashes) {
+    record.crashes = control::FromWire(aJob.crashes);
+  }
   return record;
 }
 
--- a/packages/control/state_test.cc
+++ b/packages/control/state_test.cc
@@ -89,6 +89,25 @@
     return Apply(command);
   }
 
+  gen::CommandResult ReportCrash(const char* aId,
+                                 int32_t aAttempt,
+                                 const char* aWorker)
+  {
+    gen::JobEvent event;
+    event.job = aId;
+    event.attempt = aAttempt;
+    event.kind = static_cast<int32_t>(JobEventKind::kWorkerCrashed);
+    event.__set_crash(ToWire(model::WorkerCrash{
+      Attempt(static_cast<uint32_t>(aAttempt)), {}, WorkerId(aWorker) }));
+    gen::JobEvents events;
+    events.zone = "sogn";
+    events.epoch = 7;
+    events.events = { event };
+    gen::Command command;
+    command.__set_jobEvents(events);
+    return Apply(command);
+  }
+
   model::JobState StateOf(const char* aId) const
   {
     return mState.Jobs().Find(JobId(aId))->state;
@@ -194,6 +213,45 @@
   EXPECT_EQ(restored.mState.Version(), ConfigVersion(2));
 }
 
+// The crashes counted against a job must survive a snapshot, or the job would
+// start again without limit.
+TEST(ControlState, SnapshotKeepsCrashesOfWorkers)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.SubmitJob("a", "");
+  replica.AssignJob("a");
+  replica.ReportEvent("a", 2, JobEventKind::kStarting, 7);
+  replica.ReportEvent("a", 2, JobEventKind::kSound, 7);
+  replica.ReportCrash("a", 2, "w1");
+  replica.ReportCrash("a", 3, "w2");
+  Replica restored;
+  ASSERT_TRUE(restored.mState.Restore(replica.mState.TakeSnapshot()));
+  const JobRecord* job = restored.mState.Jobs().Find(JobId("a"));
+  ASSERT_NE(job, nullptr);
+  EXPECT_EQ(job->crashes.Crashes().size(), 2U);
+  EXPECT_EQ(job->crashes, replica.mState.Jobs().Find(JobId("a"))->crashes);
+}
+
+// A snapshot and a log of a version without the count must stay readable.
+TEST(ControlState, RecordsWithoutCrashesAreReadable)
+{
+  gen::StateSnapshot old;
+  gen::JobSnapshot job;
+  job.job = "a";
+  job.spec = kJob;
+  job.zone = "sogn";
+  job.attempt = 1;
+  old.jobs = { job };
+  Replica replica;
+  ASSERT_TRUE(replica.mState.Restore(Encode(old)));
+  EXPECT_TRUE(
+    replica.ReportEvent("a", 1, JobEventKind::kRunning, 7).changes.empty());
+  EXPECT_EQ(replica.StateOf("a"), model::JobState::kRunning);
+  EXPECT_TRUE(
+    replica.mState.Jobs().Find(JobId("a"))->crashes.Crashes().empty());
+}
+
 // An instance that applies deltas must reach the same document as one that
 // receives it in full. The 300 versions exceed `kMaxDeltas`: for a base whose
 // deltas were dropped, there must be no result rather than a partial list.
--- a/packages/ctl/job_commands.cc
+++ b/packages/ctl/job_commands.cc
@@ -57,6 +57,12 @@
                                     std::pair("ended", "endedAtMs") }) {
     rows.push_back({ label, TimeText(aJob, key) });
   }
+  for (const Json& it : aJob.value("crashes", Json::array())) {
+    rows.push_back({ "crash",
+                     FieldText(it, "worker") + ", attempt " +
+                       FieldText(it, "attempt") + ", member " +
+                       FieldText(it, "member") });
+  }
   PrintTable(aContext.out, { "FIELD", "VALUE" }, rows);
 }
 
--- a/packages/daemon/zone_authority.cc
+++ b/packages/daemon/zone_authority.cc
@@ -84,6 +84,10 @@
       return control::JobEventKind::kFailed;
     case JobEventKind::kCancelled:
       return control::JobEventKind::kCancelled;
+    case JobEventKind::kWorkerCrashed:
+      return control::JobEventKind::kWorkerCrashed;
+    case JobEventKind::kSound:
+      return control::JobEventKind::kSound;
     case JobEventKind::kImpossible:
       break;
   }
@@ -100,6 +104,24 @@
   event.reason = aEvent.reason;
   event.checkpoint = aEvent.checkpoint;
   event.atMs = WallNow().Count();
+  if (aEvent.crash) {
+    event.__set_crash(control::ToWire(*aEvent.crash));
+  }
+  return event;
+}
+
+// Returns the log event of a crash; `aEvent.crash` must be set.
+LogEvent
+CrashLogEvent(const JobEvent& aEvent)
+{
+  const model::WorkerCrash& crash = *aEvent.crash;
+  LogEvent event("worker_crashed");
+  event.Add("job", aEvent.job.Value());
+  event.Add("attempt", crash.attempt.Value());
+  event.Add("member", crash.member.Value());
+  event.Add("worker", crash.worker.Value());
+  event.Add("after_start", crash.afterStart);
+  event.Add("alone", crash.alone);
   return event;
 }
 
@@ -187,6 +209,9 @@
       assigned.submittedAt = aNow - std::max(age, Millis(0));
       assigned.lastAttempt = Attempt(static_cast<uint32_t>(it.attempts));
       assigned.checkpoint = it.checkpoint;
+      if (it.__isset.crashes) {
+        assigned.crashes = control::FromWire(it.crashes);
+      }
       Step(assigned, aNow);
     }
     if (it.cancelled) {
@@ -341,6 +366,9 @@
                 },
                 [this](const WriteJournalRecord& it) {
                   mJournal.push_back({ it.record, ToWire(it.event), false });
+                  if (it.event.crash) {
+                    mEnvironment.Log(CrashLogEvent(it.event));
+                  }
                   if (it.event.kind == JobEventKind::kCancelled &&
                       mJobsBeingReturned.erase(it.event.job) > 0) {
                     gen::JobEvent& event = mJournal.back().event;
--- a/packages/scheduler/effect.h
+++ b/packages/scheduler/effect.h
@@ -4,6 +4,7 @@
 
 #include "scheduler/event.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -89,10 +90,14 @@
   kCancelled,
   // Can never run under the configuration in force; `reason` tells why.
   kImpossible,
+  // Only records `crash`.
+  kWorkerCrashed,
+  // The attempt has run long enough to clear the crashes of earlier ones.
+  kSound,
 };
 
 // A change of a job's state to be recorded in the journal. Idempotent by job,
-// attempt and kind.
+// attempt, kind and crash.
 struct JobEvent
 {
   JobId job;
@@ -103,6 +108,8 @@
   std::string checkpoint;
   // Workers of the members, in member order; set only for `kStarting`.
   std::vector<WorkerId> workers;
+  // Set only for `kWorkerCrashed`.
+  std::optional<model::WorkerCrash> crash;
 };
 
 // Asks the daemon to commit the event to the journal and to send
--- a/packages/scheduler/event.h
+++ b/packages/scheduler/event.h
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "model/crash_history.h"
 #include "model/job.h"
 #include "model/validate.h"
 
@@ -74,6 +75,8 @@
   Attempt lastAttempt;
   // Handle of the checkpoint to resume from; empty if there is none.
   std::string checkpoint;
+  // Crashes of workers under earlier attempts, recorded in the journal.
+  model::CrashHistory crashes;
 };
 
 struct JobCancelled
--- a/packages/scheduler/gang.h
+++ b/packages/scheduler/gang.h
@@ -4,13 +4,16 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "model/crash_history.h"
 #include "model/job.h"
 #include "scheduler/effect.h"
 #include "scheduler/views.h"
 #include "scheduler/worker_table.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace limpetwood::scheduler {
@@ -66,6 +69,8 @@
   bool checkpointed = false;
   FencingToken token;
   AcceleratorMask mask = 0;
+  // When the start was sent; nothing if an earlier authority sent it.
+  std::optional<Millis> startedAt;
 };
 
 enum class Phase : uint8_t
@@ -153,6 +158,9 @@
   std::vector<JobSlot> victims;
   // Workers on which an attempt failed.
   std::vector<WorkerIndex> failedWorkers;
+  model::CrashHistory crashes;
+  // The workers of `crashes`.
+  std::unordered_set<WorkerId> crashedWorkers;
   // Handle of the latest complete checkpoint; empty if there is none.
   std::string checkpoint;
   // Handle reported by member 0 in a checkpoint round that is still incomplete.
--- a/packages/scheduler/internal/core.cc
+++ b/packages/scheduler/internal/core.cc
@@ -126,6 +126,9 @@
     case TimerKind::kRecoveryEnd:
       EndRecovery();
       break;
+    case TimerKind::kSoundRun:
+      OnSoundRunDue(aTimer);
+      break;
   }
 }
 
--- a/packages/scheduler/internal/core.h
+++ b/packages/scheduler/internal/core.h
@@ -60,13 +60,15 @@
     kQuarantineEnd,
     kProbeEnd,
     kRecoveryEnd,
+    kSoundRun,
   };
 
   struct Timer
   {
     Millis at;
     TimerKind kind = TimerKind::kPass;
-    // The worker for `kQuarantineEnd`, the job slot for `kJob` and `kProbeEnd`.
+    // The worker for `kQuarantineEnd`, the job slot for `kJob`, `kProbeEnd` and
+    // `kSoundRun`.
     uint32_t index = 0;
     // `Job::generation` when the timer was set, for timers of a job slot. The
     // timer is ignored if the generation has changed since.
@@ -84,6 +86,15 @@
     Millis expectedStart;
   };
 
+  // A task whose end no report of its worker's incarnation has confirmed.
+  struct UnconfirmedTask
+  {
+    JobId job;
+    Attempt attempt;
+    MemberIndex member;
+    std::optional<Millis> startedAt;
+  };
+
   struct MemberRef
   {
     JobSlot slot = kNoIndex;
@@ -145,6 +156,18 @@
   // Accounts a success that the previous authority did not receive. Returns
   // false if the report is not such a success.
   bool RecoverSuccess(const TaskReport& aReport);
+  // Counts the crash of a worker, last seen alive at `aLastSeen`, against the
+  // jobs whose tasks ran on it.
+  void OnWorkerCrashed(WorkerIndex aWorker,
+                       const std::vector<RunningTask>& aTasks,
+                       Millis aLastSeen);
+  void RecordCrash(JobSlot aSlot, model::WorkerCrash aCrash);
+  void GiveUp(JobSlot aSlot, const char* aReason);
+  void AddUnconfirmedTask(MemberRef aRef);
+  // Sets the timer that clears the job's crashes, if it has any.
+  void WatchForSoundRun(JobSlot aSlot);
+  void OnSoundRunDue(const Timer& aTimer);
+  Millis LastSeen(WorkerIndex aWorker) const;
   void StopUnknownTask(WorkerIndex aWorker, const RunningTask& aTask);
   void AdoptIfComplete(JobSlot aSlot);
   void EndRecovery();
@@ -278,6 +301,9 @@
   JobQueue mQueue;
   RunTimeHistory mRunTimeHistory;
   WorkerFaultDetector mFaultDetector;
+  // Released since the worker was last seen alive, by worker.
+  std::unordered_map<WorkerIndex, std::vector<UnconfirmedTask>>
+    mUnconfirmedTasks;
   Counters mCounters;
   model::Document mDocument;
   std::vector<ZoneId> mZones;
--- a/packages/scheduler/internal/core_gang.cc
+++ b/packages/scheduler/internal/core_gang.cc
@@ -74,7 +74,7 @@
       mask |=
         LowestBits(later & ~free, job.need.accelerators - CountBits(mask));
     }
-    job.members[i] = { worker, MemberState::kClaimed, false, {}, mask };
+    job.members[i] = { worker, MemberState::kClaimed, false, {}, mask, {} };
     if (mOptions.testSwitches.claimCapacity) {
       mWorkers.Claim(worker, job.need, mask);
     }
@@ -228,6 +228,7 @@
   job.phase = Phase::kStarting;
   for (uint32_t i = 0; i < job.members.size(); ++i) {
     job.members[i].state = MemberState::kStarting;
+    job.members[i].startedAt = mNow;
     Emit(SendStart{ AddressOf(job, i),
                     MaskToIndices(job.members[i].mask),
                     mOptions.workerLease.Count(),
@@ -274,6 +275,7 @@
   SetDeadline(aRef.slot, Millis::Max());
   WriteJournal(aRef.slot, JobEventKind::kRunning);
   mCounters.Add(CounterKind::kStarted);
+  WatchForSoundRun(aRef.slot);
   for (const Member& it : job.members) {
     if (mFaultDetector.IsProbing(it.worker)) {
       // A probe lasts at most as long as the first quarantine.
--- a/packages/scheduler/internal/core_jobs.cc
+++ b/packages/scheduler/internal/core_jobs.cc
@@ -144,6 +144,10 @@
   job.workspace = WorkspaceIndex(job.spec.workspace);
   job.submittedAt = aEvent.submittedAt;
   job.checkpoint = aEvent.checkpoint;
+  job.crashes = aEvent.crashes;
+  for (const model::WorkerCrash& it : job.crashes.Crashes()) {
+    job.crashedWorkers.insert(it.worker);
+  }
   MemberResources need = MemberResourcesOf(job.spec);
   if (reported) {
     // The job's tasks were announced before its assignment; account their
@@ -390,6 +394,7 @@
       OnMemberCheckpointed(*ref, aEvent.checkpoint);
       break;
     case TaskState::kStopped:
+      AddUnconfirmedTask(*ref);
       ReleaseMember(ref->slot, ref->member, MemberState::kReleased);
       if (mJobs[ref->slot].phase != Phase::kStopping) {
         StopGang(ref->slot,
--- a/packages/scheduler/internal/core_pass.cc
+++ b/packages/scheduler/internal/core_pass.cc
@@ -19,7 +19,8 @@
 constexpr std::size_t kMaxCandidates = 512;
 // Jobs with a longer predicted run time count as long.
 constexpr Millis kLongRunTime = Minutes(30);
-// How long after its earliest restart a job avoids workers on which it failed.
+// How long after its earliest restart a job avoids workers on which it failed
+// or which crashed under it.
 constexpr Millis kFailedWorkerAvoidance = Minutes(1);
 
 } // namespace
@@ -80,7 +81,9 @@
                    job.need,
                    static_cast<int>(job.spec.topologyScope),
                    urgent);
-    if (job.failedWorkers.empty() && failedRequests.count(key) != 0) {
+    bool avoidsWorkers =
+      !job.failedWorkers.empty() || !job.crashedWorkers.empty();
+    if (!avoidsWorkers && failedRequests.count(key) != 0) {
       continue;
     }
     if (searches >= mOptions.maxJobsPerPass) {
@@ -128,11 +131,14 @@
 bool
 Core::AvoidsWorker(const Job& aJob, WorkerIndex aWorker) const
 {
-  return !aJob.failedWorkers.empty() &&
-         mNow < aJob.notBefore + kFailedWorkerAvoidance &&
-         std::find(aJob.failedWorkers.begin(),
-                   aJob.failedWorkers.end(),
-                   aWorker) != aJob.failedWorkers.end();
+  if (mNow >= aJob.notBefore + kFailedWorkerAvoidance) {
+    return false;
+  }
+  bool failed =
+    std::find(aJob.failedWorkers.begin(), aJob.failedWorkers.end(), aWorker) !=
+    aJob.failedWorkers.end();
+  return failed || (!aJob.crashedWorkers.empty() &&
+                    aJob.crashedWorkers.contains(mWorkers.At(aWorker).id));
 }
 
 // Tries, in this order: the workspace's own cells, a cell moved to free
--- a/packages/scheduler/internal/core_workers.cc
+++ b/packages/scheduler/internal/core_workers.cc
@@ -12,6 +12,8 @@
 {
   WorkerIndex index = mWorkers.Find(aEvent.worker);
   bool same = false;
+  bool crashed = false;
+  Millis lastSeen;
   if (index != kNoIndex) {
     const Worker& old = mWorkers.At(index);
     if (aEvent.incarnation < old.incarnation) {
@@ -19,9 +21,15 @@
       return;
     }
     same = aEvent.incarnation == old.incarnation;
+    crashed = !same;
+    lastSeen = LastSeen(index);
   }
   index = mWorkers.Announce(aEvent);
   mLeases.Renew(index, mNow);
+  if (crashed) {
+    OnWorkerCrashed(index, aEvent.tasks, lastSeen);
+  }
+  mUnconfirmedTasks.erase(index);
   Reconcile(index, aEvent.tasks, same);
   mRepairNeeded = true;
   mPassNeeded = true;
@@ -37,6 +45,7 @@
     return;
   }
   mLeases.Renew(index, mNow);
+  mUnconfirmedTasks.erase(index);
   mWorkers.SetCpuUsage(index, aEvent.cpuUsage);
 }
 
@@ -96,6 +105,7 @@
   std::vector<TaskRef> tasks = mWorkers.At(aWorker).tasks;
   for (const TaskRef& task : tasks) {
     if (mJobs[task.job].members[task.member].state == MemberState::kLeaseLost) {
+      AddUnconfirmedTask({ task.job, task.member });
       ReleaseMember(task.job, task.member, MemberState::kReleased);
       FinishIfStopped(task.job);
     }
@@ -160,6 +170,169 @@
   }
 }
 
+Millis
+Core::LastSeen(WorkerIndex aWorker) const
+{
+  return mLeases.End(aWorker) - mOptions.workerLease;
+}
+
+// Remembers a task that its worker may have lost in a crash: the lease has
+// ended, or the answer to a stop may be that of the next incarnation.
+void
+Core::AddUnconfirmedTask(MemberRef aRef)
+{
+  const Job& job = mJobs[aRef.slot];
+  const Member& member = job.members[aRef.member];
+  bool seenSinceStart =
+    !member.startedAt || LastSeen(member.worker) > *member.startedAt;
+  if (job.assigned &&
+      (member.state == MemberState::kLeaseLost || !seenSinceStart)) {
+    mUnconfirmedTasks[member.worker].push_back(
+      { job.id, job.attempt, MemberIndex(aRef.member), member.startedAt });
+  }
+}
+
+void
+Core::OnWorkerCrashed(WorkerIndex aWorker,
+                      const std::vector<RunningTask>& aTasks,
+                      Millis aLastSeen)
+{
+  std::vector<UnconfirmedTask> lost;
+  if (auto it = mUnconfirmedTasks.find(aWorker);
+      it != mUnconfirmedTasks.end()) {
+    lost = it->second;
+  }
+  for (const TaskRef& task : mWorkers.At(aWorker).tasks) {
+    const Job& job = mJobs[task.job];
+    if (task.member >= job.members.size() ||
+        !MayBeExecuting(job.members[task.member].state)) {
+      continue;
+    }
+    // The new incarnation may have started a task before it announced itself.
+    bool listed =
+      std::any_of(aTasks.begin(), aTasks.end(), [&](const RunningTask& it) {
+        return it.job == job.id && it.attempt == job.attempt &&
+               it.member.Value() == task.member;
+      });
+    if (!listed) {
+      lost.push_back({ job.id,
+                       job.attempt,
+                       MemberIndex(task.member),
+                       job.members[task.member].startedAt });
+    }
+  }
+  bool alone =
+    std::all_of(lost.begin(), lost.end(), [&](const UnconfirmedTask& it) {
+      return it.job == lost.front().job;
+    });
+  if (!lost.empty()) {
+    mCounters.Add(CounterKind::kWorkerCrashed);
+  }
+  for (const UnconfirmedTask& it : lost) {
+    auto slot = mSlotById.find(it.job);
+    if (slot == mSlotById.end()) {
+      continue;
+    }
+    bool afterStart =
+      it.startedAt && aLastSeen < *it.startedAt + mOptions.crashAfterStart;
+    RecordCrash(
+      slot->second,
+      { it.attempt, it.member, mWorkers.At(aWorker).id, afterStart, alone });
+  }
+}
+
+void
+Core::RecordCrash(JobSlot aSlot, model::WorkerCrash aCrash)
+{
+  Job& job = mJobs[aSlot];
+  if (!job.assigned || job.phase == Phase::kEnding ||
+      !job.crashes.Add(aCrash)) {
+    return;
+  }
+  job.crashedWorkers.insert(aCrash.worker);
+  JobEvent event;
+  event.job = job.id;
+  event.attempt = job.attempt;
+  event.kind = JobEventKind::kWorkerCrashed;
+  event.at = mNow;
+  event.crash = std::move(aCrash);
+  Emit(WriteJournalRecord{ RecordId(++mRecordCount), std::move(event) });
+  if (job.crashes.Reaches(mOptions.crashLimits)) {
+    mCounters.Add(CounterKind::kGivenUpAfterCrashes);
+    GiveUp(aSlot, "crashed_workers");
+    return;
+  }
+  job.notBefore =
+    std::max(job.notBefore,
+             mNow + mOptions.retryDelay *
+                      static_cast<int64_t>(job.crashes.Crashes().size()));
+  WatchForSoundRun(aSlot);
+}
+
+// Ends the job as failed once its tasks have stopped.
+void
+Core::GiveUp(JobSlot aSlot, const char* aReason)
+{
+  Job& job = mJobs[aSlot];
+  switch (job.phase) {
+    case Phase::kEnding:
+      return;
+    case Phase::kClaiming:
+      DropClaims(aSlot, aReason);
+      break;
+    case Phase::kQueued:
+      break;
+    default:
+      // If the `kStarting` record is still pending, it must no longer start the
+      // gang.
+      mPendingRecords.erase(job.record);
+      job.reason = aReason;
+      StopGang(aSlot, AfterStop::kFail, aReason);
+      return;
+  }
+  EndJob(aSlot, JobEventKind::kFailed, aReason);
+}
+
+void
+Core::WatchForSoundRun(JobSlot aSlot)
+{
+  const Job& job = mJobs[aSlot];
+  if (job.phase == Phase::kRunning && !job.crashes.Crashes().empty()) {
+    Millis due = std::max(job.startedAt + mOptions.soundRunTime, mNow);
+    mTimers.push({ due, TimerKind::kSoundRun, aSlot, job.attempt.Value() });
+  }
+}
+
+void
+Core::OnSoundRunDue(const Timer& aTimer)
+{
+  JobSlot slot = aTimer.index;
+  Job& job = mJobs[slot];
+  bool runs = job.phase == Phase::kRunning ||
+              job.phase == Phase::kCheckpointing ||
+              job.phase == Phase::kThrottling;
+  if (!job.occupied || job.attempt.Value() != aTimer.generation || !runs) {
+    return;
+  }
+  Millis soundAt = job.startedAt + mOptions.soundRunTime;
+  bool seen =
+    std::all_of(job.members.begin(), job.members.end(), [&](const Member& it) {
+      return it.state != MemberState::kRunning ||
+             LastSeen(it.worker) >= soundAt;
+    });
+  if (!seen) {
+    mTimers.push({ mNow + mOptions.workerLease / 3,
+                   TimerKind::kSoundRun,
+                   slot,
+                   job.attempt.Value() });
+    return;
+  }
+  if (job.crashes.ClearBefore(job.attempt)) {
+    job.crashedWorkers.clear();
+    WriteJournal(slot, JobEventKind::kSound);
+  }
+}
+
 void
 Core::StopUnknownTask(WorkerIndex aWorker, const RunningTask& aTask)
 {
@@ -213,9 +386,9 @@
   if (mask == 0) {
     mask = LowestBits(worker.FreeMask(), job.need.accelerators);
   }
-  job.members[index] = {
-    aWorker, MemberState::kRunning, false, NextToken(), mask
-  };
+  job.members[index] = { aWorker, MemberState::kRunning,
+                         false,   NextToken(),
+                         mask,    {} };
   mWorkers.Allocate(aWorker, job.need, mask, { slot, index }, false);
   mRackRunTimeMix.Add(worker.rack, job.longRunning, job.need.accelerators);
   if (job.assigned) {
@@ -283,6 +456,7 @@
   mCounters.Add(CounterKind::kAdopted);
   MakeGuaranteedIfCovered(aSlot);
   WriteJournal(aSlot, JobEventKind::kRunning);
+  WatchForSoundRun(aSlot);
   if (AllMembers(job, MemberState::kSucceeded)) {
     Succeed(aSlot);
   }
--- a/packages/scheduler/options.h
+++ b/packages/scheduler/options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "model/crash_history.h"
 
 #include <cstdint>
 
@@ -73,6 +74,13 @@
   // after `maxFailedAttempts` failed attempts.
   uint32_t maxFailedWorkers = 3;
   uint32_t maxFailedAttempts = 8;
+  // A job fails permanently when crashes of its workers reach these limits.
+  model::CrashLimits crashLimits;
+  // A worker that is not seen alive later than this after the start of a task
+  // has crashed right after the start.
+  Millis crashAfterStart = Seconds(5);
+  // A run of this length clears the crashes under earlier attempts.
+  Millis soundRunTime = Seconds(30);
   // Duration of a worker's first quarantine. It doubles after each failed
   // probe, up to `maxQuarantine`.
   Millis initialQuarantine = Minutes(2);
--- a/packages/scheduler/scheduler_random_test.cc
+++ b/packages/scheduler/scheduler_random_test.cc
@@ -20,6 +20,8 @@
   double messageLoss = 0.02;
   bool authorityChanges = true;
   bool workerFailures = true;
+  // Some jobs crash the workers of their members after each start.
+  bool deadlyJobs = false;
   // As in `ClusterOptions`.
   double clockDrift = 0.01;
   Millis length = Minutes(20);
@@ -97,6 +99,11 @@
     model::JobSpec spec = MakeSpec(random);
     JobBehavior behavior{ Seconds(random.Between(1, 200)),
                           random.Chance(0.04) };
+    if (aScenario.deadlyJobs && random.Chance(0.03)) {
+      behavior.crashesWorkerAfter = Millis(random.Between(0, 3000));
+      behavior.crashingMembers = { static_cast<uint32_t>(
+        random.Below(spec.members)) };
+    }
     aCluster.RunAt(at, [&aCluster, id, spec, behavior] {
       aCluster.Submit(id, spec, behavior);
     });
@@ -141,6 +148,9 @@
   std::vector<std::string> unfinished;
   uint64_t steps = 0;
   std::size_t succeeded = 0;
+  std::size_t deadlyFailed = 0;
+  // The most crashes that one member of a job has caused.
+  uint32_t maxCrashesOfMember = 0;
 };
 
 Outcome
@@ -176,6 +186,12 @@
   out.steps = cluster.Steps();
   for (const auto& [id, record] : cluster.Jobs()) {
     out.succeeded += record.succeeded ? 1 : 0;
+    bool givenUp = record.endKind == JobEventKind::kFailed &&
+                   record.behavior.crashesWorkerAfter;
+    out.deadlyFailed += givenUp ? 1 : 0;
+    for (const auto& [member, crashes] : record.crashesByMember) {
+      out.maxCrashesOfMember = std::max(out.maxCrashesOfMember, crashes);
+    }
     auto view = cluster.GetScheduler().FindJob(id);
     if (!record.endKind) {
       out.unfinished.push_back(
@@ -229,6 +245,27 @@
   }
 }
 
+// Guards against deadly jobs that start again without limit, and against other
+// jobs that never finish because of them, under combined failures. The bound on
+// the starts leaves room for crashes that a change of the authority hides.
+TEST(SchedulerRandom, DeadlyJobsEndAndOthersFinish)
+{
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    Scenario scenario;
+    scenario.seed = seed;
+    scenario.authorityChanges = seed % 2 == 0;
+    scenario.deadlyJobs = true;
+    Outcome out = RunScenario(scenario);
+    EXPECT_TRUE(out.violations.empty()) << "seed " << seed << "\n"
+                                        << Join(out.violations);
+    EXPECT_TRUE(out.unfinished.empty()) << "seed " << seed << "\n"
+                                        << Join(out.unfinished);
+    EXPECT_GT(out.succeeded, 50U) << "seed " << seed;
+    EXPECT_GT(out.deadlyFailed, 0U) << "seed " << seed;
+    EXPECT_LE(out.maxCrashesOfMember, 8U) << "seed " << seed;
+  }
+}
+
 // Runs up to 12 seeds with the given safety mechanisms disabled. Returns true
 // at the first violation that contains `aKind`, and false if there is none.
 bool
--- a/packages/scheduler/scheduler_test.cc
+++ b/packages/scheduler/scheduler_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace limpetwood::scheduler {
 namespace {
 
@@ -238,6 +240,227 @@
   }
 }
 
+// Returns the index of the worker of the job's first member.
+std::size_t
+WorkerOf(Cluster& aCluster, const char* aJob)
+{
+  auto view = aCluster.GetScheduler().FindJob(JobId(aJob));
+  std::size_t index = 0;
+  while (view && !view->workers.empty() && index < aCluster.Workers().size() &&
+         aCluster.Workers()[index].description.worker != view->workers[0]) {
+    ++index;
+  }
+  return index;
+}
+
+JobBehavior
+CrashesWorkerAfter(Millis aDelay)
+{
+  JobBehavior behavior;
+  behavior.runTime = Hours(10);
+  behavior.crashesWorkerAfter = aDelay;
+  return behavior;
+}
+
+// Guards against a task that crashes worker after worker without limit. It
+// crashes before or after the worker has acknowledged the start, or so late
+// that the start has timed out, and the worker is back before or after the end
+// of its lease.
+TEST(WorkerCrash, EndsJobThatCrashesTwoWorkersOnItsOwn)
+{
+  for (Millis delay : { Millis(0), Millis(1500), Millis(3000) }) {
+    for (Millis restart : { Millis(500), Seconds(3), Seconds(25) }) {
+      ClusterOptions options;
+      options.workerRestartTime = restart;
+      Cluster cluster(options);
+      cluster.Configure(SmallZone(2));
+      cluster.AddWorkers();
+      cluster.RunUntil(Seconds(1));
+      cluster.Submit(
+        JobId("deadly"), Gang("b", 1, 4), CrashesWorkerAfter(delay));
+      cluster.RunUntil(Minutes(10));
+      const testing::JobRecord& record = cluster.Jobs().at(JobId("deadly"));
+      EXPECT_EQ(record.endKind, JobEventKind::kFailed);
+      EXPECT_EQ(record.reason, "crashed_workers");
+      // A worker that is not back by the end of its lease has crashed or is cut
+      // off; the job starts elsewhere before the difference is known.
+      bool backInTime = restart < options.scheduler.workerLease;
+      EXPECT_EQ(record.lastStartedAttempt, Attempt(backInTime ? 2 : 3))
+        << delay.Count() << " ms, " << restart.Count() << " ms";
+      EXPECT_TRUE(cluster.Violations().empty());
+    }
+  }
+}
+
+// Guards against a deadly task among sound ones that is never found out, and
+// against sound jobs that are given up because of it.
+TEST(WorkerCrash, EndsDeadlyJobThatSharesItsWorkers)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(1));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  for (int i = 0; i < 8; ++i) {
+    cluster.Submit(
+      JobId("s" + std::to_string(i)), Gang("b", 1, 1), { Minutes(5), false });
+  }
+  cluster.RunUntil(Minutes(1));
+  cluster.Submit(
+    JobId("deadly"), Gang("b", 1, 1), CrashesWorkerAfter(Millis(10)));
+  cluster.RunUntil(Hours(1));
+  const testing::JobRecord& record = cluster.Jobs().at(JobId("deadly"));
+  EXPECT_EQ(record.endKind, JobEventKind::kFailed);
+  EXPECT_LE(record.lastStartedAttempt, Attempt(3));
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(cluster.Jobs().at(JobId("s" + std::to_string(i))).succeeded);
+  }
+}
+
+// Guards against a gang of which one member crashes its worker in each attempt.
+TEST(WorkerCrash, EndsGangWithDeadlyMember)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  JobBehavior behavior = CrashesWorkerAfter(Millis(10));
+  behavior.crashingMembers = { 2 };
+  cluster.Submit(JobId("deadly"), Gang("b", 3, 4), behavior);
+  cluster.RunUntil(Minutes(10));
+  const testing::JobRecord& record = cluster.Jobs().at(JobId("deadly"));
+  EXPECT_EQ(record.endKind, JobEventKind::kFailed);
+  EXPECT_EQ(record.lastStartedAttempt, Attempt(2));
+}
+
+// Guards against a gang that is given up after one attempt because the same
+// cause took down the workers of several members.
+TEST(WorkerCrash, MembersOfOneAttemptAreCountedApart)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  cluster.Submit(JobId("gang"), Gang("b", 4, 4), { Minutes(1), false });
+  cluster.RunUntil(Seconds(2));
+  auto view = cluster.GetScheduler().FindJob(JobId("gang"));
+  ASSERT_TRUE(view);
+  ASSERT_EQ(view->workers.size(), 4U);
+  for (std::size_t i = 0; i < cluster.Workers().size(); ++i) {
+    const WorkerId& id = cluster.Workers()[i].description.worker;
+    if (std::find(view->workers.begin(), view->workers.end(), id) !=
+        view->workers.end()) {
+      cluster.Crash(i);
+    }
+  }
+  cluster.RunUntil(Minutes(5));
+  EXPECT_TRUE(cluster.Jobs().at(JobId("gang")).succeeded);
+}
+
+// Guards against a task that lasts and crashes its worker each time some
+// seconds after its start.
+TEST(WorkerCrash, EndsLastingJobAfterFiveCrashes)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  cluster.Submit(
+    JobId("deadly"), Gang("b", 1, 4), CrashesWorkerAfter(Seconds(20)));
+  cluster.RunUntil(Minutes(30));
+  const testing::JobRecord& record = cluster.Jobs().at(JobId("deadly"));
+  EXPECT_EQ(record.endKind, JobEventKind::kFailed);
+  EXPECT_EQ(record.lastStartedAttempt, Attempt(5));
+}
+
+// Guards against a change of the authority that forgets the crashes.
+TEST(WorkerCrash, CountHoldsAcrossChangeOfAuthority)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  cluster.Submit(
+    JobId("deadly"), Gang("b", 1, 4), CrashesWorkerAfter(Millis(10)));
+  // The worker is back after 3 s; the second attempt follows a second later.
+  cluster.RunUntil(Millis(4500));
+  ASSERT_EQ(cluster.Jobs().at(JobId("deadly")).crashes.Crashes().size(), 1U);
+  cluster.ChangeAuthority();
+  cluster.RunUntil(Minutes(10));
+  const testing::JobRecord& record = cluster.Jobs().at(JobId("deadly"));
+  EXPECT_EQ(record.endKind, JobEventKind::kFailed);
+  EXPECT_EQ(record.lastStartedAttempt, Attempt(2));
+}
+
+// Guards against a sound job that is given up because its only worker crashed
+// twice for another cause.
+TEST(WorkerCrash, SoundJobSurvivesTwoCrashesOfOneWorker)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(1));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  for (std::size_t i = 1; i < 4; ++i) {
+    cluster.Kill(i);
+  }
+  cluster.RunUntil(Seconds(30));
+  cluster.Submit(JobId("sound"), Gang("b", 1, 4), { Minutes(1), false });
+  for (int i = 0; i < 2; ++i) {
+    while (cluster.GetScheduler().FindJob(JobId("sound"))->state !=
+           model::JobState::kRunning) {
+      cluster.RunUntil(cluster.Now() + Seconds(1));
+      ASSERT_LT(cluster.Now(), Minutes(10));
+    }
+    cluster.Crash(0);
+    cluster.RunUntil(cluster.Now() + Seconds(4));
+  }
+  cluster.RunUntil(Minutes(20));
+  const testing::JobRecord& record = cluster.Jobs().at(JobId("sound"));
+  EXPECT_TRUE(record.succeeded);
+  EXPECT_EQ(record.lastStartedAttempt, Attempt(3));
+}
+
+// Guards against crashes of weeks that add up: a run of 30 s shows that the
+// start of the job is sound.
+TEST(WorkerCrash, RunOfThirtySecondsClearsTheCount)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  cluster.Submit(JobId("sound"), Gang("b", 1, 4), { Minutes(2), false });
+  for (int i = 0; i < 8; ++i) {
+    cluster.RunUntil(cluster.Now() + Minutes(1));
+    std::size_t worker = WorkerOf(cluster, "sound");
+    ASSERT_LT(worker, cluster.Workers().size());
+    cluster.Crash(worker);
+  }
+  cluster.RunUntil(Minutes(20));
+  EXPECT_TRUE(cluster.Jobs().at(JobId("sound")).succeeded);
+}
+
+// Guards against a partition that is taken for a crash: the worker is silent
+// past the end of its lease and comes back with the same incarnation.
+TEST(WorkerCrash, PartitionsAreNotCounted)
+{
+  Cluster cluster({});
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  cluster.RunUntil(Seconds(1));
+  cluster.Submit(JobId("sound"), Gang("b", 1, 4), { Minutes(1), false });
+  for (int i = 0; i < 6; ++i) {
+    cluster.RunUntil(cluster.Now() + Seconds(3));
+    std::size_t worker = WorkerOf(cluster, "sound");
+    ASSERT_LT(worker, cluster.Workers().size());
+    cluster.Isolate(worker, true);
+    cluster.RunUntil(cluster.Now() + Seconds(25));
+    cluster.Isolate(worker, false);
+  }
+  cluster.RunUntil(Minutes(20));
+  const testing::JobRecord& record = cluster.Jobs().at(JobId("sound"));
+  EXPECT_TRUE(record.succeeded);
+  EXPECT_GE(record.lastStartedAttempt, Attempt(6));
+}
+
 // Guards against jobs that wait indefinitely although no worker can ever run
 // them.
 TEST(Queue, MarksImpossibleJobsAtOnce)
--- a/packages/scheduler/testing/cluster.cc
+++ b/packages/scheduler/testing/cluster.cc
@@ -115,7 +115,7 @@
   record.behavior = aBehavior;
   record.submittedAt = mNow;
   mJobs[aId] = std::move(record);
-  Step(JobAssigned{ aId, aSpec, mNow, Attempt(0), "" });
+  Step(JobAssigned{ aId, aSpec, mNow, Attempt(0), "", {} });
 }
 
 void
@@ -148,6 +148,19 @@
   worker.description.incarnation = worker.description.incarnation.Next();
 }
 
+void
+Cluster::Crash(std::size_t aWorker)
+{
+  if (!mWorkers[aWorker].up) {
+    return;
+  }
+  Kill(aWorker);
+  RunAt(mNow + mOptions.workerRestartTime, [this, aWorker] {
+    Restart(aWorker);
+    SendRenewal(aWorker);
+  });
+}
+
 void
 Cluster::ChangeAuthority()
 {
@@ -168,7 +181,8 @@
                           job.spec,
                           job.submittedAt,
                           job.lastStartedAttempt,
-                          job.checkpoint });
+                          job.checkpoint,
+                          job.crashes });
       }
     });
   }
@@ -346,6 +360,12 @@
     case JobEventKind::kStopped:
       record.checkpoint = event.checkpoint;
       break;
+    case JobEventKind::kWorkerCrashed:
+      record.crashes.Add(*event.crash);
+      break;
+    case JobEventKind::kSound:
+      record.crashes.ClearBefore(event.attempt);
+      break;
     default:
       record.endKind = event.kind;
       record.reason = event.reason;
@@ -413,6 +433,18 @@
                                      aStart.task.attempt,
                                      aStart.task.member,
                                      aStart.task.token });
+  if (behavior.crashesWorkerAfter &&
+      behavior.crashingMembers.contains(aStart.task.member.Value())) {
+    RunAt(mNow + *behavior.crashesWorkerAfter,
+          [this, aWorker, key, runSerial = task.runSerial] {
+            auto running = mWorkers[aWorker].tasks.find(key);
+            if (running != mWorkers[aWorker].tasks.end() &&
+                running->second.runSerial == runSerial) {
+              ++mJobs[JobId(key.first)].crashesByMember[key.second];
+              Crash(aWorker);
+            }
+          });
+  }
   bool fails = worker.faulty || behavior.faulty;
   Millis length = std::max(Millis(1), behavior.runTime - task.resumedProgress);
   if (fails) {
@@ -468,8 +500,14 @@
 void
 Cluster::Renew(std::size_t aWorker)
 {
-  SimWorker& worker = mWorkers[aWorker];
   RunAt(mNow + kRenewalInterval, [this, aWorker] { Renew(aWorker); });
+  SendRenewal(aWorker);
+}
+
+void
+Cluster::SendRenewal(std::size_t aWorker)
+{
+  SimWorker& worker = mWorkers[aWorker];
   if (!worker.up || worker.isolated || mRandom.Chance(mOptions.messageLoss)) {
     return;
   }
--- a/packages/scheduler/testing/cluster.h
+++ b/packages/scheduler/testing/cluster.h
@@ -29,6 +29,11 @@
   Millis runTime = Minutes(1);
   // Every attempt fails after 0.5 s to 3 s.
   bool faulty = false;
+  // Each task of these members ends the process of its worker this long after
+  // its start. The worker is back with its next incarnation after
+  // `ClusterOptions::workerRestartTime`.
+  std::optional<Millis> crashesWorkerAfter{};
+  std::set<uint32_t> crashingMembers = { 0 };
 };
 
 struct ClusterOptions
@@ -43,6 +48,7 @@
   // Maximum deviation of a worker's clock rate, as a share; 0.01 is 1 %.
   double clockDrift = 0;
   Millis checkpointTime = Millis(200);
+  Millis workerRestartTime = Seconds(3);
   // Check for violations after each event; disabled in benchmarks.
   bool check = true;
   SchedulerOptions scheduler;
@@ -90,6 +96,9 @@
   // The highest attempt with a durable `kStarting` record.
   Attempt lastStartedAttempt;
   std::string checkpoint;
+  model::CrashHistory crashes;
+  // Crashes that the job's tasks have caused, by member.
+  std::map<uint32_t, uint32_t> crashesByMember;
   std::optional<JobEventKind> endKind;
   std::string reason;
   // Times recorded in the journal; -1 ms if not recorded.
@@ -118,6 +127,9 @@
   void Restart(std::size_t aWorker);
   // Stops the worker; its tasks and unsent reports are lost.
   void Kill(std::size_t aWorker);
+  // Kills the worker and starts its next incarnation, which announces itself,
+  // after `ClusterOptions::workerRestartTime`. Does nothing if it is down.
+  void Crash(std::size_t aWorker);
   // Replaces the scheduler by one with the next epoch. Open jobs are assigned
   // again within 3 s, some of them after the workers have announced their
   // tasks.
@@ -166,7 +178,11 @@
   void SendToScheduler(std::size_t aWorker, T aEvent);
   void SendToWorker(const TaskAddress& aTask,
                     std::function<void(SimWorker&, std::size_t)> aAction);
+  // Renews the lease of the worker now and every 5 s.
   void Renew(std::size_t aWorker);
+  // Sends one renewal, or an announcement if the scheduler does not know the
+  // worker.
+  void SendRenewal(std::size_t aWorker);
   void CheckLease(std::size_t aWorker);
   void StartTask(std::size_t aWorker, const SendStart& aStart);
   // `aKey` is the job id and the member index.
--- a/packages/scheduler/views.cc
+++ b/packages/scheduler/views.cc
@@ -32,7 +32,9 @@
                "backfilled",
                "quarantined",
                "readmitted",
-               "adopted" };
+               "adopted",
+               "worker_crashed",
+               "given_up_after_crashes" };
   return kNames.at(static_cast<std::size_t>(aCounter));
 }
 
--- a/packages/scheduler/views.h
+++ b/packages/scheduler/views.h
@@ -84,6 +84,8 @@
   kQuarantined,
   kReadmitted,
   kAdopted,
+  kWorkerCrashed,
+  kGivenUpAfterCrashes,
   kSize,
 };
 
