Let tasks crash workers and capacities change in the emulator

The emulator knew workers that hang, slow down, fail or are lost, but none that a task crashes or whose capacity changes.

Adds the disturbances kDeadly (of a share of the first class's jobs the last task crashes its workers; these jobs earn nothing and are not missed) and kResize, the patterns "deadly" and "resize", and columns for workers crashed, sound jobs failed, starts over a worker's capacity and starts beyond the limit on crashes.

--- a/packages/fleet/experiment/emulator.cc
+++ b/packages/fleet/experiment/emulator.cc
@@ -14,6 +14,13 @@
 constexpr double kMultiRackSlowdown = 3;
 // A result has no value when its latency exceeds the objective by this factor.
 constexpr int64_t kMaxLatenessFactor = 3;
+// Time within which a smaller capacity must be respected.
+constexpr Millis kResizeGracePeriod = Seconds(3) + kReportInterval;
+constexpr int64_t kResizeDivisor = 8;
+// After this many workers crashed under a deadly task, it may be started this
+// many times more.
+constexpr size_t kCrashLimit = 3;
+constexpr size_t kMaxStartsAfterLimit = 2;
 const ServiceId kService("service");
 
 DispatcherOptions
@@ -51,6 +58,7 @@
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.seed)
   , mStopTimes(mOptions.seed + 1)
+  , mCrashes(mOptions.seed + 2)
   , mDispatcher(DispatcherOptionsFor(mOptions), mState, FencingToken(1), mNow)
 {
   for (size_t n = 0; n < mOptions.workers; ++n) {
@@ -59,9 +67,14 @@
     report.incarnation = Incarnation(1);
     report.service = kService;
     report.rack = RackId("r" + std::to_string(n / mOptions.workersPerRack));
+    report.address = "a" + std::to_string(n);
     report.capacity = mOptions.capacity;
     mWorkers[report.id].report = report;
   }
+  size_t position = 0;
+  for (auto& [id, worker] : mWorkers) {
+    worker.position = position++;
+  }
   gen::Configuration configuration;
   configuration.version = 1;
   gen::Workspace workspace;
@@ -80,6 +93,7 @@
   Millis end = mBegin + mOptions.duration + mOptions.drainTime;
   for (; mNow < end; mNow += kTickInterval) {
     ApplyDisturbances();
+    CrashWorkers();
     if (mNow < mBegin + mOptions.duration) {
       SubmitArrivals();
     }
@@ -106,7 +120,7 @@
     AccountEndedJobs();
   }
   for (auto& [id, job] : mJobs) {
-    if (!job.accounted) {
+    if (!job.accounted && !job.deadly) {
       ++mOutcomes.classes[job.jobClass->name].withoutValue;
     }
   }
@@ -185,6 +199,15 @@
                      static_cast<double>(work.Count()) * aClass.stretch));
   // Larger jobs have more value, up to four times the mean size.
   info.value = 0.3 + 0.7 * std::min(step.tasks / aClass.meanTasks, 4.0);
+  for (const Disturbance& it : mOptions.disturbances) {
+    bool active = it.kind == Disturbance::Kind::kDeadly &&
+                  mNow >= mBegin + it.at && mNow < mBegin + it.at + it.duration;
+    info.deadly = info.deadly || (active && &aClass == &mOptions.classes[0] &&
+                                  mCrashes.Chance(it.share));
+  }
+  if (info.deadly) {
+    return;
+  }
   ClassOutcome& outcome = mOutcomes.classes[aClass.name];
   ++outcome.jobs;
   outcome.maxValue += aClass.value * info.value;
@@ -200,18 +223,23 @@
       continue;
     }
     auto count =
-      static_cast<size_t>(it.share * static_cast<double>(mWorkers.size()));
+      static_cast<size_t>(it.share * static_cast<double>(mOptions.workers));
     // Workers are chosen at regular intervals, so that the same ones recover at
     // the end.
     size_t gap =
-      std::max<size_t>(1, mWorkers.size() / std::max<size_t>(1, count));
-    size_t n = 0;
+      std::max<size_t>(1, mOptions.workers / std::max<size_t>(1, count));
     for (auto& [id, worker] : mWorkers) {
-      if (n++ % gap != 0) {
+      if (worker.position % gap != 0) {
         continue;
       }
       switch (it.kind) {
         case Disturbance::Kind::kBurst:
+        case Disturbance::Kind::kDeadly:
+          break;
+        case Disturbance::Kind::kResize:
+          Resize(worker,
+                 mOptions.capacity.accelerators /
+                   (begins ? kResizeDivisor : 1));
           break;
         case Disturbance::Kind::kHang:
           worker.hanging = begins;
@@ -235,6 +263,112 @@
   }
 }
 
+void
+Emulator::Resize(WorkerState& aWorker, int64_t aAccelerators)
+{
+  aWorker.earlierAccelerators = aWorker.report.capacity.accelerators;
+  aWorker.earlierCapacityUntil = mNow + kResizeGracePeriod;
+  aWorker.report.capacity.accelerators = aAccelerators;
+}
+
+bool
+Emulator::CrashesWorker(const TaskRef& aTask) const
+{
+  const Job* job = mState.FindJob(aTask.job);
+  return mJobs.at(aTask.job).deadly && job != nullptr &&
+         aTask.index + 1 == job->spec.steps[aTask.step].tasks;
+}
+
+void
+Emulator::CrashWorkers()
+{
+  std::vector<WorkerState*> crashed;
+  std::vector<WorkerState*> restarted;
+  for (auto& [id, worker] : mWorkers) {
+    bool crashes = std::any_of(
+      worker.runs.begin(), worker.runs.end(), [&](const auto& aRun) {
+        return aRun.second.crashAt <= mNow;
+      });
+    if (crashes) {
+      crashed.push_back(&worker);
+    } else if (worker.restartAt <= mNow) {
+      restarted.push_back(&worker);
+    }
+  }
+  for (WorkerState* it : crashed) {
+    Crash(*it);
+  }
+  for (WorkerState* it : restarted) {
+    Restart(*it);
+  }
+}
+
+void
+Emulator::Crash(WorkerState& aWorker)
+{
+  ++mOutcomes.workersCrashed;
+  aWorker.alive = false;
+  aWorker.restartAt = mNow + mCrashes.Between(Millis(500), Seconds(3));
+  for (const auto& [task, run] : aWorker.runs) {
+    if (CrashesWorker(task)) {
+      ++mCrashRecords[task].crashes;
+    }
+  }
+  while (!aWorker.runs.empty()) {
+    auto [task, run] = *aWorker.runs.begin();
+    EndRun(aWorker, task, EndKind::kLost, true);
+    if (run.spec->steps[task.step].gang) {
+      EndGang(run, EndKind::kGangMemberEnded);
+    }
+  }
+  aWorker.ended.clear();
+}
+
+void
+Emulator::Restart(WorkerState& aWorker)
+{
+  aWorker.restartAt = Millis::Max();
+  WorkerState next;
+  next.position = aWorker.position;
+  next.report = aWorker.report;
+  next.report.incarnation = Incarnation(mNow.Count());
+  next.report.sequence = 0;
+  next.earlierCapacityUntil = aWorker.earlierCapacityUntil;
+  next.earlierAccelerators = aWorker.earlierAccelerators;
+  if (mCrashes.Chance(0.5)) {
+    aWorker = std::move(next);
+    return;
+  }
+  aWorker.replaced = true;
+  next.report.id =
+    WorkerId(aWorker.report.id.Value() + "." + std::to_string(mNow.Count()));
+  mWorkers[next.report.id] = std::move(next);
+}
+
+void
+Emulator::CheckStart(const WorkerState& aWorker, const TaskRef& aTask)
+{
+  for (const auto& [id, other] : mWorkers) {
+    mOutcomes.violations += other.runs.contains(aTask) ? 1 : 0;
+  }
+  int64_t limit = aWorker.report.capacity.accelerators;
+  if (mNow < aWorker.earlierCapacityUntil) {
+    limit = std::max(limit, aWorker.earlierAccelerators);
+  }
+  const JobSpec& spec = mState.FindJob(aTask.job)->spec;
+  int64_t used =
+    aWorker.usedAccelerators + spec.steps[aTask.step].resources.accelerators;
+  mOutcomes.limitViolations += used > limit ? 1 : 0;
+  if (!CrashesWorker(aTask)) {
+    return;
+  }
+  CrashRecord& record = mCrashRecords[aTask];
+  if (record.crashes >= kCrashLimit &&
+      ++record.startsAfterLimit > kMaxStartsAfterLimit) {
+    ++mOutcomes.budgetViolations;
+  }
+}
+
 void
 Emulator::Commit()
 {
@@ -255,6 +389,17 @@
   result.outcome = OrderResult::Outcome::kAnswered;
   result.clock = mNow;
   if (!worker.alive) {
+    // A crashed process leaves a machine that refuses connections.
+    result.outcome = worker.restartAt != Millis::Max()
+                       ? OrderResult::Outcome::kNotSent
+                       : OrderResult::Outcome::kNoAnswer;
+    result.outcome = worker.replaced ? OrderResult::Outcome::kOtherIncarnation
+                                     : result.outcome;
+    result.clock.reset();
+    mDispatcher.OnResult(aOrder, result, mNow);
+    return;
+  }
+  if (aOrder.incarnation != worker.report.incarnation) {
     result.outcome = OrderResult::Outcome::kNoAnswer;
     result.clock.reset();
     mDispatcher.OnResult(aOrder, result, mNow);
@@ -278,22 +423,22 @@
     mDispatcher.OnResult(aOrder, result, mNow);
     return;
   }
-  for (const auto& [id, other] : mWorkers) {
-    mOutcomes.violations += other.runs.contains(task) ? 1 : 0;
-  }
+  CheckStart(worker, task);
   JobInfo& job = mJobs[task.job];
   const JobSpec& spec = mState.FindJob(task.job)->spec;
   const StepSpec& step = spec.steps[task.step];
   worker.usedAccelerators += step.resources.accelerators;
-  mOutcomes.violations +=
-    worker.usedAccelerators > mOptions.capacity.accelerators ? 1 : 0;
   double saved = aOrder.checkpoint.empty() ? 0 : std::stod(aOrder.checkpoint);
   worker.runs[task] = { .run = aOrder.run,
                         .spec = &spec,
                         .startedAt = mNow,
                         .done = saved,
                         .work = static_cast<double>(job.work.Count()) };
-  if (!job.started) {
+  if (CrashesWorker(task)) {
+    worker.runs[task].crashAt =
+      mNow + mCrashes.Between(Millis(10), Millis(200));
+  }
+  if (!job.started && !job.deadly) {
     job.started = true;
     mOutcomes.classes[job.jobClass->name].startDelays.push_back(
       mNow - job.submittedAt);
@@ -475,6 +620,10 @@
       continue;
     }
     info.accounted = true;
+    if (info.deadly) {
+      continue;
+    }
+    mOutcomes.soundJobsFailed += job->status == JobStatus::kFailed ? 1 : 0;
     ClassOutcome& outcome = mOutcomes.classes[info.jobClass->name];
     Millis took = mNow - info.submittedAt;
     bool done = job->status == JobStatus::kCompleted;
--- a/packages/fleet/experiment/emulator.h
+++ b/packages/fleet/experiment/emulator.h
@@ -5,8 +5,9 @@
 //   Outcomes outcomes = emulator.Run();
 //
 // Workers behave like those of the platform: a gang makes progress while all
-// its members are present, a stop takes time, and a worker may hang, run slower
-// or fail its runs. Runs with the same seed are identical.
+// its members are present, a stop takes time, and a worker may hang, run
+// slower, fail its runs, be crashed by a task or change its capacity. Runs with
+// the same seed are identical.
 
 #pragma once
 
@@ -55,6 +56,11 @@
     kFail,
     // A share of the workers is lost for good.
     kLoss,
+    // Of a share of the jobs of the first class, the last task crashes each
+    // worker that starts it. The workers come back after some seconds.
+    kDeadly,
+    // A share of the workers has an eighth of its accelerators.
+    kResize,
   };
 
   Kind kind = Kind::kBurst;
@@ -62,7 +68,7 @@
   // multiples of 10 ms.
   Millis at{};
   Millis duration{};
-  // Share of the workers that is affected; unused for bursts.
+  // Share of the workers or jobs that is affected; unused for bursts.
   double share = 0.1;
   // Factor of the load or of the slowdown; unused otherwise.
   double factor = 2;
@@ -101,8 +107,15 @@
   // Accelerator seconds in use, and of those the ones whose work was lost.
   double usedAcceleratorSeconds = 0;
   double wastedAcceleratorSeconds = 0;
-  // Violated invariants: capacity exceeded, two runs of one task.
+  // Violated invariants: two runs of one task.
   size_t violations = 0;
+  // Starts that exceeded a worker's capacity.
+  size_t limitViolations = 0;
+  // Starts of tasks that had crashed too many workers.
+  size_t budgetViolations = 0;
+  size_t workersCrashed = 0;
+  // Jobs that failed although no task of theirs crashes workers.
+  size_t soundJobsFailed = 0;
 
   double ValueRatio() const;
 };
@@ -124,12 +137,20 @@
     double done = 0;
     double work = 0;
     Millis stopAt = Millis::Max();
+    Millis crashAt = Millis::Max();
   };
 
   struct WorkerState
   {
     WorkerReport report{};
+    // Position among the workers; kept by the processes that follow at the
+    // same address.
+    size_t position = 0;
     bool alive = true;
+    // Another process with another id has its address.
+    bool replaced = false;
+    // When it comes back after a task crashed it.
+    Millis restartAt = Millis::Max();
     bool hanging = false;
     bool failing = false;
     double slowdown = 1;
@@ -139,6 +160,15 @@
     std::vector<Order> renewals{};
     Millis nextReport{};
     int64_t usedAccelerators = 0;
+    // Until this time, starts may still rely on `earlierAccelerators`.
+    Millis earlierCapacityUntil{};
+    int64_t earlierAccelerators = 0;
+  };
+
+  struct CrashRecord
+  {
+    size_t crashes = 0;
+    size_t startsAfterLimit = 0;
   };
 
   struct JobInfo
@@ -151,6 +181,7 @@
     Millis work{};
     bool started = false;
     bool accounted = false;
+    bool deadly = false;
   };
 
   void SubmitArrivals();
@@ -159,6 +190,14 @@
   void Commit();
   void Deliver(const Order& aOrder);
   void AdvanceRuns(WorkerState& aWorker);
+  void CrashWorkers();
+  void Crash(WorkerState& aWorker);
+  // Starts the next process at the address of a crashed worker.
+  void Restart(WorkerState& aWorker);
+  void Resize(WorkerState& aWorker, int64_t aAccelerators);
+  // Counts the violations by a start on the worker.
+  void CheckStart(const WorkerState& aWorker, const TaskRef& aTask);
+  bool CrashesWorker(const TaskRef& aTask) const;
   bool IsGangPresent(const RunState& aRun) const;
   double RackSlowdown(const RunState& aRun) const;
   void EndRun(WorkerState& aWorker,
@@ -174,12 +213,14 @@
   // is the same for all policies.
   Random mRandom;
   Random mStopTimes;
+  Random mCrashes;
   FleetState mState;
   Millis mNow{ 1'000'000 };
   const Millis mBegin = mNow;
   Dispatcher mDispatcher;
   std::map<WorkerId, WorkerState> mWorkers;
   std::map<JobId, JobInfo> mJobs;
+  std::map<TaskRef, CrashRecord> mCrashRecords;
   std::map<std::string, Millis> mNextArrival;
   // Proposed commands with their commit times.
   std::vector<std::pair<Millis, gen::Command>> mProposed;
--- a/packages/fleet/experiment/fleet_experiment.cc
+++ b/packages/fleet/experiment/fleet_experiment.cc
@@ -5,7 +5,10 @@
 // Prints a row for each pattern and policy: `worth` (ratio of earned to
 // possible value), one column per class with its ratio, `wasted` (share of
 // accelerator seconds whose work was lost), p50 and p95 of the start delay of
-// urgent jobs, and `bad` (number of violated invariants).
+// urgent jobs, the number of workers that tasks crashed, of sound jobs that
+// failed, and of violations: starts over a worker's capacity (`limit`), starts
+// of tasks that had crashed too many workers (`budget`) and tasks with two runs
+// (`bad`).
 
 #include "fleet/experiment/patterns.h"
 
@@ -27,6 +30,10 @@
   double wastedAcceleratorSeconds = 0;
   double usedAcceleratorSeconds = 0;
   size_t violations = 0;
+  size_t limitViolations = 0;
+  size_t budgetViolations = 0;
+  size_t workersCrashed = 0;
+  size_t soundJobsFailed = 0;
   std::map<std::string, double> classes;
   std::vector<Millis> urgentStartDelays;
 };
@@ -61,6 +68,10 @@
         outcomes.wastedAcceleratorSeconds * share;
       total.usedAcceleratorSeconds += outcomes.usedAcceleratorSeconds * share;
       total.violations += outcomes.violations;
+      total.limitViolations += outcomes.limitViolations;
+      total.budgetViolations += outcomes.budgetViolations;
+      total.workersCrashed += outcomes.workersCrashed;
+      total.soundJobsFailed += outcomes.soundJobsFailed;
       for (const auto& [name, outcome] : outcomes.classes) {
         total.classes[name] += outcome.earnedValue / outcome.maxValue * share;
       }
@@ -98,7 +109,7 @@
     }
     auto seeds = given["seeds"].as<uint64_t>();
     auto load = given["load"].as<double>();
-    std::printf("%-16s %-21s %6s %6s %6s %6s %8s %7s %7s %5s\n",
+    std::printf("%-16s %-21s %6s %6s %6s %6s %8s %7s %7s %7s %6s %5s %6s %3s\n",
                 "pattern",
                 "policy",
                 "worth",
@@ -108,6 +119,10 @@
                 "wasted",
                 "p50 ms",
                 "p95 ms",
+                "crashed",
+                "failed",
+                "limit",
+                "budget",
                 "bad");
     for (const Pattern& pattern : AllPatterns(1, load)) {
       if (given.contains("pattern") &&
@@ -117,7 +132,8 @@
       for (const Policy& policy : AllPolicies()) {
         Total it = RunSeeds(pattern.name, policy, seeds, load);
         std::printf(
-          "%-16s %-21s %6.3f %6.3f %6.3f %6.3f %7.1f%% %7ld %7ld %5zu\n",
+          "%-16s %-21s %6.3f %6.3f %6.3f %6.3f %7.1f%% %7ld %7ld %7zu %6zu "
+          "%5zu %6zu %3zu\n",
           pattern.name.c_str(),
           policy.name.c_str(),
           it.value,
@@ -129,6 +145,10 @@
             : 0,
           static_cast<long>(Quantile(it.urgentStartDelays, 50).Count()),
           static_cast<long>(Quantile(it.urgentStartDelays, 95).Count()),
+          it.workersCrashed,
+          it.soundJobsFailed,
+          it.limitViolations,
+          it.budgetViolations,
           it.violations);
       }
     }
--- a/packages/fleet/experiment/patterns.cc
+++ b/packages/fleet/experiment/patterns.cc
@@ -72,6 +72,8 @@
     { "slow", { DisturbanceOf(Kind::kSlow, 0.17, 6.5) } },
     { "fail", { DisturbanceOf(Kind::kFail, 0.085, 0) } },
     { "loss", { DisturbanceOf(Kind::kLoss, 0.15, 0) } },
+    { "deadly", { DisturbanceOf(Kind::kDeadly, 0.3, 0) } },
+    { "resize", { DisturbanceOf(Kind::kResize, 0.25, 0) } },
     { "burst+hang+slow",
       { DisturbanceOf(Kind::kBurst, 0, 2.2),
         DisturbanceOf(Kind::kHang, 0.12, 0),
