Give the test of late responses more time, in the same proportions

It allowed 80 ms of wall time for a request that works for 60 ms; in the failing runs that call took 106, 124 and 207 ms, and ended by the attempt's limit. Nothing about late responses was wrong.

All times are ten times as long: the limit of an attempt 800 ms, the late response after 1,200 ms, the next request 600 ms. The late response still arrives during the next request, 200 ms before it would end.

--- a/packages/proxy/connection_test.cc
+++ b/packages/proxy/connection_test.cc
@@ -214,18 +214,18 @@
 TEST(Connections, LateResponsesAreDiscarded)
 {
   TestServer server({ .id = "s1" });
-  TestInstance instance({ .attemptTimeout = Millis(80) });
+  TestInstance instance({ .attemptTimeout = Millis(800) });
   instance.Announce("s1", server.Address());
   for (int n = 0; n < 5; ++n) {
     std::string late = "late" + std::to_string(n);
     auto slow = MakeRequest(
       late,
-      { { "Standin-Work-Ms", "120" }, { "Limpetwood-Repeatable", "no" } });
+      { { "Standin-Work-Ms", "1200" }, { "Limpetwood-Repeatable", "no" } });
     EXPECT_EQ(instance.Call(slow).response.headers.Get("Limpetwood-Verdict"),
               "may_have_run");
     std::string id = "quick" + std::to_string(n);
     auto result =
-      instance.Call(MakeRequest(id, { { "Standin-Work-Ms", "60" } }));
+      instance.Call(MakeRequest(id, { { "Standin-Work-Ms", "600" } }));
     EXPECT_EQ(result.response.body, "s1 " + id + "\n");
   }
 }
