--- a/packages/ctl/request_timeline.cc
+++ b/packages/ctl/request_timeline.cc
@@ -245,8 +245,9 @@
       if (FieldOf(it.fields, "how") == "worker_crashed") {
         crashes.push_back(
           "worker " + worker + " crashed under " + FieldOf(it.fields, "run") +
-          " at " + it.time + ", evidence " + FieldOf(it.fields, "evidence") +
-          ", crashes of the task " + FieldOf(it.fields, "crashes"));
+          ", recorded at " + it.time + ", evidence " +
+          FieldOf(it.fields, "evidence") + ", crashes of the task " +
+          FieldOf(it.fields, "crashes"));
       }
     } else if (it.event.starts_with("run_") || it.event.starts_with("start_")) {
       ++failureCounts[it.event];
--- a/packages/ctl/request_timeline_test.cc
+++ b/packages/ctl/request_timeline_test.cc
@@ -117,8 +117,9 @@
            R"("event":"job_ended","job":"00000000000000a1",)"
            R"("status":"failed","reason":"a task crashed 2 workers")"));
   EXPECT_NE(text.find("run_ended worker_crashed: 2"), std::string::npos);
-  EXPECT_NE(text.find("worker w1 crashed under 00000000000000a1.0.0.0#1 at "
-                      "2026-12-04T10:00:03.000Z, evidence at_start"),
+  EXPECT_NE(text.find("worker w1 crashed under 00000000000000a1.0.0.0#1, "
+                      "recorded at 2026-12-04T10:00:03.000Z, evidence "
+                      "at_start"),
             std::string::npos);
   EXPECT_NE(text.find("worker w2 crashed under 00000000000000a1.0.0.0#2"),
             std::string::npos);
