--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -203,42 +203,6 @@
   SendNext(aWorker, link, aNow);
 }
 
-std::string_view
-Dispatcher::WithdrawalReason(const Order& aStart, const WorkerLink& aLink) const
-{
-  auto run = aLink.runs.find(aStart.run);
-  if (run == aLink.runs.end() || mProposals.HasProposedEnd(aStart.run) ||
-      !mState.IsActive(aStart.run, aStart.worker)) {
-    return "ended";
-  }
-  if (mMonitor.MustStop(aStart.run, run->second)) {
-    return "not_wanted";
-  }
-  if (aLink.gone) {
-    return "worker_gone";
-  }
-  // The worker may be lost, and a start that was not sent can go to another
-  // worker.
-  if (!aLink.reachable) {
-    return "worker_silent";
-  }
-  return FitsCapacity(*mState.FindWorker(aStart.worker), aLink) ? ""
-                                                                : "no_room";
-}
-
-bool
-Dispatcher::FitsCapacity(const Worker& aWorker, const WorkerLink& aLink) const
-{
-  Resources used = aWorker.used;
-  for (const RunRef& it : aWorker.active) {
-    if (mProposals.HasProposedEnd(it)) {
-      const Job& job = *mState.FindJob(it.task.job);
-      used -= job.spec.steps[it.task.step].CountedResources();
-    }
-  }
-  return used.FitsIn(Min(aWorker.report.capacity, aLink.capacity));
-}
-
 void
 Dispatcher::SendNext(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
 {
@@ -372,42 +336,6 @@
   }
 }
 
-void
-Dispatcher::SendStarts(const gen::Command& aCommand, Millis aNow)
-{
-  if (aCommand.starts.empty()) {
-    return;
-  }
-  mStartsProposed = false;
-  Millis wallNow(aCommand.atMs);
-  for (const gen::RunStart& it : aCommand.starts) {
-    RunRef run{ .task = FromWire(it.task),
-                .attempt = Attempt(static_cast<uint32_t>(it.run)) };
-    WorkerId id(it.worker);
-    if (!mState.IsActive(run, id)) {
-      continue;
-    }
-    const Worker& worker = *mState.FindWorker(id);
-    const Job& job = *mState.FindJob(run.task.job);
-    WorkerLink& link = LinkOf(worker, aNow);
-    link.runs[run] = { .trackedSince = aNow };
-    Order start = MakeOrder(Order::Kind::kStart, worker, aNow);
-    start.run = run;
-    start.payload = job.spec.payload;
-    start.checkpoint = mState.FindTask(run.task)->checkpoint;
-    if (MustWaitForTrial(run, aNow)) {
-      mHeldStarts.push_back(std::move(start));
-    } else {
-      QueueStart(std::move(start), worker, aNow);
-    }
-    bool firstStartOfJob = run.attempt == Attempt(1) && run.task.index == 0 &&
-                           run.task.step == 0 && job.spec.occurrences == 0;
-    if (firstStartOfJob) {
-      mCounters.startDelays.Observe(wallNow - job.acceptedAt);
-    }
-  }
-}
-
 void
 Dispatcher::ScheduleWorker(const WorkerId& aWorker, Millis aTime)
 {
