Correct the comments on the evidence of a crash

The review's fixes changed what an unknown age means; the comments on the stored values and the head of crash_evidence.h said what came before.

--- a/packages/fleet/crash_evidence.h
+++ b/packages/fleet/crash_evidence.h
@@ -1,9 +1,10 @@
 // Judges which runs may have crashed the worker that they were active on.
 //
 // A task that crashes workers does so when it starts, so the runs that had just
-// started are the likely cause, and the others only lost their work. A suspect
-// is tried apart from other work: it runs on a worker of its own until it has
-// been active for a while, and of a gang one member starts first.
+// started are the likely cause. The others probably only lost their work; that
+// many workers crash under one of them shows otherwise. A suspect is tried
+// apart from other work: it runs on a worker of its own until it has been
+// active for a while, and of a gang one member starts first.
 
 #pragma once
 
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -233,10 +233,10 @@
 // it. The values are stored; they must not change.
 enum class CrashEvidence
 {
-  // The run had been active for a while, and another run started just before
-  // the crash or none did.
+  // The run had been active for a while, or its age is unknown. It counts as a
+  // crash under the task without making the task a suspect.
   kNone,
-  // The run had started just before the crash, or its age is unknown.
+  // The run had started just before the crash.
   kAtStart,
   // Like `kAtStart`, and the worker ran nothing else.
   kAloneAtStart,
