--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # See claim.txt. TROUBLE=0 runs the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run-scenario.sh" waiting "$here"
+exec "$here/../run-scenario.sh" cancel "$here"
--- a/review/standin/lab.cc
+++ b/review/standin/lab.cc
@@ -520,22 +520,29 @@
   : mBinary(std::move(aBinary))
   , mFolder(std::move(aFolder))
 {
-  // Looks for a range of ports that is free on all addresses, and for addresses
-  // of its own, as the port for metrics is fixed.
+  // Looks for a network of loopback addresses and a range of ports that are
+  // free there. The port for metrics is fixed.
   std::mt19937 random(std::random_device{}());
-  mNetwork = "127." + std::to_string(20 + random() % 200) + ".";
-  for (int attempt = 0; attempt < 50; ++attempt) {
-    mFirstPort = static_cast<uint16_t>(12000 + random() % 900 * 20);
-    bool free = true;
-    for (int port = 0; port < 20 && free; ++port) {
-      int fd =
-        ListenOn({ "0.0.0.0", static_cast<uint16_t>(mFirstPort + port) });
-      free = fd >= 0;
-      if (free) {
+  auto isFree = [&] {
+    std::vector<uint16_t> ports{ 9464 };
+    for (int n = 0; n < 10; ++n) {
+      ports.push_back(static_cast<uint16_t>(mFirstPort + n));
+    }
+    for (uint16_t port : ports) {
+      for (const std::string& it : { Control(0).address, Entry(0).address }) {
+        int fd = ListenOn({ it, port });
+        if (fd < 0) {
+          return false;
+        }
         close(fd);
       }
     }
-    if (free) {
+    return true;
+  };
+  for (int attempt = 0; attempt < 50; ++attempt) {
+    mNetwork = "127." + std::to_string(20 + random() % 200) + ".";
+    mFirstPort = static_cast<uint16_t>(12000 + random() % 900 * 20);
+    if (isFree()) {
       break;
     }
   }
