Keep the runs of a worker that leaves until they have certainly ended

Cause: the leave was taken for the end of the process. The worker was removed as soon as no renewal was in flight, 2 s after the leave at the latest, and a removal ends all runs. Its lease was not looked at.

Now the runs end when the worker lists them as ended or lists them no longer, when nothing or another worker listens at its address, or when its lease has expired. It is renewed without a lease until then. A process that ends on its acknowledgement refuses the next connection, so that its tasks do not wait for the lease.

Replaced test: UnansweredRenewalDoesNotKeepAWorkerThatLeft demanded that a renewal without an answer ends the runs, which is the fault. Its place take RefusedConnectionEndsTheRunsOfAWorkerThatLeft (removal at once, with proof) and LeaveWithoutProofOfTheEndWaitsForTheLease (removal within the lease without). The model worker of the random test now refuses connections once its process has ended and may run on after its leave; the old check is kept, the new one and one that runs are still replaced are added.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -16,6 +16,8 @@
 constexpr Millis kMinRenewalWait(100);
 // Maximum time for which a worker with a run on trial does.
 constexpr Millis kTrialRenewalWait(300);
+// Maximum time for which a worker that has announced its end does.
+constexpr Millis kLeaveRenewalWait(500);
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
 
@@ -163,12 +165,11 @@
   WorkerLink& link = LinkOf(*known, aNow);
   if (!link.gone && !known->active.empty()) {
     link.leftAt = aNow;
-    // Answered at once, so that it overtakes the answer to the worker's leave.
-    link.lastRenewalWait = Millis(0);
+    link.leaveRenewalDue = true;
     ScheduleWorker(aWorker, aNow);
   }
   link.gone = true;
-  if (RemoveIfSettled(*known, link)) {
+  if (RemoveIfSettled(*known, link, aNow)) {
     return true;
   }
   // The process ends when it has the answer. The commit lets the last renewal
@@ -180,13 +181,28 @@
 }
 
 bool
-Dispatcher::RemoveIfSettled(const Worker& aWorker, const WorkerLink& aLink)
+Dispatcher::MayRun(const Worker& aWorker,
+                   const WorkerLink& aLink,
+                   Millis aNow) const
+{
+  bool endUnknown = std::any_of(
+    aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
+      return !mProposals.HasProposedEnd(it);
+    });
+  return endUnknown && !aLink.processEnded && !aLink.HasLeaseExpired(aNow);
+}
+
+bool
+Dispatcher::RemoveIfSettled(const Worker& aWorker,
+                            const WorkerLink& aLink,
+                            Millis aNow)
 {
   bool endProposed = std::any_of(
     aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
       return mProposals.HasProposedEnd(it);
     });
-  if (aLink.renewalsInFlight > 0 || aLink.lastRenewalWait || endProposed) {
+  if (MayRun(aWorker, aLink, aNow) || aLink.renewalsInFlight > 0 ||
+      aLink.leaveRenewalDue || endProposed) {
     return false;
   }
   mProposals.ProposeRemoval(aWorker);
@@ -373,13 +389,7 @@
     return !aWorker.active.contains(aEntry.first);
   });
   if (aLink.gone) {
-    if (auto wait = std::exchange(aLink.lastRenewalWait, std::nullopt)) {
-      SendRenewal(aWorker, aLink, *wait, std::nullopt, aNow);
-    }
-    if (aLink.crashed) {
-      ProposeCrashedRuns(aWorker, aLink);
-    }
-    RemoveIfSettled(aWorker, aLink);
+    TickGoneWorker(aWorker, aLink, aNow);
     return;
   }
   EndExpiredRuns(aWorker, aLink, aNow);
@@ -391,6 +401,28 @@
   ScheduleWorker(aWorker.report.id, aNow + kWorkerCheckInterval);
 }
 
+void
+Dispatcher::TickGoneWorker(const Worker& aWorker,
+                           WorkerLink& aLink,
+                           Millis aNow)
+{
+  if (std::exchange(aLink.leaveRenewalDue, false)) {
+    // Answered at once, so that it overtakes the answer to the worker's leave.
+    SendRenewal(aWorker, aLink, Millis(0), std::nullopt, aNow);
+  } else if (MayRun(aWorker, aLink, aNow) && aLink.renewalsInFlight == 0 &&
+             aNow >= aLink.nextRenewalAt) {
+    SendRenewal(aWorker, aLink, kLeaveRenewalWait, std::nullopt, aNow);
+  }
+  if (aLink.crashed) {
+    ProposeCrashedRuns(aWorker, aLink);
+  }
+  if (!RemoveIfSettled(aWorker, aLink, aNow)) {
+    ScheduleWorker(aWorker.report.id, aNow + kWorkerCheckInterval);
+    ScheduleWorker(aWorker.report.id,
+                   std::max(aLink.nextRenewalAt, aNow + Millis(1)));
+  }
+}
+
 void
 Dispatcher::EndExpiredRuns(const Worker& aWorker,
                            WorkerLink& aLink,
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -9,8 +9,9 @@
 //
 // A start is sent only after it is committed, so a later leader knows every run
 // that may exist. A run is considered ended only when the worker lists its end,
-// when a renewal sent after the start was resolved does not list the run, or
-// when the lease of the worker has certainly expired.
+// when a renewal sent after the start was resolved does not list the run, when
+// the process of the worker has certainly ended, or when its lease has
+// certainly expired. That a worker says it leaves ends no run.
 //
 // Created when leadership is gained and destroyed at the end of the term.
 // Performs no I/O and reads no clock; the caller passes the time.
@@ -99,8 +100,10 @@
   // changes nothing or is older than a known one.
   bool OnReport(const WorkerReport& aReport, Millis aNow);
   // Handles the end of a worker's process. Returns like `OnReport`. Once it is
-  // acknowledged, every later leader knows that the worker takes no tasks; the
-  // worker is removed when the ends that it reported are committed.
+  // acknowledged, every later leader knows that the worker takes no tasks. The
+  // worker may run on until it has the acknowledgement; it is removed when its
+  // process or its lease has certainly ended and the ends that it reported are
+  // committed.
   // `aIncarnation` 0 stands for any; a process that has been replaced does not
   // end the one that replaced it.
   bool OnLeave(const WorkerId& aWorker, Incarnation aIncarnation, Millis aNow);
@@ -211,9 +214,18 @@
                    std::optional<Millis> aLeaseUntil,
                    Millis aNow);
   void StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
-  // Proposes the removal of a worker that is gone unless ends of its runs may
-  // still be reported or committed. Returns true if the removal is proposed.
-  bool RemoveIfSettled(const Worker& aWorker, const WorkerLink& aLink);
+  // Whether a run of the worker may still be in progress.
+  bool MayRun(const Worker& aWorker,
+              const WorkerLink& aLink,
+              Millis aNow) const;
+  // Proposes the removal of a worker that is gone, unless it may still run
+  // something, or ends of its runs may still be reported or committed. Returns
+  // true if the removal is proposed.
+  bool RemoveIfSettled(const Worker& aWorker,
+                       const WorkerLink& aLink,
+                       Millis aNow);
+  // Renews a worker that has announced its end, or removes it.
+  void TickGoneWorker(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void EndExpiredRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void RunPlanningPass(Millis aNow, Millis aWallNow);
   void Preempt(const PlannedStop& aStop, Millis aNow);
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -134,18 +135,33 @@
   EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
 }
 
-// Guards against a worker that stays known, and its tasks waiting, because the
-// last renewal to it never gets an answer.
-TEST(DispatcherRemoval, UnansweredRenewalDoesNotKeepAWorkerThatLeft)
+// Answers the queued renewals to the worker with `aOutcome`, and those to other
+// workers with an empty list.
+void
+AnswerRenewals(FleetFixture& aFleet,
+               const WorkerId& aWorker,
+               OrderResult::Outcome aOutcome)
+{
+  for (const Order& it : aFleet.TakeOrders(Order::Kind::kRenew)) {
+    if (it.worker == aWorker) {
+      aFleet.Answer(it, aOutcome);
+    } else {
+      aFleet.Deliver(it, aFleet.EmptyRenewalResult());
+    }
+  }
+}
+
+// Guards against a worker that stays known, and its tasks waiting, although its
+// process has ended as announced: nothing listens at its address.
+TEST(DispatcherRemoval, RefusedConnectionEndsTheRunsOfAWorkerThatLeft)
 {
   FleetFixture fleet;
   Order start = StartOneRun(fleet, { "w1", "w2" });
   EXPECT_TRUE(fleet.Leave(start.worker.Value()));
-  for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
-    if (it.worker == start.worker) {
-      fleet.Answer(it, OrderResult::Outcome::kNoAnswer);
-    }
-  }
+  // The renewal that the worker held back breaks off as it ends.
+  AnswerRenewals(fleet, start.worker, OrderResult::Outcome::kNoAnswer);
+  fleet.Advance(Millis(101));
+  AnswerRenewals(fleet, start.worker, OrderResult::Outcome::kConnectionRefused);
   fleet.Advance(Millis(50));
   EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
   Order second = fleet.ExpectOrder(Order::Kind::kStart);
@@ -153,6 +169,118 @@
   EXPECT_NE(second.worker, start.worker);
 }
 
+// Guards against running a task twice: a worker whose leave arrives but is not
+// acknowledged to it runs on, cut off in one direction or in both.
+TEST(DispatcherRemoval, LeaveWithoutProofOfTheEndWaitsForTheLease)
+{
+  for (auto outcome :
+       { OrderResult::Outcome::kNoAnswer, OrderResult::Outcome::kNotSent }) {
+    FleetFixture fleet;
+    Order start = StartOneRun(fleet, { "w1", "w2" });
+    const char* other = start.worker.Value() == "w1" ? "w2" : "w1";
+    Millis lastLease = fleet.Now();
+    EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+    Millis lease = fleet.Options().leaseDuration;
+    while (fleet.Now() < lastLease + lease) {
+      AnswerRenewals(fleet, start.worker, outcome);
+      ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+      ASSERT_TRUE(fleet.IsActive(start));
+      fleet.Heartbeat(other);
+      fleet.Advance(Millis(100));
+    }
+    // A lease on a clock that is 2% slow ends 0.2 s later.
+    for (int n = 0; n < 10; ++n) {
+      AnswerRenewals(fleet, start.worker, outcome);
+      fleet.Advance(Millis(100));
+    }
+    EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+    Order second = fleet.ExpectOrder(Order::Kind::kStart);
+    EXPECT_EQ(second.run.task, start.run.task);
+    EXPECT_NE(second.worker, start.worker);
+  }
+}
+
+// Guards against a lease that is extended after the leave, which would keep the
+// task waiting, and against giving up a worker that still answers.
+TEST(DispatcherRemoval, WorkerThatRunsOnAfterItsLeaveGetsNoFurtherLease)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, { "w1", "w2" });
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  OrderResult running = fleet.EmptyRenewalResult();
+  running.running.push_back({ .run = start.run, .percent = 50 });
+  size_t renewals = 0;
+  for (int n = 0; n < 50; ++n) {
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      if (it.worker == start.worker) {
+        EXPECT_TRUE(renewals++ == 0 || it.leaseUntil == Millis(0));
+        fleet.Deliver(it, running);
+      }
+    }
+    ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+    fleet.Advance(Millis(100));
+  }
+  EXPECT_GE(renewals, 5U);
+  fleet.Deliver(fleet.ExpectOrder(Order::Kind::kRenew),
+                DoneResult(fleet, start.run));
+  fleet.Advance(Millis(50));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+  EXPECT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+}
+
+// Guards against the same through the start: one that got no answer before the
+// leave may be executed seconds later.
+TEST(DispatcherRemoval, UnansweredStartOnAWorkerThatLeftIsNotRepeatedAtOnce)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  for (int n = 0; n < 50; ++n) {
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      fleet.Deliver(it, fleet.EmptyRenewalResult());
+    }
+    ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+    fleet.Advance(Millis(100));
+  }
+  EXPECT_TRUE(fleet.IsActive(start));
+}
+
+// Guards against the same for a start whose commit is pending when the worker
+// leaves: it is not sent any more.
+TEST(DispatcherRemoval, StartCommittedAfterTheLeaveIsNotSent)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.HoldCommits(true);
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  fleet.Leave("w1");
+  fleet.HoldCommits(false);
+  fleet.Advance(Millis(50));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  EXPECT_EQ(fleet.State().FindWorker(WorkerId("w1")), nullptr);
+}
+
+// Guards against the same over a change of leader: the next leader knows the
+// leave, but not whether the process has ended.
+TEST(DispatcherRemoval, NextLeaderWaitsForTheLeaseOfAWorkerThatLeft)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, { "w1", "w2" });
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  fleet.ChangeLeader();
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  for (int n = 0; n < 90; ++n) {
+    AnswerRenewals(fleet, start.worker, OrderResult::Outcome::kNoAnswer);
+    ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+    fleet.Advance(Millis(100));
+  }
+  EXPECT_TRUE(fleet.IsActive(start));
+}
+
 // Guards against new tasks for a worker whose removal waits for a renewal, also
 // from a later leader.
 TEST(DispatcherRemoval, WorkerThatLeftGetsNoTasks)
@@ -221,6 +349,8 @@
 {
   Incarnation incarnation{ 1 };
   bool gone = false;
+  // The worker has announced its end and runs on.
+  bool leaving = false;
   std::set<RunRef> running{};
   std::vector<EndedRun> ended{};
   uint64_t lastEnd = 0;
@@ -230,7 +360,8 @@
     OrderResult out;
     bool reached = !gone && aOrder.incarnation == incarnation;
     if (!reached) {
-      out.outcome = OrderResult::Outcome::kNoAnswer;
+      out.outcome = gone ? OrderResult::Outcome::kConnectionRefused
+                         : OrderResult::Outcome::kNoAnswer;
       return out;
     }
     out.outcome = OrderResult::Outcome::kAnswered;
@@ -269,8 +400,8 @@
   OrderResult result;
 };
 
-// Plays random interleavings of orders, answers, commits, refused commands,
-// leaving and restarting workers within one lease.
+// Plays random interleavings of orders, answers, lost answers, commits, refused
+// commands, leaving and restarting workers within one lease.
 class RemovalScenario
 {
 public:
@@ -289,17 +420,22 @@
     }
   }
 
-  // Returns the tasks that were started after an end as done was reported.
-  std::set<TaskRef> Play()
+  void Play()
   {
     // At most 300 steps of 30 ms, less than a lease of 10 s.
     for (int n = 0; n < 300; ++n) {
       Step();
       CollectOrders();
     }
-    return mStartedAgain;
   }
 
+  // Tasks that were started after an end as done was reported.
+  const std::set<TaskRef>& StartedAgain() const { return mStartedAgain; }
+  // Tasks that were started while another worker ran them.
+  const std::set<TaskRef>& StartedTwice() const { return mStartedTwice; }
+  // Number of runs that were started anew after their worker had left.
+  size_t Replaced() const { return mReplaced; }
+
 private:
   size_t Below(size_t aLimit) { return mRandom.Below(aLimit); }
 
@@ -313,9 +449,12 @@
       DeliverResponse();
     } else if (kind < 78) {
       mWorkers[worker].FinishOne();
-    } else if (kind < 80) {
-      mWorkers[worker].gone = true;
+    } else if (kind < 79) {
+      // Without the acknowledgement, the process ends some time later.
+      mWorkers[worker].leaving = true;
       mFleet.Leave(worker);
+    } else if (kind < 80) {
+      mWorkers[worker].gone = mWorkers[worker].leaving;
     } else if (kind < 82) {
       uint64_t next = mWorkers[worker].incarnation.Value() + 1;
       mWorkers[worker] = { .incarnation = Incarnation(next) };
@@ -338,11 +477,29 @@
         if (kind == Order::Kind::kStart && mDone.contains(it.run.task)) {
           mStartedAgain.insert(it.run.task);
         }
+        if (kind == Order::Kind::kStart) {
+          CheckOtherRuns(it);
+        }
         mOrders.push_back(std::move(it));
       }
     }
   }
 
+  void CheckOtherRuns(const Order& aStart)
+  {
+    for (const auto& [id, worker] : mWorkers) {
+      bool runsTask = std::any_of(
+        worker.running.begin(), worker.running.end(), [&](const RunRef& it) {
+          return it.task == aStart.run.task;
+        });
+      if (runsTask && worker.gone) {
+        ++mReplaced;
+      } else if (runsTask) {
+        mStartedTwice.insert(aStart.run.task);
+      }
+    }
+  }
+
   void ExecuteOrder()
   {
     if (mOrders.empty()) {
@@ -351,8 +508,12 @@
     size_t n = Below(mOrders.size());
     Order order = mOrders[n];
     mOrders.erase(mOrders.begin() + static_cast<ptrdiff_t>(n));
-    OrderResult result =
-      mWorkers[order.worker.Value()].Execute(order, mFleet.Now());
+    ModelWorker& worker = mWorkers[order.worker.Value()];
+    OrderResult result = worker.Execute(order, mFleet.Now());
+    if (worker.leaving && !worker.gone && Below(2) == 0) {
+      // The worker is cut off in one direction.
+      result = { .outcome = OrderResult::Outcome::kNoAnswer };
+    }
     mResponses.push_back({ std::move(order), std::move(result) });
   }
 
@@ -385,16 +546,25 @@
   bool mHeld = false;
   std::set<TaskRef> mDone;
   std::set<TaskRef> mStartedAgain;
+  std::set<TaskRef> mStartedTwice;
+  size_t mReplaced = 0;
 };
 
 // Guards against any order of reports, commits and removals in which a task
-// that was reported as done starts again.
-TEST(DispatcherRemoval, NoInterleavingStartsADoneTaskAgain)
+// that was reported as done, or that another worker still runs, starts again.
+TEST(DispatcherRemoval, NoInterleavingStartsADoneOrRunningTaskAgain)
 {
   constexpr uint64_t kSeeds = 1500;
+  size_t replaced = 0;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    EXPECT_TRUE(RemovalScenario(seed).Play().empty()) << "seed " << seed;
+    RemovalScenario scenario(seed);
+    scenario.Play();
+    EXPECT_TRUE(scenario.StartedAgain().empty()) << "seed " << seed;
+    EXPECT_TRUE(scenario.StartedTwice().empty()) << "seed " << seed;
+    replaced += scenario.Replaced();
   }
+  // Workers that have ended are given up within the lease.
+  EXPECT_GT(replaced, 0U);
 }
 
 } // namespace
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -12,12 +12,11 @@
 
 // Delay before a renewal that received no answer is repeated.
 constexpr Millis kRetryDelay(400);
+// The same for a worker that has announced its end. Shorter, because the next
+// answer or refused connection probably ends its runs.
+constexpr Millis kLeaveRetryDelay(100);
 // Minimum time between two renewals of one worker.
 constexpr Millis kMinRenewalInterval(100);
-// Maximum time for which a worker that leaves delays the answer to a renewal,
-// and for which it is still renewed.
-constexpr Millis kLeaveRenewalWait(500);
-constexpr Millis kMaxLeaveTime = Seconds(2);
 // Time for which a worker that reported itself unhealthy receives no tasks.
 constexpr Millis kUnhealthyPause = Seconds(2);
 
@@ -53,28 +52,31 @@
       link.crashed = !link.draining;
     }
     link.gone = true;
+    link.processEnded = true;
     link.unreachableSince = link.unreachableSince.value_or(aNow);
-    auto refused = link.runs.find(aOrder.run);
-    if (aOrder.kind == Order::Kind::kStart && refused != link.runs.end()) {
-      refused->second.startSentAt.reset();
+    auto run = link.runs.find(aOrder.run);
+    if (aOrder.kind == Order::Kind::kStart && run != link.runs.end()) {
+      run->second.startSentAt.reset();
     }
   }
+  bool refused = aResult.outcome == OrderResult::Outcome::kConnectionRefused;
+  // A process that announced its end listens until it ends.
+  if (refused && link.leftAt && aOrder.sentAt >= *link.leftAt) {
+    link.processEnded = true;
+  }
   if (link.gone && aOrder.kind != Order::Kind::kRenew) {
     return;
   }
-  bool stillRuns = aResult.outcome == OrderResult::Outcome::kAnswered &&
-                   !aResult.running.empty();
-  if (link.leftAt && stillRuns && link.renewalsInFlight == 0 &&
-      aNow - *link.leftAt < kMaxLeaveTime) {
-    link.lastRenewalWait = kLeaveRenewalWait;
-  }
-  bool unanswered = aResult.outcome == OrderResult::Outcome::kNotSent ||
+  bool unanswered = refused ||
+                    aResult.outcome == OrderResult::Outcome::kNotSent ||
                     aResult.outcome == OrderResult::Outcome::kNoAnswer;
   link.reachable = !unanswered;
   if (unanswered) {
     ++mCounters.unansweredOrders;
     link.unreachableSince = link.unreachableSince.value_or(aNow);
-    link.nextRenewalAt = std::max(link.nextRenewalAt, aNow + kRetryDelay);
+    link.nextRenewalAt =
+      std::max(link.nextRenewalAt,
+               aNow + (link.leftAt ? kLeaveRetryDelay : kRetryDelay));
   } else {
     link.lastHeard = aNow;
     if (!link.gone) {
@@ -141,11 +143,12 @@
       }
       [[fallthrough]];
     case OrderResult::Outcome::kNotSent:
+    case OrderResult::Outcome::kConnectionRefused:
       LogRunEvent("start_refused", aOrder.worker, aOrder.run)
         .Add("reason",
-             aResult.outcome == OrderResult::Outcome::kNotSent
-               ? "not_sent"
-               : OrderRefusalName(aResult.refusal))
+             aResult.outcome == OrderResult::Outcome::kRefused
+               ? OrderRefusalName(aResult.refusal)
+               : "not_sent")
         .Add("sent_ms_ago", aNow - aOrder.sentAt);
       mProposals.ProposeEnd(aOrder.worker, aOrder.run, EndKind::kRejected, {});
       break;
@@ -301,8 +304,12 @@
   if (aLink.uncommittedEnds.empty()) {
     aLink.endsCommitted = aLink.endsProposed;
   }
-  // Bounds the rate of renewals that workers answer without a wait.
-  aLink.nextRenewalAt = std::max(aNow, aOrder.sentAt + kMinRenewalInterval);
+  // Bounds the rate of renewals that workers answer without a wait. The first
+  // one after a leave asks for no wait, so the next one follows at once.
+  bool firstAfterLeave = aLink.leftAt && aOrder.wait == Millis(0);
+  aLink.nextRenewalAt = firstAfterLeave
+                          ? aNow
+                          : std::max(aNow, aOrder.sentAt + kMinRenewalInterval);
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -97,6 +97,8 @@
     kOtherIncarnation,
     // The order was not sent.
     kNotSent,
+    // The order was not sent because nothing listens at the worker's address.
+    kConnectionRefused,
     // No answer was received; the worker may still execute the order, also
     // later.
     kNoAnswer,
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -97,22 +97,29 @@
   Resources capacity{};
   Millis reportedAt{};
   bool draining = false;
-  // The worker has left, or another one listens at its address. Its removal is
-  // proposed once nothing is outstanding that may report the end of a run, so
-  // that no end is proposed beside or after the removal.
+  // The worker has announced its end, or another one listens at its address.
+  // Its removal is proposed once its runs have certainly ended and nothing is
+  // outstanding that may report the end of a run, so that no end is proposed
+  // beside or after the removal.
   bool gone = false;
+  // The worker's process has certainly ended, and with it all of its runs.
+  // Implies `gone`.
+  bool processEnded = false;
   // The worker is gone and did not announce it.
   bool crashed = false;
-  // A worker that leaves is renewed until it does not answer or lists no run,
+  // Time at which the worker announced its end. The announcement proves
+  // nothing: the process ends only when it receives the acknowledgement, or
+  // some seconds later. Until then the worker is renewed without a lease,
   // because ends that no renewal has listed are lost with its process.
-  // `leftAt` is set when it leaves. While such a renewal is due,
-  // `lastRenewalWait` is the time for which the worker may hold it back.
   std::optional<Millis> leftAt{};
-  std::optional<Millis> lastRenewalWait{};
+  // The first of these renewals is due. It is sent even if another one is in
+  // flight, which the worker may hold back until it ends.
+  bool leaveRenewalDue = false;
 
   // Starts and stops. Renewals are sent independently of this queue.
   OrderQueue orderQueue{};
-  // At most one, and beside it the last one of a worker that leaves.
+  // At most one, and beside it the first one after the worker announced its
+  // end.
   int renewalsInFlight = 0;
   Millis nextRenewalAt{};
   // Numbers of the last end in the replicated state, and of the last end
