--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -132,6 +132,11 @@
   7: i32 evidence
 }
 
+struct RefusedJob {
+  1: string id
+  2: string workspace
+}
+
 struct Command {
   1: optional Configuration configuration
   2: list<SubmitJob> jobs
@@ -143,6 +148,9 @@
   8: list<string> forgotten
   // Wall clock of the proposer; determines when ended jobs are removed.
   9: i64 atMs
+  // Cancellations of jobs that the proposer did not know. Their submissions may
+  // still arrive and must be refused.
+  10: list<RefusedJob> refused
 }
 
 struct TaskSnapshot {
@@ -181,6 +189,7 @@
   1: optional Configuration configuration
   2: list<JobSnapshot> jobs
   3: list<WorkerReport> workers
+  4: list<RefusedJob> refused
 }
 
 struct Request {
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -2943,6 +2943,129 @@
 }
 
 
+RefusedJob::~RefusedJob() noexcept {
+}
+
+
+void RefusedJob::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void RefusedJob::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+std::ostream& operator<<(std::ostream& out, const RefusedJob& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RefusedJob::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RefusedJob::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RefusedJob");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RefusedJob &a, RefusedJob &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.workspace, b.workspace);
+  swap(a.__isset, b.__isset);
+}
+
+RefusedJob::RefusedJob(const RefusedJob& other88) {
+  id = other88.id;
+  workspace = other88.workspace;
+  __isset = other88.__isset;
+}
+RefusedJob::RefusedJob(RefusedJob&& other89) noexcept {
+  id = std::move(other89.id);
+  workspace = std::move(other89.workspace);
+  __isset = other89.__isset;
+}
+RefusedJob& RefusedJob::operator=(const RefusedJob& other90) {
+  id = other90.id;
+  workspace = other90.workspace;
+  __isset = other90.__isset;
+  return *this;
+}
+RefusedJob& RefusedJob::operator=(RefusedJob&& other91) noexcept {
+  id = std::move(other91.id);
+  workspace = std::move(other91.workspace);
+  __isset = other91.__isset;
+  return *this;
+}
+void RefusedJob::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RefusedJob(";
+  out << "id=" << to_string(id);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -2983,6 +3106,10 @@
 void Command::__set_atMs(const int64_t val) {
   this->atMs = val;
 }
+
+void Command::__set_refused(const std::vector<RefusedJob> & val) {
+  this->refused = val;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -3023,14 +3150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->jobs.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->jobs.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->jobs[_i92].read(iprot);
+              xfer += this->jobs[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3043,14 +3170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cancelled.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->cancelled.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->cancelled.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readString(this->cancelled[_i97]);
+              xfer += iprot->readString(this->cancelled[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3063,14 +3190,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->workers.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->workers.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->workers[_i102].read(iprot);
+              xfer += this->workers[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3083,14 +3210,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->gone.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->gone.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->gone[_i107].read(iprot);
+              xfer += this->gone[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3103,14 +3230,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->ends.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->ends.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->ends[_i112].read(iprot);
+              xfer += this->ends[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3123,14 +3250,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->starts.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->starts.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->starts[_i117].read(iprot);
+              xfer += this->starts[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3143,14 +3270,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forgotten.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->forgotten.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->forgotten.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += iprot->readString(this->forgotten[_i122]);
+              xfer += iprot->readString(this->forgotten[_i126]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3167,6 +3294,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->refused.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += this->refused[_i131].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3192,10 +3339,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<SubmitJob> ::const_iterator _iter123;
-    for (_iter123 = this->jobs.begin(); _iter123 != this->jobs.end(); ++_iter123)
+    std::vector<SubmitJob> ::const_iterator _iter132;
+    for (_iter132 = this->jobs.begin(); _iter132 != this->jobs.end(); ++_iter132)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3204,10 +3351,10 @@
   xfer += oprot->writeFieldBegin("cancelled", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cancelled.size()));
-    std::vector<std::string> ::const_iterator _iter124;
-    for (_iter124 = this->cancelled.begin(); _iter124 != this->cancelled.end(); ++_iter124)
+    std::vector<std::string> ::const_iterator _iter133;
+    for (_iter133 = this->cancelled.begin(); _iter133 != this->cancelled.end(); ++_iter133)
     {
-      xfer += oprot->writeString((*_iter124));
+      xfer += oprot->writeString((*_iter133));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3216,10 +3363,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter125;
-    for (_iter125 = this->workers.begin(); _iter125 != this->workers.end(); ++_iter125)
+    std::vector<WorkerReport> ::const_iterator _iter134;
+    for (_iter134 = this->workers.begin(); _iter134 != this->workers.end(); ++_iter134)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3228,10 +3375,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gone.size()));
-    std::vector<WorkerGone> ::const_iterator _iter126;
-    for (_iter126 = this->gone.begin(); _iter126 != this->gone.end(); ++_iter126)
+    std::vector<WorkerGone> ::const_iterator _iter135;
+    for (_iter135 = this->gone.begin(); _iter135 != this->gone.end(); ++_iter135)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3240,10 +3387,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter127;
-    for (_iter127 = this->ends.begin(); _iter127 != this->ends.end(); ++_iter127)
+    std::vector<RunEnd> ::const_iterator _iter136;
+    for (_iter136 = this->ends.begin(); _iter136 != this->ends.end(); ++_iter136)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3252,10 +3399,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<RunStart> ::const_iterator _iter128;
-    for (_iter128 = this->starts.begin(); _iter128 != this->starts.end(); ++_iter128)
+    std::vector<RunStart> ::const_iterator _iter137;
+    for (_iter137 = this->starts.begin(); _iter137 != this->starts.end(); ++_iter137)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3264,10 +3411,10 @@
   xfer += oprot->writeFieldBegin("forgotten", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forgotten.size()));
-    std::vector<std::string> ::const_iterator _iter129;
-    for (_iter129 = this->forgotten.begin(); _iter129 != this->forgotten.end(); ++_iter129)
+    std::vector<std::string> ::const_iterator _iter138;
+    for (_iter138 = this->forgotten.begin(); _iter138 != this->forgotten.end(); ++_iter138)
     {
-      xfer += oprot->writeString((*_iter129));
+      xfer += oprot->writeString((*_iter138));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3277,6 +3424,18 @@
   xfer += oprot->writeI64(this->atMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
+    std::vector<RefusedJob> ::const_iterator _iter139;
+    for (_iter139 = this->refused.begin(); _iter139 != this->refused.end(); ++_iter139)
+    {
+      xfer += (*_iter139).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3293,57 +3452,62 @@
   swap(a.starts, b.starts);
   swap(a.forgotten, b.forgotten);
   swap(a.atMs, b.atMs);
+  swap(a.refused, b.refused);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other130) {
-  configuration = other130.configuration;
-  jobs = other130.jobs;
-  cancelled = other130.cancelled;
-  workers = other130.workers;
-  gone = other130.gone;
-  ends = other130.ends;
-  starts = other130.starts;
-  forgotten = other130.forgotten;
-  atMs = other130.atMs;
-  __isset = other130.__isset;
-}
-Command::Command(Command&& other131) noexcept {
-  configuration = std::move(other131.configuration);
-  jobs = std::move(other131.jobs);
-  cancelled = std::move(other131.cancelled);
-  workers = std::move(other131.workers);
-  gone = std::move(other131.gone);
-  ends = std::move(other131.ends);
-  starts = std::move(other131.starts);
-  forgotten = std::move(other131.forgotten);
-  atMs = other131.atMs;
-  __isset = other131.__isset;
-}
-Command& Command::operator=(const Command& other132) {
-  configuration = other132.configuration;
-  jobs = other132.jobs;
-  cancelled = other132.cancelled;
-  workers = other132.workers;
-  gone = other132.gone;
-  ends = other132.ends;
-  starts = other132.starts;
-  forgotten = other132.forgotten;
-  atMs = other132.atMs;
-  __isset = other132.__isset;
+Command::Command(const Command& other140) {
+  configuration = other140.configuration;
+  jobs = other140.jobs;
+  cancelled = other140.cancelled;
+  workers = other140.workers;
+  gone = other140.gone;
+  ends = other140.ends;
+  starts = other140.starts;
+  forgotten = other140.forgotten;
+  atMs = other140.atMs;
+  refused = other140.refused;
+  __isset = other140.__isset;
+}
+Command::Command(Command&& other141) noexcept {
+  configuration = std::move(other141.configuration);
+  jobs = std::move(other141.jobs);
+  cancelled = std::move(other141.cancelled);
+  workers = std::move(other141.workers);
+  gone = std::move(other141.gone);
+  ends = std::move(other141.ends);
+  starts = std::move(other141.starts);
+  forgotten = std::move(other141.forgotten);
+  atMs = other141.atMs;
+  refused = std::move(other141.refused);
+  __isset = other141.__isset;
+}
+Command& Command::operator=(const Command& other142) {
+  configuration = other142.configuration;
+  jobs = other142.jobs;
+  cancelled = other142.cancelled;
+  workers = other142.workers;
+  gone = other142.gone;
+  ends = other142.ends;
+  starts = other142.starts;
+  forgotten = other142.forgotten;
+  atMs = other142.atMs;
+  refused = other142.refused;
+  __isset = other142.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other133) noexcept {
-  configuration = std::move(other133.configuration);
-  jobs = std::move(other133.jobs);
-  cancelled = std::move(other133.cancelled);
-  workers = std::move(other133.workers);
-  gone = std::move(other133.gone);
-  ends = std::move(other133.ends);
-  starts = std::move(other133.starts);
-  forgotten = std::move(other133.forgotten);
-  atMs = other133.atMs;
-  __isset = other133.__isset;
+Command& Command::operator=(Command&& other143) noexcept {
+  configuration = std::move(other143.configuration);
+  jobs = std::move(other143.jobs);
+  cancelled = std::move(other143.cancelled);
+  workers = std::move(other143.workers);
+  gone = std::move(other143.gone);
+  ends = std::move(other143.ends);
+  starts = std::move(other143.starts);
+  forgotten = std::move(other143.forgotten);
+  atMs = other143.atMs;
+  refused = std::move(other143.refused);
+  __isset = other143.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -3358,6 +3522,7 @@
   out << ", " << "starts=" << to_string(starts);
   out << ", " << "forgotten=" << to_string(forgotten);
   out << ", " << "atMs=" << to_string(atMs);
+  out << ", " << "refused=" << to_string(refused);
   out << ")";
 }
 
@@ -3556,50 +3721,50 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskSnapshot::TaskSnapshot(const TaskSnapshot& other134) {
-  phase = other134.phase;
-  run = other134.run;
-  failures = other134.failures;
-  worker = other134.worker;
-  checkpoint = other134.checkpoint;
-  crashes = other134.crashes;
-  crashesAtStart = other134.crashesAtStart;
-  incarnation = other134.incarnation;
-  __isset = other134.__isset;
-}
-TaskSnapshot::TaskSnapshot(TaskSnapshot&& other135) noexcept {
-  phase = other135.phase;
-  run = other135.run;
-  failures = other135.failures;
-  worker = std::move(other135.worker);
-  checkpoint = std::move(other135.checkpoint);
-  crashes = other135.crashes;
-  crashesAtStart = other135.crashesAtStart;
-  incarnation = other135.incarnation;
-  __isset = other135.__isset;
-}
-TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other136) {
-  phase = other136.phase;
-  run = other136.run;
-  failures = other136.failures;
-  worker = other136.worker;
-  checkpoint = other136.checkpoint;
-  crashes = other136.crashes;
-  crashesAtStart = other136.crashesAtStart;
-  incarnation = other136.incarnation;
-  __isset = other136.__isset;
+TaskSnapshot::TaskSnapshot(const TaskSnapshot& other144) {
+  phase = other144.phase;
+  run = other144.run;
+  failures = other144.failures;
+  worker = other144.worker;
+  checkpoint = other144.checkpoint;
+  crashes = other144.crashes;
+  crashesAtStart = other144.crashesAtStart;
+  incarnation = other144.incarnation;
+  __isset = other144.__isset;
+}
+TaskSnapshot::TaskSnapshot(TaskSnapshot&& other145) noexcept {
+  phase = other145.phase;
+  run = other145.run;
+  failures = other145.failures;
+  worker = std::move(other145.worker);
+  checkpoint = std::move(other145.checkpoint);
+  crashes = other145.crashes;
+  crashesAtStart = other145.crashesAtStart;
+  incarnation = other145.incarnation;
+  __isset = other145.__isset;
+}
+TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other146) {
+  phase = other146.phase;
+  run = other146.run;
+  failures = other146.failures;
+  worker = other146.worker;
+  checkpoint = other146.checkpoint;
+  crashes = other146.crashes;
+  crashesAtStart = other146.crashesAtStart;
+  incarnation = other146.incarnation;
+  __isset = other146.__isset;
   return *this;
 }
-TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other137) noexcept {
-  phase = other137.phase;
-  run = other137.run;
-  failures = other137.failures;
-  worker = std::move(other137.worker);
-  checkpoint = std::move(other137.checkpoint);
-  crashes = other137.crashes;
-  crashesAtStart = other137.crashesAtStart;
-  incarnation = other137.incarnation;
-  __isset = other137.__isset;
+TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other147) noexcept {
+  phase = other147.phase;
+  run = other147.run;
+  failures = other147.failures;
+  worker = std::move(other147.worker);
+  checkpoint = std::move(other147.checkpoint);
+  crashes = other147.crashes;
+  crashesAtStart = other147.crashesAtStart;
+  incarnation = other147.incarnation;
+  __isset = other147.__isset;
   return *this;
 }
 void TaskSnapshot::printTo(std::ostream& out) const {
@@ -3668,14 +3833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->tasks.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->tasks.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->tasks[_i142].read(iprot);
+              xfer += this->tasks[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3728,10 +3893,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskSnapshot> ::const_iterator _iter143;
-    for (_iter143 = this->tasks.begin(); _iter143 != this->tasks.end(); ++_iter143)
+    std::vector<TaskSnapshot> ::const_iterator _iter153;
+    for (_iter153 = this->tasks.begin(); _iter153 != this->tasks.end(); ++_iter153)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3763,34 +3928,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StepSnapshot::StepSnapshot(const StepSnapshot& other144) {
-  tasks = other144.tasks;
-  gangFailures = other144.gangFailures;
-  lastFailedRun = other144.lastFailedRun;
-  lastRun = other144.lastRun;
-  __isset = other144.__isset;
+StepSnapshot::StepSnapshot(const StepSnapshot& other154) {
+  tasks = other154.tasks;
+  gangFailures = other154.gangFailures;
+  lastFailedRun = other154.lastFailedRun;
+  lastRun = other154.lastRun;
+  __isset = other154.__isset;
 }
-StepSnapshot::StepSnapshot(StepSnapshot&& other145) noexcept {
-  tasks = std::move(other145.tasks);
-  gangFailures = other145.gangFailures;
-  lastFailedRun = other145.lastFailedRun;
-  lastRun = other145.lastRun;
-  __isset = other145.__isset;
+StepSnapshot::StepSnapshot(StepSnapshot&& other155) noexcept {
+  tasks = std::move(other155.tasks);
+  gangFailures = other155.gangFailures;
+  lastFailedRun = other155.lastFailedRun;
+  lastRun = other155.lastRun;
+  __isset = other155.__isset;
 }
-StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other146) {
-  tasks = other146.tasks;
-  gangFailures = other146.gangFailures;
-  lastFailedRun = other146.lastFailedRun;
-  lastRun = other146.lastRun;
-  __isset = other146.__isset;
+StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other156) {
+  tasks = other156.tasks;
+  gangFailures = other156.gangFailures;
+  lastFailedRun = other156.lastFailedRun;
+  lastRun = other156.lastRun;
+  __isset = other156.__isset;
   return *this;
 }
-StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other147) noexcept {
-  tasks = std::move(other147.tasks);
-  gangFailures = other147.gangFailures;
-  lastFailedRun = other147.lastFailedRun;
-  lastRun = other147.lastRun;
-  __isset = other147.__isset;
+StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other157) noexcept {
+  tasks = std::move(other157.tasks);
+  gangFailures = other157.gangFailures;
+  lastFailedRun = other157.lastFailedRun;
+  lastRun = other157.lastRun;
+  __isset = other157.__isset;
   return *this;
 }
 void StepSnapshot::printTo(std::ostream& out) const {
@@ -3843,14 +4008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->steps.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->steps.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->steps[_i152].read(iprot);
+              xfer += this->steps[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3879,10 +4044,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepSnapshot> ::const_iterator _iter153;
-    for (_iter153 = this->steps.begin(); _iter153 != this->steps.end(); ++_iter153)
+    std::vector<StepSnapshot> ::const_iterator _iter163;
+    for (_iter163 = this->steps.begin(); _iter163 != this->steps.end(); ++_iter163)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3899,22 +4064,22 @@
   swap(a.__isset, b.__isset);
 }
 
-OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other154) {
-  steps = other154.steps;
-  __isset = other154.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other164) {
+  steps = other164.steps;
+  __isset = other164.__isset;
 }
-OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other155) noexcept {
-  steps = std::move(other155.steps);
-  __isset = other155.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other165) noexcept {
+  steps = std::move(other165.steps);
+  __isset = other165.__isset;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other156) {
-  steps = other156.steps;
-  __isset = other156.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other166) {
+  steps = other166.steps;
+  __isset = other166.__isset;
   return *this;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other157) noexcept {
-  steps = std::move(other157.steps);
-  __isset = other157.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other167) noexcept {
+  steps = std::move(other167.steps);
+  __isset = other167.__isset;
   return *this;
 }
 void OccurrenceSnapshot::printTo(std::ostream& out) const {
@@ -4016,14 +4181,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->occurrences.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->occurrences.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->occurrences.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->occurrences[_i162].read(iprot);
+              xfer += this->occurrences[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4076,10 +4241,10 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::vector<OccurrenceSnapshot> ::const_iterator _iter163;
-    for (_iter163 = this->occurrences.begin(); _iter163 != this->occurrences.end(); ++_iter163)
+    std::vector<OccurrenceSnapshot> ::const_iterator _iter173;
+    for (_iter173 = this->occurrences.begin(); _iter173 != this->occurrences.end(); ++_iter173)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4105,42 +4270,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobSnapshot::JobSnapshot(const JobSnapshot& other164) {
-  job = other164.job;
-  status = other164.status;
-  started = other164.started;
-  endedAtMs = other164.endedAtMs;
-  occurrences = other164.occurrences;
-  reason = other164.reason;
-  __isset = other164.__isset;
-}
-JobSnapshot::JobSnapshot(JobSnapshot&& other165) noexcept {
-  job = std::move(other165.job);
-  status = other165.status;
-  started = other165.started;
-  endedAtMs = other165.endedAtMs;
-  occurrences = std::move(other165.occurrences);
-  reason = std::move(other165.reason);
-  __isset = other165.__isset;
-}
-JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other166) {
-  job = other166.job;
-  status = other166.status;
-  started = other166.started;
-  endedAtMs = other166.endedAtMs;
-  occurrences = other166.occurrences;
-  reason = other166.reason;
-  __isset = other166.__isset;
+JobSnapshot::JobSnapshot(const JobSnapshot& other174) {
+  job = other174.job;
+  status = other174.status;
+  started = other174.started;
+  endedAtMs = other174.endedAtMs;
+  occurrences = other174.occurrences;
+  reason = other174.reason;
+  __isset = other174.__isset;
+}
+JobSnapshot::JobSnapshot(JobSnapshot&& other175) noexcept {
+  job = std::move(other175.job);
+  status = other175.status;
+  started = other175.started;
+  endedAtMs = other175.endedAtMs;
+  occurrences = std::move(other175.occurrences);
+  reason = std::move(other175.reason);
+  __isset = other175.__isset;
+}
+JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other176) {
+  job = other176.job;
+  status = other176.status;
+  started = other176.started;
+  endedAtMs = other176.endedAtMs;
+  occurrences = other176.occurrences;
+  reason = other176.reason;
+  __isset = other176.__isset;
   return *this;
 }
-JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other167) noexcept {
-  job = std::move(other167.job);
-  status = other167.status;
-  started = other167.started;
-  endedAtMs = other167.endedAtMs;
-  occurrences = std::move(other167.occurrences);
-  reason = std::move(other167.reason);
-  __isset = other167.__isset;
+JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other177) noexcept {
+  job = std::move(other177.job);
+  status = other177.status;
+  started = other177.started;
+  endedAtMs = other177.endedAtMs;
+  occurrences = std::move(other177.occurrences);
+  reason = std::move(other177.reason);
+  __isset = other177.__isset;
   return *this;
 }
 void JobSnapshot::printTo(std::ostream& out) const {
@@ -4172,6 +4337,10 @@
 void StateSnapshot::__set_workers(const std::vector<WorkerReport> & val) {
   this->workers = val;
 }
+
+void StateSnapshot::__set_refused(const std::vector<RefusedJob> & val) {
+  this->refused = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -4212,14 +4381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->jobs.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->jobs.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->jobs[_i172].read(iprot);
+              xfer += this->jobs[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4232,14 +4401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->workers.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->workers.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->workers[_i177].read(iprot);
+              xfer += this->workers[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4248,6 +4417,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->refused.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
+            {
+              xfer += this->refused[_i192].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4273,10 +4462,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter178;
-    for (_iter178 = this->jobs.begin(); _iter178 != this->jobs.end(); ++_iter178)
+    std::vector<JobSnapshot> ::const_iterator _iter193;
+    for (_iter193 = this->jobs.begin(); _iter193 != this->jobs.end(); ++_iter193)
     {
-      xfer += (*_iter178).write(oprot);
+      xfer += (*_iter193).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4285,10 +4474,22 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter179;
-    for (_iter179 = this->workers.begin(); _iter179 != this->workers.end(); ++_iter179)
+    std::vector<WorkerReport> ::const_iterator _iter194;
+    for (_iter194 = this->workers.begin(); _iter194 != this->workers.end(); ++_iter194)
+    {
+      xfer += (*_iter194).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
+    std::vector<RefusedJob> ::const_iterator _iter195;
+    for (_iter195 = this->refused.begin(); _iter195 != this->refused.end(); ++_iter195)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter195).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4304,33 +4505,38 @@
   swap(a.configuration, b.configuration);
   swap(a.jobs, b.jobs);
   swap(a.workers, b.workers);
+  swap(a.refused, b.refused);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other180) {
-  configuration = other180.configuration;
-  jobs = other180.jobs;
-  workers = other180.workers;
-  __isset = other180.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other196) {
+  configuration = other196.configuration;
+  jobs = other196.jobs;
+  workers = other196.workers;
+  refused = other196.refused;
+  __isset = other196.__isset;
 }
-StateSnapshot::StateSnapshot(StateSnapshot&& other181) noexcept {
-  configuration = std::move(other181.configuration);
-  jobs = std::move(other181.jobs);
-  workers = std::move(other181.workers);
-  __isset = other181.__isset;
+StateSnapshot::StateSnapshot(StateSnapshot&& other197) noexcept {
+  configuration = std::move(other197.configuration);
+  jobs = std::move(other197.jobs);
+  workers = std::move(other197.workers);
+  refused = std::move(other197.refused);
+  __isset = other197.__isset;
 }
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other182) {
-  configuration = other182.configuration;
-  jobs = other182.jobs;
-  workers = other182.workers;
-  __isset = other182.__isset;
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other198) {
+  configuration = other198.configuration;
+  jobs = other198.jobs;
+  workers = other198.workers;
+  refused = other198.refused;
+  __isset = other198.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other183) noexcept {
-  configuration = std::move(other183.configuration);
-  jobs = std::move(other183.jobs);
-  workers = std::move(other183.workers);
-  __isset = other183.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other199) noexcept {
+  configuration = std::move(other199.configuration);
+  jobs = std::move(other199.jobs);
+  workers = std::move(other199.workers);
+  refused = std::move(other199.refused);
+  __isset = other199.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -4339,6 +4545,7 @@
   out << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ", " << "jobs=" << to_string(jobs);
   out << ", " << "workers=" << to_string(workers);
+  out << ", " << "refused=" << to_string(refused);
   out << ")";
 }
 
@@ -4526,46 +4733,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other184) {
-  kind = other184.kind;
-  host = other184.host;
-  path = other184.path;
-  key = other184.key;
-  job = other184.job;
-  worker = other184.worker;
-  configuration = other184.configuration;
-  __isset = other184.__isset;
-}
-Request::Request(Request&& other185) noexcept {
-  kind = other185.kind;
-  host = std::move(other185.host);
-  path = std::move(other185.path);
-  key = std::move(other185.key);
-  job = std::move(other185.job);
-  worker = std::move(other185.worker);
-  configuration = std::move(other185.configuration);
-  __isset = other185.__isset;
-}
-Request& Request::operator=(const Request& other186) {
-  kind = other186.kind;
-  host = other186.host;
-  path = other186.path;
-  key = other186.key;
-  job = other186.job;
-  worker = other186.worker;
-  configuration = other186.configuration;
-  __isset = other186.__isset;
+Request::Request(const Request& other200) {
+  kind = other200.kind;
+  host = other200.host;
+  path = other200.path;
+  key = other200.key;
+  job = other200.job;
+  worker = other200.worker;
+  configuration = other200.configuration;
+  __isset = other200.__isset;
+}
+Request::Request(Request&& other201) noexcept {
+  kind = other201.kind;
+  host = std::move(other201.host);
+  path = std::move(other201.path);
+  key = std::move(other201.key);
+  job = std::move(other201.job);
+  worker = std::move(other201.worker);
+  configuration = std::move(other201.configuration);
+  __isset = other201.__isset;
+}
+Request& Request::operator=(const Request& other202) {
+  kind = other202.kind;
+  host = other202.host;
+  path = other202.path;
+  key = other202.key;
+  job = other202.job;
+  worker = other202.worker;
+  configuration = other202.configuration;
+  __isset = other202.__isset;
   return *this;
 }
-Request& Request::operator=(Request&& other187) noexcept {
-  kind = other187.kind;
-  host = std::move(other187.host);
-  path = std::move(other187.path);
-  key = std::move(other187.key);
-  job = std::move(other187.job);
-  worker = std::move(other187.worker);
-  configuration = std::move(other187.configuration);
-  __isset = other187.__isset;
+Request& Request::operator=(Request&& other203) noexcept {
+  kind = other203.kind;
+  host = std::move(other203.host);
+  path = std::move(other203.path);
+  key = std::move(other203.key);
+  job = std::move(other203.job);
+  worker = std::move(other203.worker);
+  configuration = std::move(other203.configuration);
+  __isset = other203.__isset;
   return *this;
 }
 void Request::printTo(std::ostream& out) const {
@@ -4694,14 +4901,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->members.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->members.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += iprot->readString(this->members[_i192]);
+              xfer += iprot->readString(this->members[_i208]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4774,10 +4981,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter193;
-    for (_iter193 = this->members.begin(); _iter193 != this->members.end(); ++_iter193)
+    std::vector<std::string> ::const_iterator _iter209;
+    for (_iter209 = this->members.begin(); _iter209 != this->members.end(); ++_iter209)
     {
-      xfer += oprot->writeString((*_iter193));
+      xfer += oprot->writeString((*_iter209));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4815,54 +5022,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other194) {
-  outcome = other194.outcome;
-  retryAfterMs = other194.retryAfterMs;
-  leader = other194.leader;
-  text = other194.text;
-  count = other194.count;
-  members = other194.members;
-  jobStatus = other194.jobStatus;
-  version = other194.version;
-  limits = other194.limits;
-  __isset = other194.__isset;
-}
-Reply::Reply(Reply&& other195) noexcept {
-  outcome = other195.outcome;
-  retryAfterMs = other195.retryAfterMs;
-  leader = std::move(other195.leader);
-  text = std::move(other195.text);
-  count = other195.count;
-  members = std::move(other195.members);
-  jobStatus = other195.jobStatus;
-  version = other195.version;
-  limits = std::move(other195.limits);
-  __isset = other195.__isset;
-}
-Reply& Reply::operator=(const Reply& other196) {
-  outcome = other196.outcome;
-  retryAfterMs = other196.retryAfterMs;
-  leader = other196.leader;
-  text = other196.text;
-  count = other196.count;
-  members = other196.members;
-  jobStatus = other196.jobStatus;
-  version = other196.version;
-  limits = other196.limits;
-  __isset = other196.__isset;
+Reply::Reply(const Reply& other210) {
+  outcome = other210.outcome;
+  retryAfterMs = other210.retryAfterMs;
+  leader = other210.leader;
+  text = other210.text;
+  count = other210.count;
+  members = other210.members;
+  jobStatus = other210.jobStatus;
+  version = other210.version;
+  limits = other210.limits;
+  __isset = other210.__isset;
+}
+Reply::Reply(Reply&& other211) noexcept {
+  outcome = other211.outcome;
+  retryAfterMs = other211.retryAfterMs;
+  leader = std::move(other211.leader);
+  text = std::move(other211.text);
+  count = other211.count;
+  members = std::move(other211.members);
+  jobStatus = other211.jobStatus;
+  version = other211.version;
+  limits = std::move(other211.limits);
+  __isset = other211.__isset;
+}
+Reply& Reply::operator=(const Reply& other212) {
+  outcome = other212.outcome;
+  retryAfterMs = other212.retryAfterMs;
+  leader = other212.leader;
+  text = other212.text;
+  count = other212.count;
+  members = other212.members;
+  jobStatus = other212.jobStatus;
+  version = other212.version;
+  limits = other212.limits;
+  __isset = other212.__isset;
   return *this;
 }
-Reply& Reply::operator=(Reply&& other197) noexcept {
-  outcome = other197.outcome;
-  retryAfterMs = other197.retryAfterMs;
-  leader = std::move(other197.leader);
-  text = std::move(other197.text);
-  count = other197.count;
-  members = std::move(other197.members);
-  jobStatus = other197.jobStatus;
-  version = other197.version;
-  limits = std::move(other197.limits);
-  __isset = other197.__isset;
+Reply& Reply::operator=(Reply&& other213) noexcept {
+  outcome = other213.outcome;
+  retryAfterMs = other213.retryAfterMs;
+  leader = std::move(other213.leader);
+  text = std::move(other213.text);
+  count = other213.count;
+  members = std::move(other213.members);
+  jobStatus = other213.jobStatus;
+  version = other213.version;
+  limits = std::move(other213.limits);
+  __isset = other213.__isset;
   return *this;
 }
 void Reply::printTo(std::ostream& out) const {
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -47,6 +47,8 @@
 
 class RunEnd;
 
+class RefusedJob;
+
 class Command;
 
 class TaskSnapshot;
@@ -1112,8 +1114,60 @@
 
 std::ostream& operator<<(std::ostream& out, const RunEnd& obj);
 
+typedef struct _RefusedJob__isset {
+  _RefusedJob__isset() : id(false), workspace(false) {}
+  bool id :1;
+  bool workspace :1;
+} _RefusedJob__isset;
+
+class RefusedJob : public virtual ::apache::thrift::TBase {
+ public:
+
+  RefusedJob(const RefusedJob&);
+  RefusedJob(RefusedJob&&) noexcept;
+  RefusedJob& operator=(const RefusedJob&);
+  RefusedJob& operator=(RefusedJob&&) noexcept;
+  RefusedJob() noexcept
+             : id(),
+               workspace() {
+  }
+
+  virtual ~RefusedJob() noexcept;
+  std::string id;
+  std::string workspace;
+
+  _RefusedJob__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_workspace(const std::string& val);
+
+  bool operator == (const RefusedJob & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    return true;
+  }
+  bool operator != (const RefusedJob &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RefusedJob & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RefusedJob &a, RefusedJob &b);
+
+std::ostream& operator<<(std::ostream& out, const RefusedJob& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false) {}
+  _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false), refused(false) {}
   bool configuration :1;
   bool jobs :1;
   bool cancelled :1;
@@ -1123,6 +1177,7 @@
   bool starts :1;
   bool forgotten :1;
   bool atMs :1;
+  bool refused :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1146,6 +1201,7 @@
   std::vector<RunStart>  starts;
   std::vector<std::string>  forgotten;
   int64_t atMs;
+  std::vector<RefusedJob>  refused;
 
   _Command__isset __isset;
 
@@ -1167,6 +1223,8 @@
 
   void __set_atMs(const int64_t val);
 
+  void __set_refused(const std::vector<RefusedJob> & val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1189,6 +1247,8 @@
       return false;
     if (!(atMs == rhs.atMs))
       return false;
+    if (!(refused == rhs.refused))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1489,10 +1549,11 @@
 std::ostream& operator<<(std::ostream& out, const JobSnapshot& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false) {}
+  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false) {}
   bool configuration :1;
   bool jobs :1;
   bool workers :1;
+  bool refused :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -1509,6 +1570,7 @@
   Configuration configuration;
   std::vector<JobSnapshot>  jobs;
   std::vector<WorkerReport>  workers;
+  std::vector<RefusedJob>  refused;
 
   _StateSnapshot__isset __isset;
 
@@ -1518,6 +1580,8 @@
 
   void __set_workers(const std::vector<WorkerReport> & val);
 
+  void __set_refused(const std::vector<RefusedJob> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1528,6 +1592,8 @@
       return false;
     if (!(workers == rhs.workers))
       return false;
+    if (!(refused == rhs.refused))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -126,6 +126,9 @@
         mEndedJobs.emplace_back(mNow, id);
       }
     }
+    for (const auto& [id, workspace] : mState.RefusedJobs()) {
+      mEndedJobs.emplace_back(mNow, id);
+    }
     mTerm = mGroup->Term();
     Millis silence = mLeaderKnownAt ? mNow - *mLeaderKnownAt : kUnknownSilence;
     mDispatcher = std::make_unique<Dispatcher>(
@@ -176,9 +179,10 @@
   }
   gen::Command& command = mBatch.command;
   bool idle = !command.__isset.configuration && command.jobs.empty() &&
-              command.cancelled.empty() && command.workers.empty() &&
-              command.gone.empty() && command.ends.empty() &&
-              command.starts.empty() && command.forgotten.empty();
+              command.cancelled.empty() && command.refused.empty() &&
+              command.workers.empty() && command.gone.empty() &&
+              command.ends.empty() && command.starts.empty() &&
+              command.forgotten.empty();
   if (idle) {
     // The remaining callbacks wait for a change that an earlier batch contains,
     // whose outcome is not known here.
@@ -312,10 +316,10 @@
     JobId id = std::move(mEndedJobs.front().second);
     mEndedJobs.pop_front();
     const Job* job = mState.FindJob(id);
-    if (job == nullptr) {
+    if (job == nullptr && !mState.IsRefused(id)) {
       continue;
     }
-    if (job->activeRuns > 0) {
+    if (job != nullptr && job->activeRuns > 0) {
       mEndedJobs.emplace_back(aNow, std::move(id));
       continue;
     }
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -139,7 +139,6 @@
 
   void OnSubmit(const gen::Request& aRequest, ReplyCallback aDone);
   void OnRead(const gen::Request& aRequest, const ReplyCallback& aDone);
-  void OnCancel(const gen::Request& aRequest, ReplyCallback aDone);
   void OnReport(const gen::Request& aRequest, ReplyCallback aDone);
   void OnPutConfiguration(const gen::Request& aRequest, ReplyCallback aDone);
   void OnGetConfiguration(const ReplyCallback& aDone);
@@ -154,12 +153,17 @@
     JobId job;
   };
   Target FindTarget(const gen::Request& aRequest) const;
+  void OnCancel(const gen::Request& aRequest, ReplyCallback aDone);
+  // Cancels a job that is not known: its submission may be on its way, such as
+  // at an entry instance that is suspended, and is refused when it arrives.
+  void RefuseJob(const Target& aTarget, ReplyCallback aDone);
 
   gen::Reply MakeReply(RequestOutcome aOutcome) const;
   void Answer(const ReplyCallback& aDone, gen::Reply aReply);
   void Answer(const ReplyCallback& aDone, RequestOutcome aOutcome);
-  // Answers when the current batch is committed.
-  void AnswerAfterCommit(ReplyCallback aDone);
+  // Answers when the current batch is committed, then with `aCommitted`.
+  void AnswerAfterCommit(ReplyCallback aDone,
+                         RequestOutcome aCommitted = RequestOutcome::kOk);
 
   void UpdateLeadership(Millis aNow);
   void StartLeading();
@@ -203,8 +207,8 @@
   // A read that confirms that the state is up to date is in flight.
   bool mConfirming = false;
   Batch mBatch;
-  // Ended jobs with the time at which this leader saw their end, the earliest
-  // first. The time of day is not used, since it may jump.
+  // Ended and refused jobs with the time at which this leader saw their end,
+  // the earliest first. The time of day is not used, since it may jump.
   std::deque<std::pair<Millis, JobId>> mEndedJobs;
   // Jobs in batches whose outcome is not known yet.
   std::set<std::string> mSubmitting;
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr size_t kJobIdLength = 16;
+// Bounds the memory for cancellations of unknown jobs, to about 2 MB.
+constexpr size_t kMaxRefusedJobs = 10'000;
 
 bool
 IsJobId(std::string_view aText)
@@ -47,13 +49,13 @@
 }
 
 void
-Node::AnswerAfterCommit(ReplyCallback aDone)
+Node::AnswerAfterCommit(ReplyCallback aDone, RequestOutcome aCommitted)
 {
   mBatch.completions.emplace_back(
-    [this, done = std::move(aDone)](Verdict aVerdict) {
+    [this, aCommitted, done = std::move(aDone)](Verdict aVerdict) {
       RequestOutcome outcome = RequestOutcome::kMayHaveRun;
       if (aVerdict == Verdict::kAnswered) {
-        outcome = RequestOutcome::kOk;
+        outcome = aCommitted;
       } else if (aVerdict == Verdict::kNotRun) {
         outcome = RequestOutcome::kNotLeader;
       }
@@ -159,12 +161,21 @@
     Answer(aDone, RequestOutcome::kOk);
     return;
   }
+  WorkspaceId workspace =
+    target.workspace != nullptr ? target.workspace->name : WorkspaceId();
+  if (mState.IsRefused(target.job, workspace)) {
+    mEnvironment.Log(LogEvent("job_refused")
+                       .Add("job", target.job)
+                       .Add("queue", target.queue->name)
+                       .Add("reason", "cancelled_before_submission")
+                       .Add("configuration", mState.Version()));
+    Answer(aDone, RequestOutcome::kNoSuchJob);
+    return;
+  }
   gen::SubmitJob job;
   job.id = target.job.Value();
   job.queue = target.queue->name.Value();
-  if (target.workspace != nullptr) {
-    job.workspace = target.workspace->name.Value();
-  }
+  job.workspace = workspace.Value();
   job.serviceId = target.queue->service.Value();
   job.spec = aRequest.job;
   job.acceptedAtMs = mWallNow.Count();
@@ -201,6 +212,11 @@
   AnswerAfterCommit(
     [this, id = job.id, done = std::move(aDone)](gen::Reply aReply) {
       mSubmitting.erase(id);
+      // A cancellation was committed first.
+      if (aReply.outcome == static_cast<int32_t>(RequestOutcome::kOk) &&
+          mState.FindJob(JobId(id)) == nullptr) {
+        aReply.outcome = static_cast<int32_t>(RequestOutcome::kNoSuchJob);
+      }
       done(std::move(aReply));
     });
   mBatch.command.jobs.push_back(std::move(job));
@@ -245,12 +261,17 @@
     Answer(aDone, target.outcome);
     return;
   }
-  const Job* job = mState.FindJob(target.job);
-  if (job == nullptr) {
+  if (target.job.empty()) {
     Answer(aDone, RequestOutcome::kNoSuchJob);
     return;
   }
-  if (job->Ended()) {
+  const Job* job = mState.FindJob(target.job);
+  bool submitting = mSubmitting.contains(target.job.Value());
+  if (job == nullptr && !submitting) {
+    RefuseJob(target, std::move(aDone));
+    return;
+  }
+  if (job != nullptr && job->Ended()) {
     Answer(aDone, RequestOutcome::kOk);
     return;
   }
@@ -258,6 +279,33 @@
   AnswerAfterCommit(std::move(aDone));
 }
 
+void
+Node::RefuseJob(const Target& aTarget, ReplyCallback aDone)
+{
+  WorkspaceId workspace =
+    aTarget.workspace != nullptr ? aTarget.workspace->name : WorkspaceId();
+  if (mState.IsRefused(aTarget.job, workspace)) {
+    Answer(aDone, RequestOutcome::kNoSuchJob);
+    return;
+  }
+  if (mState.RefusedJobs().size() >= kMaxRefusedJobs) {
+    Answer(aDone, RequestOutcome::kUnavailable);
+    return;
+  }
+  gen::RefusedJob refused;
+  refused.id = aTarget.job.Value();
+  refused.workspace = workspace.Value();
+  mBatch.command.refused.push_back(std::move(refused));
+  // The callback runs when the state contains the refusal, which is forgotten
+  // like an ended job.
+  AnswerAfterCommit(
+    [this, id = aTarget.job, done = std::move(aDone)](gen::Reply aReply) {
+      mEndedJobs.emplace_back(mNow, id);
+      done(std::move(aReply));
+    },
+    RequestOutcome::kNoSuchJob);
+}
+
 void
 Node::OnReport(const gen::Request& aRequest, ReplyCallback aDone)
 {
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -165,7 +165,9 @@
             RequestOutcome::kUnauthorized);
   EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kRead, path)),
             RequestOutcome::kNoSuchJob);
-  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path)),
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, "/q/")),
+            RequestOutcome::kNoSuchJob);
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, "/q/00000000000000a2")),
             RequestOutcome::kNoSuchJob);
   EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
             RequestOutcome::kOk);
@@ -176,6 +178,120 @@
   EXPECT_EQ(queueReply->count, 1);
 }
 
+// Guards against a job that runs although its cancellation was acknowledged:
+// its submission was delayed, and arrives at this leader or a later one.
+TEST_F(NodeTest, SubmissionAfterItsCancellationIsRefused)
+{
+  Open();
+  Configure();
+  std::string path = std::string("/q/") + kJob;
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path)),
+            RequestOutcome::kNoSuchJob);
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
+            RequestOutcome::kNoSuchJob);
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path)),
+            RequestOutcome::kNoSuchJob);
+  mNode.reset();
+  Open();
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
+            RequestOutcome::kNoSuchJob);
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kRead, path)),
+            RequestOutcome::kNoSuchJob);
+  EXPECT_TRUE(mNode->State().Jobs().empty());
+}
+
+// Guards against the same within one batch and between two, in either order.
+TEST_F(NodeTest, CancellationBesideItsSubmissionHolds)
+{
+  Open();
+  Configure();
+  int number = 0;
+  for (bool cancelFirst : { false, true }) {
+    for (int ticks : { 0, 1 }) {
+      std::string path = "/q/00000000000000b" + std::to_string(++number);
+      std::vector<RequestOutcome> outcomes;
+      auto handle = [&](RequestKind aKind) {
+        mNode->Handle(
+          RequestFor(aKind, path), mNow, [&](const gen::Reply& aReply) {
+            outcomes.push_back(static_cast<RequestOutcome>(aReply.outcome));
+          });
+      };
+      handle(cancelFirst ? RequestKind::kCancel : RequestKind::kSubmit);
+      for (int n = 0; n < ticks; ++n) {
+        Advance();
+      }
+      handle(cancelFirst ? RequestKind::kSubmit : RequestKind::kCancel);
+      for (int n = 0; n < 50; ++n) {
+        Advance();
+      }
+      ASSERT_EQ(outcomes.size(), 2U);
+      for (RequestOutcome it : outcomes) {
+        EXPECT_TRUE(it == RequestOutcome::kOk ||
+                    it == RequestOutcome::kNoSuchJob);
+      }
+      const Job* job =
+        mNode->State().FindJob(JobId(std::string_view(path).substr(3)));
+      EXPECT_TRUE(job == nullptr || job->status == JobStatus::kCancelled);
+    }
+  }
+}
+
+// Guards against cancellations of unknown jobs that use memory for good, or
+// that block the same id for another workspace or without limit.
+TEST_F(NodeTest, RefusalIsForgottenLikeAnEndedJob)
+{
+  Open();
+  gen::Request configuration = ConfigurationRequest();
+  gen::Workspace other;
+  other.name = "other";
+  other.keys = { "key2" };
+  configuration.configuration.workspaces.push_back(other);
+  ASSERT_EQ(OutcomeOf(configuration), RequestOutcome::kOk);
+  std::string path = std::string("/q/") + kJob;
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path, "key2")),
+            RequestOutcome::kNoSuchJob);
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)),
+            RequestOutcome::kOk);
+  EXPECT_EQ(mNode->State().RefusedJobs().size(), 1U);
+  mNow += Seconds(121);
+  for (int n = 0; n < 100; ++n) {
+    Advance();
+  }
+  EXPECT_TRUE(mNode->State().RefusedJobs().empty());
+  EXPECT_NE(mNode->State().FindJob(JobId(kJob)), nullptr);
+}
+
+// Guards against cancellations that fill the memory of the replicas: beyond the
+// limit they are not acknowledged.
+TEST_F(NodeTest, CancellationsOfUnknownJobsAreBounded)
+{
+  Open();
+  Configure();
+  int acknowledged = 0;
+  int refused = 0;
+  for (int n = 0; n < 10'100; ++n) {
+    std::string digits = std::to_string(100'000 + n);
+    mNode->Handle(RequestFor(RequestKind::kCancel, "/q/0000000000" + digits),
+                  mNow,
+                  [&](const gen::Reply& aReply) {
+                    auto outcome = static_cast<RequestOutcome>(aReply.outcome);
+                    acknowledged +=
+                      outcome == RequestOutcome::kNoSuchJob ? 1 : 0;
+                    refused += outcome == RequestOutcome::kUnavailable ? 1 : 0;
+                  });
+    if (n % 50 == 0) {
+      Advance();
+    }
+  }
+  for (int n = 0; n < 20; ++n) {
+    Advance();
+  }
+  EXPECT_EQ(acknowledged + refused, 10'100);
+  EXPECT_GE(refused, 1);
+  // One batch of 50 may pass the limit before it is committed.
+  EXPECT_LE(mNode->State().RefusedJobs().size(), 10'050U);
+}
+
 // Guards against an accepted job that is lost at a restart.
 TEST_F(NodeTest, AcceptedJobSurvivesARestart)
 {
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -73,6 +73,9 @@
   for (const std::string& it : aCommand.cancelled) {
     ApplyCancel(JobId(it), at);
   }
+  for (const gen::RefusedJob& it : aCommand.refused) {
+    ApplyRefusal(it, at);
+  }
   for (const gen::RunStart& it : aCommand.starts) {
     ApplyStart(it);
   }
@@ -130,6 +133,9 @@
 FleetState::ApplyJob(const gen::SubmitJob& aJob)
 {
   Job job = JobFromSubmission(aJob);
+  if (IsRefused(job.id, job.workspace)) {
+    return;
+  }
   auto [it, inserted] = mJobs.try_emplace(job.id, std::move(job));
   if (inserted) {
     UpdateLive(it->second);
@@ -147,6 +153,27 @@
   }
 }
 
+void
+FleetState::ApplyRefusal(const gen::RefusedJob& aJob, Millis aAt)
+{
+  JobId id(aJob.id);
+  WorkspaceId workspace(aJob.workspace);
+  auto it = mJobs.find(id);
+  if (it != mJobs.end() && it->second.workspace == workspace) {
+    // The job was accepted between the proposal and its commit.
+    ApplyCancel(id, aAt);
+  } else {
+    mRefusedJobs.emplace(std::move(id), std::move(workspace));
+  }
+}
+
+bool
+FleetState::IsRefused(const JobId& aJob) const
+{
+  auto it = mRefusedJobs.lower_bound({ aJob, WorkspaceId() });
+  return it != mRefusedJobs.end() && it->first == aJob;
+}
+
 void
 FleetState::ApplyWorker(const gen::WorkerReport& aReport)
 {
@@ -399,6 +426,8 @@
 void
 FleetState::ApplyForget(const JobId& aId)
 {
+  std::erase_if(mRefusedJobs,
+                [&](const auto& aEntry) { return aEntry.first == aId; });
   auto it = mJobs.find(aId);
   if (it != mJobs.end() && it->second.Ended() && it->second.activeRuns == 0) {
     mLiveJobs.erase(aId);
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -20,6 +20,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -186,6 +187,19 @@
   const std::set<JobId>& LiveJobs() const { return mLiveJobs; }
   const std::map<WorkerId, Worker>& Workers() const { return mWorkers; }
 
+  // Whether a cancellation by the workspace was acknowledged before the job was
+  // submitted, so that the job must never run.
+  bool IsRefused(const JobId& aJob, const WorkspaceId& aWorkspace) const
+  {
+    return mRefusedJobs.contains({ aJob, aWorkspace });
+  }
+  bool IsRefused(const JobId& aJob) const;
+  // Refused jobs, ordered by job.
+  const std::set<std::pair<JobId, WorkspaceId>>& RefusedJobs() const
+  {
+    return mRefusedJobs;
+  }
+
   const Task* FindTask(const TaskRef& aTask) const;
   // Whether `aRun` is the active run of its task, on `aWorker`.
   bool IsActive(const RunRef& aRun, const WorkerId& aWorker) const;
@@ -198,6 +212,7 @@
   void ApplyConfiguration(const gen::Configuration& aConfiguration);
   void ApplyJob(const gen::SubmitJob& aJob);
   void ApplyCancel(const JobId& aId, Millis aAt);
+  void ApplyRefusal(const gen::RefusedJob& aJob, Millis aAt);
   void ApplyWorker(const gen::WorkerReport& aReport);
   void ApplyRemoval(const gen::WorkerGone& aGone, Millis aAt);
   void ApplyStart(const gen::RunStart& aStart);
@@ -241,6 +256,9 @@
   std::map<std::string, size_t, std::less<>> mWorkspaceByKey;
   std::map<JobId, Job> mJobs;
   std::set<JobId> mLiveJobs;
+  // Jobs that were cancelled before they were submitted. None of them is in
+  // `mJobs` with the same workspace.
+  std::set<std::pair<JobId, WorkspaceId>> mRefusedJobs;
   std::map<WorkerId, Worker> mWorkers;
   std::vector<Change> mChanges;
 };
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -115,6 +115,11 @@
       }
     }
   }
+  for (const auto& [id, workspace] : aState.mRefusedJobs) {
+    gen::RefusedJob& refused = out.refused.emplace_back();
+    refused.id = id.Value();
+    refused.workspace = workspace.Value();
+  }
   for (const auto& [id, worker] : aState.mWorkers) {
     out.workers.push_back(ToWire(worker.report));
   }
@@ -132,6 +137,7 @@
   for (const gen::JobSnapshot& it : aSnapshot.jobs) {
     base.jobs.push_back(it.job);
   }
+  base.refused = aSnapshot.refused;
   aState.Apply(base);
   for (const gen::JobSnapshot& it : aSnapshot.jobs) {
     Job& job = aState.mJobs[JobId(it.job.id)];
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -254,6 +254,31 @@
   EXPECT_EQ(OnlyJob(state).status, JobStatus::kQueued);
 }
 
+// Guards against a refusal that a snapshot loses, or that ends another
+// workspace's job when the snapshot is read.
+TEST(FleetState, SnapshotContainsRefusedJobs)
+{
+  FleetState state;
+  gen::Command command;
+  gen::RefusedJob refused;
+  refused.id = "00000000000000c1";
+  refused.workspace = "a";
+  command.refused.push_back(refused);
+  gen::SubmitJob job;
+  job.id = refused.id;
+  job.workspace = "b";
+  job.spec.steps.emplace_back().tasks = 1;
+  command.jobs.push_back(job);
+  state.Apply(command);
+  FleetState restored;
+  ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
+  JobId id("00000000000000c1");
+  EXPECT_TRUE(restored.IsRefused(id, WorkspaceId("a")));
+  EXPECT_FALSE(restored.IsRefused(id, WorkspaceId("b")));
+  ASSERT_NE(restored.FindJob(id), nullptr);
+  EXPECT_EQ(restored.FindJob(id)->status, JobStatus::kQueued);
+}
+
 // Guards against running cancelled jobs.
 TEST(FleetState, StartAfterCancellationChangesNothing)
 {
