Bound what one odd message can cost its reader

Operators saw the machines that read the workers' entries end again and again because of one odd entry. Here a heartbeat nested 50,000 deep ended all control processes (SIGSEGV), 100,000 numbers as labels kept them busy for over 20 s, and a worker at port 70000 was registered.

Cause: the JSON library is recursive outside its parser, faults wrote the whole value before they cut it, once for each element, and fields had no limits.

ParseJson refuses deep nesting while it reads and is used by every reader of JSON. Reports have limits and an address that can be connected to; answers of workers have bounded numbers and lists; announcements of the own interface have checked counts and addresses.

--- a/packages/ctl/command.cc
+++ b/packages/ctl/command.cc
@@ -1,5 +1,7 @@
 #include "ctl/command.h"
 
+#include "base/json.h"
+
 #include <array>
 #include <ctime>
 #include <fstream>
@@ -90,7 +92,7 @@
 Json
 BodyOf(const http::Response& aResponse)
 {
-  Json body = Json::parse(aResponse.body, nullptr, false);
+  Json body = ParseJson(aResponse.body);
   return body.is_discarded() ? Json() : body;
 }
 
--- a/packages/ctl/request_timeline.cc
+++ b/packages/ctl/request_timeline.cc
@@ -1,5 +1,6 @@
 #include "ctl/request_timeline.h"
 
+#include "base/json.h"
 #include "ctl/table.h"
 
 #include <algorithm>
@@ -117,7 +118,7 @@
       continue;
     }
     Line line;
-    line.fields = Json::parse(text.substr(brace), nullptr, false);
+    line.fields = ParseJson(text.substr(brace));
     if (!line.fields.is_object()) {
       ++mUnreadableLines;
       continue;
--- a/packages/daemon/instance_api.cc
+++ b/packages/daemon/instance_api.cc
@@ -4,6 +4,8 @@
 #include "control/state.h"
 #include "daemon/instance_core.h"
 
+#include "base/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -81,7 +83,7 @@
 std::string
 StringFieldOfBody(const std::string& aBody, const char* aName)
 {
-  json body = json::parse(aBody, nullptr, false);
+  json body = ParseJson(aBody);
   if (!body.is_object() || !body.contains(aName) || !body[aName].is_string()) {
     return {};
   }
@@ -378,7 +380,7 @@
 
   void Add(const std::string& aZone, const ApiAnswer& aAnswer)
   {
-    json body = json::parse(aAnswer.body, nullptr, false);
+    json body = ParseJson(aAnswer.body);
     if (aAnswer.status == 200 && body.is_object() && body.contains("workers")) {
       for (json& it : body["workers"]) {
         workers.push_back(std::move(it));
--- a/packages/daemon/internal/json_fields.h
+++ b/packages/daemon/internal/json_fields.h
@@ -18,6 +18,15 @@
                                                          : 0;
 }
 
+// Returns an unsigned number, or 0 if the field is absent, of another type or
+// above the range.
+inline uint32_t
+Uint32Field(const nlohmann::json& aObject, const char* aName)
+{
+  uint64_t value = UnsignedField(aObject, aName);
+  return value <= UINT32_MAX ? static_cast<uint32_t>(value) : 0;
+}
+
 // Returns a string, or an empty one if the field is absent or of another type.
 inline std::string
 StringField(const nlohmann::json& aObject, const char* aName)
--- a/packages/daemon/request_path.cc
+++ b/packages/daemon/request_path.cc
@@ -1,6 +1,9 @@
 #include "daemon/request_path.h"
 
+#include "base/json.h"
+#include "daemon/internal/json_fields.h"
 #include "daemon/log.h"
+#include "http/endpoint.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,6 +35,25 @@
   return options;
 }
 
+// Whether all members that an announcement may have are of their type and in
+// range, and the address can be connected to.
+bool
+IsAnnouncement(const json& aBody)
+{
+  if (!aBody.is_object() ||
+      !http::ParseEndpoint(StringField(aBody, "address"))) {
+    return false;
+  }
+  auto isCount = [&](const char* aName) {
+    auto it = aBody.find(aName);
+    return it == aBody.end() ||
+           (it->is_number_unsigned() && it->get<uint64_t>() <= UINT32_MAX);
+  };
+  auto leaving = aBody.find("leaving");
+  return isCount("slots") && isCount("connections") && isCount("busy") &&
+         (leaving == aBody.end() || leaving->is_boolean());
+}
+
 ApiAnswer
 Refuse(int aStatus, std::string_view aReason)
 {
@@ -140,25 +162,20 @@
 ApiAnswer
 RequestPath::Announce(std::string_view aBody)
 {
-  json body = json::parse(aBody, nullptr, false);
-  if (!body.is_object()) {
+  json body = ParseJson(aBody);
+  if (!IsAnnouncement(body)) {
     return Refuse(400, "malformed_announcement");
   }
   routing::ServerAnnouncement announcement;
-  try {
-    announcement.server = ServerId(body.value("server", ""));
-    announcement.service = ServiceId(body.value("service", ""));
-    announcement.zone = ZoneId(body.value("zone", ""));
-    announcement.address = body.value("address", "");
-    announcement.incarnation =
-      Incarnation(body.value("incarnation", uint64_t{ 0 }));
-    announcement.slots = body.value("slots", 0U);
-    announcement.connections = body.value("connections", 0U);
-    announcement.busy = body.value("busy", 0U);
-    announcement.leaving = body.value("leaving", false);
-  } catch (const json::exception&) {
-    return Refuse(400, "malformed_announcement");
-  }
+  announcement.server = ServerId(StringField(body, "server"));
+  announcement.service = ServiceId(StringField(body, "service"));
+  announcement.zone = ZoneId(StringField(body, "zone"));
+  announcement.address = StringField(body, "address");
+  announcement.incarnation = Incarnation(UnsignedField(body, "incarnation"));
+  announcement.slots = Uint32Field(body, "slots");
+  announcement.connections = Uint32Field(body, "connections");
+  announcement.busy = Uint32Field(body, "busy");
+  announcement.leaving = body.value("leaving", false);
   routing::AnnounceResult answer = mProxy.Announce(announcement);
   json reply = { { "status", routing::AnnounceStatusName(answer.status) },
                  { "renewAfterMs", answer.renewAfter.Count() },
--- a/packages/daemon/zone_authority.cc
+++ b/packages/daemon/zone_authority.cc
@@ -1,7 +1,9 @@
 #include "daemon/zone_authority.h"
 
+#include "base/json.h"
 #include "control/job_table.h"
 #include "daemon/internal/json_fields.h"
+#include "http/endpoint.h"
 
 #include <nlohmann/json.hpp>
 
@@ -146,12 +148,9 @@
 {
   RunningTask task;
   task.job = JobId(StringField(aTask, "job"));
-  task.attempt =
-    Attempt(static_cast<uint32_t>(UnsignedField(aTask, "attempt")));
-  task.member =
-    MemberIndex(static_cast<uint32_t>(UnsignedField(aTask, "member")));
-  task.gangSize = std::max<uint32_t>(
-    1, static_cast<uint32_t>(UnsignedField(aTask, "gangSize")));
+  task.attempt = Attempt(Uint32Field(aTask, "attempt"));
+  task.member = MemberIndex(Uint32Field(aTask, "member"));
+  task.gangSize = std::max<uint32_t>(1, Uint32Field(aTask, "gangSize"));
   task.token = FencingToken(UnsignedField(aTask, "token"));
   return task;
 }
@@ -231,9 +230,9 @@
   if (mSuspended) {
     return Refuse(503, "autonomy_ended");
   }
-  json body = json::parse(aBody, nullptr, false);
+  json body = ParseJson(aBody);
   if (!body.is_object() || StringField(body, "worker").empty() ||
-      StringField(body, "address").empty()) {
+      !http::ParseEndpoint(StringField(body, "address"))) {
     return Refuse(400, "malformed_announcement");
   }
   if (StringField(body, "zone") != mZone.Value()) {
@@ -245,10 +244,9 @@
   event.zone = mZone;
   event.rack = RackId(StringField(body, "rack"));
   event.incarnation = Incarnation(UnsignedField(body, "incarnation"));
-  event.cores = static_cast<uint32_t>(UnsignedField(body, "cores"));
+  event.cores = Uint32Field(body, "cores");
   event.memoryMb = UnsignedField(body, "memoryMb");
-  event.accelerators =
-    Accelerators(static_cast<uint32_t>(UnsignedField(body, "accelerators")));
+  event.accelerators = Accelerators(Uint32Field(body, "accelerators"));
   event.address = StringField(body, "address");
   if (auto tasks = body.find("tasks");
       tasks != body.end() && tasks->is_array()) {
@@ -270,7 +268,7 @@
   if (mSuspended) {
     return Refuse(503, "autonomy_ended");
   }
-  json body = json::parse(aBody, nullptr, false);
+  json body = ParseJson(aBody);
   if (!body.is_object()) {
     return Refuse(400, "malformed_renewal");
   }
--- a/packages/daemon/zone_authority_calls.cc
+++ b/packages/daemon/zone_authority_calls.cc
@@ -4,6 +4,8 @@
 #include "daemon/internal/json_fields.h"
 #include "daemon/zone_authority.h"
 
+#include "base/json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace limpetwood::daemon {
@@ -73,7 +75,7 @@
             task.worker, task.job, task.attempt, task.member, task.token },
           mNow);
       } else {
-        json reason = json::parse(aAnswer.body, nullptr, false);
+        json reason = ParseJson(aAnswer.body);
         Step(PrepareRefused{ task.worker,
                              task.job,
                              task.attempt,
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -17,6 +17,9 @@
 constexpr Millis kLeaveRetryDelay(100);
 // Minimum time between two renewals of one worker.
 constexpr Millis kMinRenewalInterval(100);
+// Unknown runs of one answer that are stopped; the others are stopped after the
+// next one. Bounds the queue that each stop is compared with.
+constexpr size_t kMaxUnknownRunsStopped = 100;
 // Time for which a worker that reported itself unhealthy receives no tasks.
 constexpr Millis kUnhealthyPause = Seconds(2);
 
@@ -285,9 +288,11 @@
       }
     }
   }
+  size_t unknownRuns = 0;
   for (const RunningRun& it : aResult.running) {
     listed.insert(it.run);
-    if (!aWorker.active.contains(it.run)) {
+    if (!aWorker.active.contains(it.run) &&
+        ++unknownRuns <= kMaxUnknownRunsStopped) {
       SendStop(aWorker, it.run, aNow);
     }
   }
--- a/packages/fleetd/settings.cc
+++ b/packages/fleetd/settings.cc
@@ -1,5 +1,7 @@
 #include "fleetd/settings.h"
 
+#include "base/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <fstream>
@@ -181,7 +183,7 @@
 ParseSettings(std::string_view aText)
 {
   SettingsResult out;
-  json root = json::parse(aText, nullptr, false, true);
+  json root = ParseJson(aText, JsonComments::kIgnored);
   if (!root.is_object()) {
     out.faults.push_back(
       { .path = "/", .value = "text", .expected = "a JSON object" });
