--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -246,13 +246,33 @@
               }
               aRespond(std::move(response));
             })
+  , mRetryTimer(aContext)
 {
 }
 
-std::error_code
-MetricsServer::Listen(const http::Endpoint& aEndpoint)
+void
+MetricsServer::Listen(const http::Endpoint& aEndpoint,
+                      std::function<void(std::error_code)> aOnError)
+{
+  mEndpoint = aEndpoint;
+  mOnError = std::move(aOnError);
+  TryToListen();
+}
+
+void
+MetricsServer::TryToListen()
 {
-  return mServer.Listen(aEndpoint).Error();
+  auto bound = mServer.Listen(mEndpoint);
+  if (bound) {
+    return;
+  }
+  mOnError(bound.Error());
+  mRetryTimer.expires_after(std::chrono::seconds(1));
+  mRetryTimer.async_wait([this](auto ec) {
+    if (!ec) {
+      TryToListen();
+    }
+  });
 }
 
 } // namespace limpetwood::fleetd
--- a/packages/fleetd/metrics.h
+++ b/packages/fleetd/metrics.h
@@ -5,7 +5,7 @@
 //     AddFamilies(families, relay.Counters());
 //     return families;
 //   });
-//   server.Listen({ address, kMetricsPort });
+//   server.Listen({ address, kMetricsPort }, logError);
 
 #pragma once
 
@@ -15,8 +15,11 @@
 #include "fleetd/relay.h"
 #include "http/server.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <string>
+#include <system_error>
 
 namespace limpetwood::fleetd {
 
@@ -54,12 +57,19 @@
   MetricsServer(boost::asio::io_context& aContext,
                 std::function<daemon::Families()> aCollect);
 
-  // Starts listening. Returns an error if the endpoint cannot be bound.
-  std::error_code Listen(const http::Endpoint& aEndpoint);
+  // Starts listening. Calls `aOnError` if the endpoint cannot be bound and
+  // tries again every second, because the process serves without its metrics.
+  void Listen(const http::Endpoint& aEndpoint,
+              std::function<void(std::error_code)> aOnError);
 
 private:
+  void TryToListen();
+
   std::function<daemon::Families()> mCollect;
   http::Server mServer;
+  http::Endpoint mEndpoint;
+  std::function<void(std::error_code)> mOnError;
+  boost::asio::steady_timer mRetryTimer;
 };
 
 } // namespace limpetwood::fleetd
