Sync what a replica reads when it opens its log

Cause: a killed process leaves entries that it wrote and did not sync. The next one took them as stored and stated the segment's size with them in the next segment's synced header. A loss of power then looked like damage, and a damaged replica neither votes nor counts.

The log store syncs its folder before it reads names and each segment before it reads entries; the own interface's configuration file has the same.

--- a/packages/daemon/configuration_file.cc
+++ b/packages/daemon/configuration_file.cc
@@ -86,6 +86,12 @@
 Result<std::optional<membership::VersionedConfiguration>>
 LoadConfiguration(const std::string& aFolder)
 {
+  // A process that was killed may have renamed the file without a sync; what is
+  // read here is announced as stored.
+  std::error_code synced = SyncFolder(aFolder);
+  if (synced && synced != std::errc::no_such_file_or_directory) {
+    return synced;
+  }
   std::ifstream in(aFolder + kFileName, std::ios::binary);
   if (!in) {
     return std::optional<membership::VersionedConfiguration>();
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -48,6 +48,13 @@
     return opened.Error();
   }
   node->mGroup = std::move(opened).Value();
+  replication::GroupStatus status = node->mGroup->Status();
+  aEnvironment.Log(LogEvent("replica_opened")
+                     .Add("formed", status.formed)
+                     .Add("repairing", status.repairing)
+                     .Add("term", status.term)
+                     .Add("last_index", status.lastIndex)
+                     .Add("snapshot_index", status.snapshotIndex));
   return node;
 }
 
--- a/packages/replication/disk.h
+++ b/packages/replication/disk.h
@@ -38,6 +38,9 @@
   // Names of the files in a folder, in any order.
   virtual Result<std::vector<std::string>> List(const std::string& aFolder) = 0;
   virtual Result<std::string> Read(const std::string& aPath) = 0;
+  // Makes the content of an existing file durable, also what an earlier process
+  // appended.
+  virtual std::error_code SyncFile(const std::string& aPath) = 0;
   // Creates an empty file, replacing an existing one.
   virtual Result<std::unique_ptr<AppendFile>> Create(
     const std::string& aPath) = 0;
--- a/packages/replication/log_store.cc
+++ b/packages/replication/log_store.cc
@@ -96,6 +96,12 @@
   if (std::error_code ec = mDisk.SyncFolder(ParentOf(mOptions.folder))) {
     return ec;
   }
+  // A process that was killed may have renamed files without this sync. What is
+  // read below counts as durable from then on. The files themselves are synced
+  // before they are renamed.
+  if (std::error_code ec = mDisk.SyncFolder(mOptions.folder)) {
+    return ec;
+  }
   if (std::error_code ec = LoadState(aLoaded)) {
     return ec;
   }
@@ -211,8 +217,13 @@
   }
   std::vector<internal::SegmentFile> files;
   for (uint64_t sequence : ParseFileNumbers(names.Value(), kSegmentPrefix)) {
-    Result<std::string> bytes =
-      mDisk.Read(PathOf(NumberedFileName(kSegmentPrefix, sequence)));
+    std::string path = PathOf(NumberedFileName(kSegmentPrefix, sequence));
+    // A process that was killed may have appended entries without a sync. They
+    // are taken as stored, and the next segment states their size.
+    if (std::error_code ec = mDisk.SyncFile(path)) {
+      return ec;
+    }
+    Result<std::string> bytes = mDisk.Read(path);
     if (!bytes) {
       return bytes.Error();
     }
--- a/packages/replication/log_store.h
+++ b/packages/replication/log_store.h
@@ -9,6 +9,9 @@
 //   segment states how many bytes of the previous one are valid, so a torn tail
 //   is cut off by starting the next segment.
 //
+// At open, everything that is read is synced first, because a process that was
+// killed may have written it without a sync.
+//
 // At open, an incomplete or zeroed record at the very end is a torn write and
 // is cut off. Any other invalid record is damage: synced entries may be lost,
 // so the replica is marked as repairing before the rest of the log is removed.
--- a/packages/replication/log_store_test.cc
+++ b/packages/replication/log_store_test.cc
@@ -163,6 +163,111 @@
   EXPECT_GT(complete, 0U);
 }
 
+// Guards against a group that never has a leader again after processes were
+// killed and power was lost: what a restarted replica read, it takes as stored.
+TEST(LogStore, WhatIsReadAfterAKillSurvivesALossOfPower)
+{
+  MemoryDisk disk;
+  WriteMemberState(disk);
+  LoadedLog loaded;
+  auto store = OpenStore(disk, loaded);
+  Entry entry = EntryAt(kEntries + 1);
+  ASSERT_FALSE(store->Append({ &entry, 1 }));
+  // The process is killed before the sync.
+  store.reset();
+  store = OpenStore(disk, loaded);
+  ASSERT_EQ(loaded.entries.size(), kEntries + 1);
+  store.reset();
+  Random random(1);
+  disk.Crash(random);
+  OpenStore(disk, loaded);
+  EXPECT_FALSE(loaded.damaged);
+  EXPECT_EQ(loaded.entries.size(), kEntries + 1);
+}
+
+// What a replica may rely on: everything that it synced or read at a start.
+struct Durable
+{
+  uint64_t term = 3;
+  uint64_t lastIndex = kEntries;
+};
+
+// Plays random orders of writes, syncs, snapshots, disk errors in the middle of
+// a call, kills and losses of power. Returns the number of restarts.
+size_t
+PlayRestarts(uint64_t aSeed)
+{
+  MemoryDisk disk;
+  WriteMemberState(disk);
+  Random random(aSeed);
+  LoadedLog loaded;
+  Durable durable;
+  uint64_t last = kEntries;
+  uint64_t term = 3;
+  auto store = OpenStore(disk, loaded);
+  size_t restarts = 0;
+  for (int n = 0; n < 40; ++n) {
+    // A call fails from a random disk operation on, as if the process had been
+    // killed there.
+    disk.FailAfter(random.Chance(0.3) ? random.Below(6) : SIZE_MAX);
+    std::error_code ec;
+    uint64_t kind = random.Below(10);
+    if (kind < 5) {
+      Entry entry = EntryAt(last + 1);
+      ec = store->Append({ &entry, 1 });
+      last += ec ? 0 : 1;
+    } else if (kind < 7) {
+      ec = store->Sync();
+      durable.lastIndex = ec ? durable.lastIndex : last;
+    } else if (kind < 8) {
+      StateRecord state = loaded.state;
+      state.hardState.term = term + 1;
+      ec = store->WriteState(state);
+      durable.term = ec ? durable.term : ++term;
+    } else if (kind < 9 && durable.lastIndex > loaded.snapshot.index) {
+      ec = store->SaveSnapshot(
+        { .index = durable.lastIndex,
+          .term = 3,
+          .membership = { .voters = { { InstanceId("a"), DiskId(5) } } },
+          .data = std::make_shared<std::string>("state") });
+    }
+    disk.FailAfter(SIZE_MAX);
+    if (!ec && random.Chance(0.7)) {
+      continue;
+    }
+    ++restarts;
+    store.reset();
+    if (random.Chance(0.5)) {
+      disk.Crash(random);
+    }
+    store = OpenStore(disk, loaded);
+    EXPECT_FALSE(loaded.damaged) << "seed " << aSeed;
+    EXPECT_FALSE(loaded.identityLost) << "seed " << aSeed;
+    uint64_t read = loaded.snapshot.index + loaded.entries.size();
+    EXPECT_GE(read, durable.lastIndex) << "seed " << aSeed;
+    EXPECT_GE(loaded.state.hardState.term, durable.term) << "seed " << aSeed;
+    durable = { .term = loaded.state.hardState.term, .lastIndex = read };
+    last = read;
+    term = durable.term;
+    if (testing::Test::HasFailure()) {
+      return restarts;
+    }
+  }
+  return restarts;
+}
+
+// Guards against the same for the term and the vote, snapshots and the sizes of
+// segments, killed at any disk operation, in any order with losses of power.
+TEST(LogStore, RandomKillsAndLossesOfPowerLoseNothingThatWasRead)
+{
+  constexpr uint64_t kSeeds = 10'000;
+  size_t restarts = 0;
+  for (uint64_t seed = 1; seed <= kSeeds && !HasFailure(); ++seed) {
+    restarts += PlayRestarts(seed);
+  }
+  EXPECT_GT(restarts, kSeeds);
+}
+
 // Guards against a log that grows without bound although snapshots are taken.
 TEST(LogStore, RemovesSegmentsThatASnapshotCovers)
 {
--- a/packages/replication/memory_disk.cc
+++ b/packages/replication/memory_disk.cc
@@ -34,8 +34,8 @@
 
   std::error_code Append(std::string_view aBytes) override
   {
-    if (mDisk.mInjectedError) {
-      return mDisk.mInjectedError;
+    if (std::error_code ec = mDisk.NextError()) {
+      return ec;
     }
     size_t used = mDisk.UsedBytes();
     if (used + aBytes.size() > mDisk.mCapacity) {
@@ -49,8 +49,8 @@
 
   std::error_code Sync() override
   {
-    if (mDisk.mInjectedError) {
-      return mDisk.mInjectedError;
+    if (std::error_code ec = mDisk.NextError()) {
+      return ec;
     }
     ++mDisk.mSyncCount;
     if (!mDisk.mIgnoreSyncs) {
@@ -65,11 +65,24 @@
 };
 
 std::error_code
-MemoryDisk::MakeFolder(const std::string& aFolder)
+MemoryDisk::NextError()
 {
   if (mInjectedError) {
     return mInjectedError;
   }
+  if (mOperationsLeft == 0) {
+    return Errc::kIo;
+  }
+  --mOperationsLeft;
+  return {};
+}
+
+std::error_code
+MemoryDisk::MakeFolder(const std::string& aFolder)
+{
+  if (std::error_code ec = NextError()) {
+    return ec;
+  }
   if (mFolders.insert(aFolder).second) {
     mUnsyncedFolders.insert(aFolder);
   }
@@ -98,11 +111,28 @@
   return it->second->bytes;
 }
 
+std::error_code
+MemoryDisk::SyncFile(const std::string& aPath)
+{
+  if (std::error_code ec = NextError()) {
+    return ec;
+  }
+  auto it = mFiles.find(aPath);
+  if (it == mFiles.end()) {
+    return Errc::kNotFound;
+  }
+  ++mSyncCount;
+  if (!mIgnoreSyncs) {
+    it->second->synced = it->second->bytes.size();
+  }
+  return {};
+}
+
 Result<std::unique_ptr<AppendFile>>
 MemoryDisk::Create(const std::string& aPath)
 {
-  if (mInjectedError) {
-    return mInjectedError;
+  if (std::error_code ec = NextError()) {
+    return ec;
   }
   auto content = std::make_shared<Content>();
   mFiles[aPath] = content;
@@ -113,8 +143,8 @@
 std::error_code
 MemoryDisk::Rename(const std::string& aFrom, const std::string& aTo)
 {
-  if (mInjectedError) {
-    return mInjectedError;
+  if (std::error_code ec = NextError()) {
+    return ec;
   }
   auto it = mFiles.find(aFrom);
   if (it == mFiles.end()) {
@@ -129,8 +159,8 @@
 std::error_code
 MemoryDisk::Remove(const std::string& aPath)
 {
-  if (mInjectedError) {
-    return mInjectedError;
+  if (std::error_code ec = NextError()) {
+    return ec;
   }
   return mFiles.erase(aPath) == 1 ? std::error_code() : Errc::kNotFound;
 }
@@ -138,8 +168,8 @@
 std::error_code
 MemoryDisk::SyncFolder(const std::string& aFolder)
 {
-  if (mInjectedError) {
-    return mInjectedError;
+  if (std::error_code ec = NextError()) {
+    return ec;
   }
   ++mSyncCount;
   if (mIgnoreSyncs) {
--- a/packages/replication/memory_disk.h
+++ b/packages/replication/memory_disk.h
@@ -24,6 +24,7 @@
   std::error_code MakeFolder(const std::string& aFolder) override;
   Result<std::vector<std::string>> List(const std::string& aFolder) override;
   Result<std::string> Read(const std::string& aPath) override;
+  std::error_code SyncFile(const std::string& aPath) override;
   Result<std::unique_ptr<AppendFile>> Create(const std::string& aPath) override;
   std::error_code Rename(const std::string& aFrom,
                          const std::string& aTo) override;
@@ -40,6 +41,8 @@
   bool FlipBit(Random& aRandom, std::string_view aPrefix);
   // All writes and syncs fail with `aError` until it is reset to `{}`.
   void FailWith(std::error_code aError) { mInjectedError = aError; }
+  // All writes and syncs after the next `aOperations` fail with `kIo`.
+  void FailAfter(size_t aOperations) { mOperationsLeft = aOperations; }
   // Appends beyond this total size of all files fail with `kNoSpace`.
   void SetCapacity(size_t aBytes) { mCapacity = aBytes; }
   // Makes `Sync` and `SyncFolder` report success without syncing.
@@ -55,6 +58,9 @@
     std::string bytes;
     size_t synced = 0;
   };
+  // The injected error of a write or sync, or none.
+  std::error_code NextError();
+
   using Files = std::map<std::string, std::shared_ptr<Content>>;
 
   Files mFiles;
@@ -64,6 +70,7 @@
   // Folders whose creation does not survive a crash yet.
   std::set<std::string> mUnsyncedFolders;
   std::error_code mInjectedError;
+  size_t mOperationsLeft = std::numeric_limits<size_t>::max();
   size_t mCapacity = std::numeric_limits<size_t>::max();
   bool mIgnoreSyncs = false;
   uint64_t mSyncCount = 0;
--- a/packages/replication/real_disk.cc
+++ b/packages/replication/real_disk.cc
@@ -137,6 +137,15 @@
     return bytes;
   }
 
+  std::error_code SyncFile(const std::string& aPath) override
+  {
+    FileDescriptor fd(::open(aPath.c_str(), O_WRONLY | O_CLOEXEC));
+    if (fd.Get() < 0) {
+      return ToErrorCode(errno);
+    }
+    return ::fdatasync(fd.Get()) == 0 ? std::error_code() : ToErrorCode(errno);
+  }
+
   Result<std::unique_ptr<AppendFile>> Create(const std::string& aPath) override
   {
     int fd = ::open(
