Count jobs as waiting until a worker has answered a start

Cause: the commit of a start made a job running, before the start was sent, and the rejection of the start left it so.

A job all of whose starts were rejected is queued again, and a queue's length counts the jobs for which no worker has answered a start or listed a run. A start without an answer that a renewal shows not to exist ends as rejected.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -87,6 +87,7 @@
                    .conclusiveAfter = aNow - Millis(1) };
     RunView& view = added.runs[run];
     view.trackedSince = aNow;
+    view.begun = !startUnresolved;
     const Task& task = *mState.FindTask(run.task);
     bool ofUnseenProcess = !replaced && task.incarnation != Incarnation() &&
                            task.incarnation != report.incarnation;
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -144,6 +144,8 @@
   // Number of units that did not fit in the last planning pass.
   size_t BlockedUnits() const { return mBlockedUnits; }
   const Forecast& GetForecast() const { return mForecast; }
+  // Whether a task of the job has run, or a worker has answered its start.
+  bool HasBegun(const Job& aJob) const;
   // Capacity of all usable workers together.
   Resources UsableResources(Millis aNow) const
   {
@@ -198,6 +200,8 @@
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
   // Sends the next queued start or stop of the worker unless one is in flight.
   void SendNext(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
+  // Whether the worker has answered the start of the run or listed it.
+  bool HasRunBegun(const RunRef& aRun, const WorkerId& aWorker) const;
   // Reason for which a queued start must be dropped; empty if it may be sent.
   std::string_view WithdrawalReason(const Order& aStart,
                                     const WorkerLink& aLink) const;
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -136,6 +136,7 @@
     case OrderResult::Outcome::kAnswered:
       if (run.phase == RunView::Phase::kStarting) {
         run.phase = RunView::Phase::kConfirmed;
+        run.begun = true;
         run.conclusiveAfter = aNow;
       }
       break;
@@ -217,6 +218,7 @@
       continue;
     }
     RunView& run = found->second;
+    run.begun = true;
     if (run.phase != RunView::Phase::kUnresolved) {
       run.phase = RunView::Phase::kConfirmed;
     }
@@ -301,7 +303,11 @@
     if (!listed.contains(it) && !aResult.endsTruncated &&
         run != aLink.runs.end() &&
         run->second.conclusiveAfter < aOrder.sentAt) {
-      ProposeLostRun(aWorker, it, run->second);
+      if (run->second.begun || run->second.crash) {
+        ProposeLostRun(aWorker, it, run->second);
+      } else {
+        mProposals.ProposeEnd(aOrder.worker, it, EndKind::kRejected, {});
+      }
     }
   }
   CheckPace(aResult, aWorker, aLink, aNow);
--- a/packages/fleet/dispatcher_starts.cc
+++ b/packages/fleet/dispatcher_starts.cc
@@ -48,6 +48,40 @@
   }
 }
 
+bool
+Dispatcher::HasBegun(const Job& aJob) const
+{
+  if (aJob.begun || aJob.activeRuns == 0) {
+    return aJob.begun;
+  }
+  for (uint32_t occurrence = 0; occurrence < aJob.occurrences.size();
+       ++occurrence) {
+    const std::vector<Step>& steps = aJob.occurrences[occurrence].steps;
+    for (uint32_t step = 0; step < steps.size(); ++step) {
+      for (uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+        const Task& task = steps[step].tasks[index];
+        if (task.phase == Task::Phase::kActive &&
+            HasRunBegun({ { aJob.id, occurrence, step, index }, task.attempt },
+                        task.worker)) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+bool
+Dispatcher::HasRunBegun(const RunRef& aRun, const WorkerId& aWorker) const
+{
+  auto link = mLinks.find(aWorker);
+  if (link == mLinks.end()) {
+    return false;
+  }
+  auto run = link->second.runs.find(aRun);
+  return run != link->second.runs.end() && run->second.begun;
+}
+
 std::string_view
 Dispatcher::WithdrawalReason(const Order& aStart, const WorkerLink& aLink) const
 {
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -70,6 +70,48 @@
   EXPECT_FALSE(fleet.IsActive(start));
 }
 
+// Guards against a queue length that leaves out jobs that have not begun,
+// because a start was sent, refused, withdrawn or not answered.
+TEST(Dispatcher, JobBeginsWhenAStartIsAnswered)
+{
+  constexpr const char* kJob = "00000000000000a1";
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  auto job = [&]() -> const Job& {
+    return *fleet.State().FindJob(JobId(kJob));
+  };
+  auto hasBegun = [&] { return fleet.GetDispatcher().HasBegun(job()); };
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  EXPECT_FALSE(hasBegun());
+  fleet.Refuse(start, OrderRefusal::kUnhealthy);
+  EXPECT_FALSE(hasBegun());
+  EXPECT_EQ(job().status, JobStatus::kQueued);
+  fleet.Advance(Seconds(3));
+  fleet.Heartbeat("w1");
+  fleet.Advance(Millis(500));
+  start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  EXPECT_FALSE(hasBegun());
+  // The worker answers the stop, and its next renewal does not list the run.
+  std::vector<Order> starts;
+  for (int n = 0; n < 50 && starts.empty(); ++n) {
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
+      fleet.Answer(it, OrderResult::Outcome::kAnswered);
+    }
+    fleet.AnswerDueRenewals();
+    EXPECT_FALSE(hasBegun());
+    fleet.Heartbeat("w1");
+    fleet.Advance(Millis(100));
+    starts = fleet.TakeOrders(Order::Kind::kStart);
+  }
+  ASSERT_EQ(starts.size(), 1U);
+  fleet.Answer(starts.front(), OrderResult::Outcome::kAnswered);
+  EXPECT_TRUE(hasBegun());
+  fleet.ChangeLeader();
+  EXPECT_TRUE(hasBegun());
+}
+
 // Guards against a lease that never expires: renewals that a lost worker does
 // not answer must not extend its lease.
 TEST(Dispatcher, RunsOfALostWorkerEndAtLeaseExpiry)
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -234,9 +234,9 @@
   if (target.job.empty()) {
     for (const JobId& it : mState.LiveJobs()) {
       const Job& job = *mState.FindJob(it);
-      reply.count +=
-        job.queue == target.queue->name && job.status == JobStatus::kQueued ? 1
-                                                                            : 0;
+      bool waits = job.queue == target.queue->name && !job.Ended() &&
+                   !mDispatcher->HasBegun(job);
+      reply.count += waits ? 1 : 0;
     }
     // No job status, because the answer is about a queue.
     reply.jobStatus = -1;
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -318,6 +318,11 @@
                  .worker = aWorker,
                  .end = aKind,
                  .evidence = aEvidence });
+  job->begun = job->begun || aKind != EndKind::kRejected;
+  if (!job->begun && job->activeRuns == 0 &&
+      job->status == JobStatus::kRunning) {
+    job->status = JobStatus::kQueued;
+  }
   if (aKind == EndKind::kWorkerCrashed) {
     RecordCrash(*job, *task, aEvidence, aAt);
   } else {
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -106,7 +106,10 @@
   double stretch = 1;
   Millis targetLatency{};
 
+  // `kQueued` again if all starts so far were rejected.
   JobStatus status = JobStatus::kQueued;
+  // A task has run: a run ended in another way than by its start's rejection.
+  bool begun = false;
   // Why the job failed; empty otherwise.
   std::string reason{};
   // Wall-clock time on the leader that proposed the end.
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -106,6 +106,7 @@
     gen::JobSnapshot& added = out.jobs.emplace_back();
     added.job = SubmissionOf(job);
     added.status = static_cast<int32_t>(job.status);
+    added.started = job.begun;
     added.endedAtMs = job.endedAt.Count();
     added.reason = job.reason;
     for (const Occurrence& occurrence : job.occurrences) {
@@ -142,6 +143,7 @@
   for (const gen::JobSnapshot& it : aSnapshot.jobs) {
     Job& job = aState.mJobs[JobId(it.job.id)];
     job.status = static_cast<JobStatus>(it.status);
+    job.begun = it.started;
     job.endedAt = Millis(it.endedAtMs);
     job.reason = it.reason;
     uint32_t number = 0;
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -254,6 +254,47 @@
   EXPECT_EQ(OnlyJob(state).status, JobStatus::kQueued);
 }
 
+// Guards against a job that is shown as running although no task of it has run,
+// and against one that is shown as queued again after a task has.
+TEST(FleetState, JobWhoseStartsWereRejectedIsQueued)
+{
+  FleetState state;
+  gen::Command base;
+  gen::WorkerReport worker;
+  worker.id = "w";
+  base.workers.push_back(worker);
+  gen::SubmitJob job;
+  job.id = "00000000000000c2";
+  job.maxAttempts = 9;
+  job.spec.steps.emplace_back().tasks = 1;
+  base.jobs.push_back(job);
+  state.Apply(base);
+  auto play = [&](int32_t aRun, EndKind aKind) {
+    gen::Command start;
+    gen::RunStart& added = start.starts.emplace_back();
+    added.task.job = job.id;
+    added.run = aRun;
+    added.worker = "w";
+    state.Apply(start);
+    EXPECT_EQ(state.FindJob(JobId(job.id))->status, JobStatus::kRunning);
+    gen::Command end;
+    gen::RunEnd& ended = end.ends.emplace_back();
+    ended.task = added.task;
+    ended.run = aRun;
+    ended.worker = "w";
+    ended.kind = static_cast<int32_t>(aKind);
+    state.Apply(end);
+    return state.FindJob(JobId(job.id))->status;
+  };
+  EXPECT_EQ(play(1, EndKind::kRejected), JobStatus::kQueued);
+  EXPECT_EQ(play(2, EndKind::kRejected), JobStatus::kQueued);
+  EXPECT_EQ(play(3, EndKind::kStopped), JobStatus::kRunning);
+  FleetState restored;
+  ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
+  EXPECT_TRUE(restored.FindJob(JobId(job.id))->begun);
+  EXPECT_EQ(play(4, EndKind::kRejected), JobStatus::kRunning);
+}
+
 // Guards against a refusal that a snapshot loses, or that ends another
 // workspace's job when the snapshot is read.
 TEST(FleetState, SnapshotContainsRefusedJobs)
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -37,6 +37,9 @@
   // run exists. A renewal sent in the same millisecond does not, because its
   // order relative to the start is unknown.
   Millis conclusiveAfter = Millis::Max();
+  // The worker has answered the start or listed the run. Assumed for runs that
+  // an earlier leader started.
+  bool begun = false;
   bool stopRequested = false;
   bool stopAnswered = false;
   // Time of the latest stop, on the leader's clock. The initial value is long
