Withdraw queued starts of a worker that drains

Starts for one worker wait for the answers before them, and whether the worker drains was not looked at when they were sent.

--- a/packages/fleet/dispatcher_starts.cc
+++ b/packages/fleet/dispatcher_starts.cc
@@ -96,6 +96,11 @@
   if (aLink.gone) {
     return "worker_gone";
   }
+  // The planner saw no draining yet, or the start has waited for the answer to
+  // an earlier order since.
+  if (aLink.draining) {
+    return "worker_draining";
+  }
   // The worker may be lost, and a start that was not sent can go to another
   // worker.
   if (!aLink.reachable) {
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -112,6 +112,25 @@
   EXPECT_TRUE(hasBegun());
 }
 
+// Guards against a start on a worker that drains: it has waited behind an order
+// that the worker answers late.
+TEST(Dispatcher, QueuedStartIsNotSentToADrainingWorker)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  StepSpec step = FleetFixture::GangOf(2);
+  step.gang = false;
+  step.resources.accelerators = 4;
+  fleet.Submit("00000000000000a1", step);
+  Order first = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Drain("w1");
+  fleet.Advance(Millis(900));
+  fleet.Answer(first, OrderResult::Outcome::kAnswered);
+  fleet.Advance(Millis(100));
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  EXPECT_EQ(fleet.GetDispatcher().Counters().startsWithdrawn, 1U);
+}
+
 // Guards against a lease that never expires: renewals that a lost worker does
 // not answer must not extend its lease.
 TEST(Dispatcher, RunsOfALostWorkerEndAtLeaseExpiry)
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -55,9 +55,11 @@
 void
 FleetFixture::Report(const std::string& aId,
                      Incarnation aIncarnation,
-                     const std::string& aRack)
+                     const std::string& aRack,
+                     bool aDraining)
 {
   WorkerReport report;
+  report.draining = aDraining;
   report.id = WorkerId(aId);
   report.incarnation = aIncarnation;
   report.address = "127.0.0.1:1";
@@ -82,6 +84,14 @@
   Report(aId, Incarnation(1), worker->report.rack.Value());
 }
 
+void
+FleetFixture::Drain(const std::string& aId)
+{
+  const Worker* worker = mState.FindWorker(WorkerId(aId));
+  ASSERT_NE(worker, nullptr);
+  Report(aId, Incarnation(1), worker->report.rack.Value(), true);
+}
+
 void
 FleetFixture::Crash(const std::string& aId)
 {
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -36,6 +36,8 @@
 
   // Sends a further report of the worker's first process.
   void Heartbeat(const std::string& aId);
+  // Reports that the worker's first process drains.
+  void Drain(const std::string& aId);
   // Ends the process of a worker: renewals that it holds back, and all later
   // ones, get no answer.
   void Crash(const std::string& aId);
@@ -108,7 +110,8 @@
   void RunUntilIdle();
   void Report(const std::string& aId,
               Incarnation aIncarnation,
-              const std::string& aRack);
+              const std::string& aRack,
+              bool aDraining = false);
   Millis WorkerClock() const { return mNow; }
 
   DispatcherOptions mOptions;
