Bind jobs to the workspace that submitted them

Cause: the key was checked against the queue of the path, and the job was then found by its id alone.

A job is found for its workspace and for callers of its public queue; for others there is no such job, also while its submission is pending.

Failed before (node_requests.cc as it was): NodeTest.JobBelongsToTheWorkspaceThatSubmittedIt and PendingJobBelongsToItsWorkspace.

--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -153,6 +153,10 @@
     JobId job;
   };
   Target FindTarget(const gen::Request& aRequest) const;
+  // The job of the target, or null if there is none that its caller may read or
+  // cancel. Jobs belong to the workspace that submitted them; those of a public
+  // queue are open to all of its callers.
+  const Job* FindJobFor(const Target& aTarget) const;
   void OnCancel(const gen::Request& aRequest, ReplyCallback aDone);
   // Cancels a job that is not known: its submission may be on its way, such as
   // at an entry instance that is suspended, and is refused when it arrives.
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -142,6 +142,19 @@
   return out;
 }
 
+const Job*
+Node::FindJobFor(const Target& aTarget) const
+{
+  const Job* job = mState.FindJob(aTarget.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  bool ownJob =
+    aTarget.workspace != nullptr && job->workspace == aTarget.workspace->name;
+  bool publicJob = aTarget.queue->isPublic && job->queue == aTarget.queue->name;
+  return ownJob || publicJob ? job : nullptr;
+}
+
 void
 Node::OnSubmit(const gen::Request& aRequest, ReplyCallback aDone)
 {
@@ -156,9 +169,12 @@
     Answer(aDone, RequestOutcome::kInvalid);
     return;
   }
-  // The submission was repeated, such as after a lost answer.
+  // The submission was repeated, such as after a lost answer, or another
+  // workspace has the id.
   if (mState.FindJob(target.job) != nullptr) {
-    Answer(aDone, RequestOutcome::kOk);
+    Answer(aDone,
+           FindJobFor(target) != nullptr ? RequestOutcome::kOk
+                                         : RequestOutcome::kNoSuchJob);
     return;
   }
   WorkspaceId workspace =
@@ -210,11 +226,12 @@
   }
   mSubmitting.insert(job.id);
   AnswerAfterCommit(
-    [this, id = job.id, done = std::move(aDone)](gen::Reply aReply) {
+    [this, id = job.id, workspace, done = std::move(aDone)](gen::Reply aReply) {
       mSubmitting.erase(id);
-      // A cancellation was committed first.
+      const Job* stored = mState.FindJob(JobId(id));
+      // A cancellation, or another workspace's job, was committed first.
       if (aReply.outcome == static_cast<int32_t>(RequestOutcome::kOk) &&
-          mState.FindJob(JobId(id)) == nullptr) {
+          (stored == nullptr || stored->workspace != workspace)) {
         aReply.outcome = static_cast<int32_t>(RequestOutcome::kNoSuchJob);
       }
       done(std::move(aReply));
@@ -243,7 +260,7 @@
     Answer(aDone, std::move(reply));
     return;
   }
-  const Job* job = mState.FindJob(target.job);
+  const Job* job = FindJobFor(target);
   if (job == nullptr) {
     Answer(aDone, RequestOutcome::kNoSuchJob);
     return;
@@ -265,13 +282,17 @@
     Answer(aDone, RequestOutcome::kNoSuchJob);
     return;
   }
-  const Job* job = mState.FindJob(target.job);
-  bool submitting = mSubmitting.contains(target.job.Value());
-  if (job == nullptr && !submitting) {
+  const Job* job = FindJobFor(target);
+  if (job == nullptr && mState.FindJob(target.job) != nullptr) {
+    Answer(aDone, RequestOutcome::kNoSuchJob);
+    return;
+  }
+  // The job may be in a batch that is not committed yet.
+  if (job == nullptr) {
     RefuseJob(target, std::move(aDone));
     return;
   }
-  if (job != nullptr && job->Ended()) {
+  if (job->Ended()) {
     Answer(aDone, RequestOutcome::kOk);
     return;
   }
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -292,6 +292,87 @@
   EXPECT_LE(mNode->State().RefusedJobs().size(), 10'050U);
 }
 
+// Guards against a key that reads, cancels or takes over the jobs of another
+// workspace. Every cell: who asks (owner, other workspace, nobody), on a
+// private and on a public queue.
+TEST_F(NodeTest, JobBelongsToTheWorkspaceThatSubmittedIt)
+{
+  Open();
+  gen::Request configuration = ConfigurationRequest();
+  gen::Workspace other;
+  other.name = "other";
+  other.keys = { "key2" };
+  configuration.configuration.workspaces.push_back(other);
+  gen::Queue open = configuration.configuration.queues[0];
+  open.name = "open";
+  open.prefix = "/open/";
+  open.isPublic = true;
+  configuration.configuration.queues.push_back(open);
+  ASSERT_EQ(OutcomeOf(configuration), RequestOutcome::kOk);
+  constexpr RequestOutcome kOk = RequestOutcome::kOk;
+  constexpr RequestOutcome kNone = RequestOutcome::kNoSuchJob;
+  constexpr RequestOutcome kNoKey = RequestOutcome::kUnauthorized;
+  struct Case
+  {
+    std::string submittedTo;
+    std::string askedAt;
+    std::string key;
+    RequestOutcome expected;
+  };
+  const std::vector<Case> cases = {
+    { "/q/", "/q/", "key", kOk },       { "/q/", "/q/", "key2", kNone },
+    { "/q/", "/q/", "", kNoKey },       { "/q/", "/open/", "key", kOk },
+    { "/q/", "/open/", "key2", kNone }, { "/q/", "/open/", "", kNone },
+    { "/open/", "/open/", "key", kOk }, { "/open/", "/open/", "key2", kOk },
+    { "/open/", "/open/", "", kOk },    { "/open/", "/q/", "key", kOk },
+    { "/open/", "/q/", "key2", kNone }, { "/open/", "/q/", "", kNoKey },
+  };
+  int number = 10;
+  for (const Case& it : cases) {
+    std::string id = "00000000000000" + std::to_string(++number);
+    ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, it.submittedTo + id)),
+              kOk);
+    std::string path = it.askedAt + id;
+    for (RequestKind kind :
+         { RequestKind::kSubmit, RequestKind::kRead, RequestKind::kCancel }) {
+      EXPECT_EQ(OutcomeOf(RequestFor(kind, path, it.key)), it.expected)
+        << it.submittedTo << ' ' << path << ' ' << it.key;
+    }
+    JobStatus status = mNode->State().FindJob(JobId(id))->status;
+    EXPECT_EQ(status == JobStatus::kCancelled, it.expected == kOk) << path;
+  }
+}
+
+// Guards against the same while the owner's submission is not committed yet.
+TEST_F(NodeTest, PendingJobBelongsToItsWorkspace)
+{
+  Open();
+  gen::Request configuration = ConfigurationRequest();
+  gen::Workspace other;
+  other.name = "other";
+  other.keys = { "key2" };
+  configuration.configuration.workspaces.push_back(other);
+  ASSERT_EQ(OutcomeOf(configuration), RequestOutcome::kOk);
+  std::string path = std::string("/q/") + kJob;
+  std::vector<RequestOutcome> outcomes;
+  for (auto [kind, key] : { std::pair(RequestKind::kSubmit, "key"),
+                            std::pair(RequestKind::kCancel, "key2"),
+                            std::pair(RequestKind::kSubmit, "key2") }) {
+    mNode->Handle(
+      RequestFor(kind, path, key), mNow, [&](const gen::Reply& aReply) {
+        outcomes.push_back(static_cast<RequestOutcome>(aReply.outcome));
+      });
+  }
+  for (int n = 0; n < 50; ++n) {
+    Advance();
+  }
+  EXPECT_EQ(outcomes,
+            (std::vector{ RequestOutcome::kOk,
+                          RequestOutcome::kNoSuchJob,
+                          RequestOutcome::kNoSuchJob }));
+  EXPECT_EQ(mNode->State().FindJob(JobId(kJob))->status, JobStatus::kQueued);
+}
+
 // Guards against an accepted job that is lost at a restart.
 TEST_F(NodeTest, AcceptedJobSurvivesARestart)
 {
