--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -151,6 +151,12 @@
     const Queue* queue = nullptr;
     const Workspace* workspace = nullptr;
     JobId job;
+
+    // Empty for callers of a public queue without a key.
+    WorkspaceId WorkspaceName() const
+    {
+      return workspace != nullptr ? workspace->name : WorkspaceId();
+    }
   };
   Target FindTarget(const gen::Request& aRequest) const;
   // The job of the target, or null if there is none that its caller may read or
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -177,8 +177,7 @@
                                          : RequestOutcome::kNoSuchJob);
     return;
   }
-  WorkspaceId workspace =
-    target.workspace != nullptr ? target.workspace->name : WorkspaceId();
+  WorkspaceId workspace = target.WorkspaceName();
   if (mState.IsRefused(target.job, workspace)) {
     mEnvironment.Log(LogEvent("job_refused")
                        .Add("job", target.job)
@@ -303,8 +302,7 @@
 void
 Node::RefuseJob(const Target& aTarget, ReplyCallback aDone)
 {
-  WorkspaceId workspace =
-    aTarget.workspace != nullptr ? aTarget.workspace->name : WorkspaceId();
+  WorkspaceId workspace = aTarget.WorkspaceName();
   if (mState.IsRefused(aTarget.job, workspace)) {
     Answer(aDone, RequestOutcome::kNoSuchJob);
     return;
