Refuse a late submission for every caller who may cancel the job

Cause: a refusal was recorded for the workspace of the cancellation only. On a public queue, whose jobs all callers may cancel, a submission with another key or with none was accepted. A cancellation was not recorded at all while another workspace had a job with the id, so the submission was accepted once that job was forgotten.

Change: a refusal on a public queue also applies to all of its callers, and an unknown job is always refused. A job that is refused again is forgotten with its last refusal.

Evidence: NodeTest.RefusalHoldsForEachCallerWhoMayCancel fails at four of its nine checks on (the submission is answered ok instead of no_such_job) and passes now, as do all other tests of fleet_test and fleet_node_test.

--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -323,7 +323,13 @@
     JobId id = std::move(mEndedJobs.front().second);
     mEndedJobs.pop_front();
     const Job* job = mState.FindJob(id);
-    if (job == nullptr && !mState.IsRefused(id)) {
+    // A job that was refused again later is forgotten with its last refusal.
+    bool refusedLater =
+      mState.IsRefused(id) &&
+      std::any_of(mEndedJobs.begin(), mEndedJobs.end(), [&](const auto& it) {
+        return it.second == id;
+      });
+    if (refusedLater || (job == nullptr && !mState.IsRefused(id))) {
       continue;
     }
     if (job != nullptr && job->activeRuns > 0) {
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -178,7 +178,7 @@
     return;
   }
   WorkspaceId workspace = target.WorkspaceName();
-  if (mState.IsRefused(target.job, workspace)) {
+  if (mState.IsRefused(target.job, workspace, target.queue->name)) {
     mEnvironment.Log(LogEvent("job_refused")
                        .Add("job", target.job)
                        .Add("queue", target.queue->name)
@@ -282,11 +282,9 @@
     return;
   }
   const Job* job = FindJobFor(target);
-  if (job == nullptr && mState.FindJob(target.job) != nullptr) {
-    Answer(aDone, RequestOutcome::kNoSuchJob);
-    return;
-  }
-  // The job may be in a batch that is not committed yet.
+  // The job may be in a batch that is not committed yet. If another workspace
+  // has a job with the id, that job may be forgotten before the submission of
+  // this workspace arrives.
   if (job == nullptr) {
     RefuseJob(target, std::move(aDone));
     return;
@@ -302,8 +300,8 @@
 void
 Node::RefuseJob(const Target& aTarget, ReplyCallback aDone)
 {
-  WorkspaceId workspace = aTarget.WorkspaceName();
-  if (mState.IsRefused(aTarget.job, workspace)) {
+  if (mState.IsRefused(
+        aTarget.job, aTarget.WorkspaceName(), aTarget.queue->name)) {
     Answer(aDone, RequestOutcome::kNoSuchJob);
     return;
   }
@@ -313,8 +311,13 @@
   }
   gen::RefusedJob refused;
   refused.id = aTarget.job.Value();
-  refused.workspace = workspace.Value();
-  mBatch.command.refused.push_back(std::move(refused));
+  refused.workspace = aTarget.WorkspaceName().Value();
+  mBatch.command.refused.push_back(refused);
+  // The jobs of a public queue can be cancelled by all of its callers.
+  if (aTarget.queue->isPublic && !refused.workspace.empty()) {
+    refused.workspace.clear();
+    mBatch.command.refused.push_back(std::move(refused));
+  }
   // The callback runs when the state contains the refusal, which is forgotten
   // like an ended job.
   AnswerAfterCommit(
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -236,6 +236,71 @@
   }
 }
 
+// Guards against the same where the job's id is in use by another workspace
+// when the cancellation arrives, and where a public queue is involved, whose
+// jobs all of its callers may cancel.
+TEST_F(NodeTest, RefusalHoldsForEachCallerWhoMayCancel)
+{
+  struct Case
+  {
+    std::string cancelledAt;
+    std::string cancelKey;
+    std::string submittedTo;
+    std::string submitKey;
+    RequestOutcome expected;
+  };
+  constexpr RequestOutcome kOk = RequestOutcome::kOk;
+  constexpr RequestOutcome kNone = RequestOutcome::kNoSuchJob;
+  const std::vector<Case> cases = {
+    { "/open/", "key", "/open/", "", kNone },
+    { "/open/", "", "/open/", "key", kNone },
+    { "/open/", "key2", "/open/", "key", kNone },
+    { "/open/", "key", "/q/", "key", kNone },
+    { "/q/", "key", "/open/", "key", kNone },
+    { "/q/", "key", "/open/", "key2", kOk },
+    { "/open/", "", "/q/", "key", kOk },
+    { "/open/", "key2", "/q/", "key", kOk },
+  };
+  Open();
+  gen::Request configuration = ConfigurationRequest();
+  gen::Workspace other;
+  other.name = "other";
+  other.keys = { "key2" };
+  configuration.configuration.workspaces.push_back(other);
+  gen::Queue open = configuration.configuration.queues[0];
+  open.name = "open";
+  open.prefix = "/open/";
+  open.isPublic = true;
+  configuration.configuration.queues.push_back(open);
+  ASSERT_EQ(OutcomeOf(configuration), kOk);
+  int number = 10;
+  for (const Case& it : cases) {
+    std::string id = "00000000000000" + std::to_string(++number);
+    ASSERT_EQ(OutcomeOf(RequestFor(
+                RequestKind::kCancel, it.cancelledAt + id, it.cancelKey)),
+              kNone);
+    EXPECT_EQ(OutcomeOf(RequestFor(
+                RequestKind::kSubmit, it.submittedTo + id, it.submitKey)),
+              it.expected)
+      << it.cancelledAt << ' ' << it.cancelKey << ' ' << it.submittedTo;
+  }
+  // Another workspace's job with the same id ends and is forgotten between the
+  // cancellation and the submission.
+  std::string path = std::string("/q/") + kJob;
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path, "key2")), kOk);
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path, "key2")), kOk);
+  auto advanceUntil = [this](Millis aTime) {
+    while (mNow < aTime) {
+      Advance();
+    }
+  };
+  Millis cancelledAt = mNow + Seconds(100);
+  advanceUntil(cancelledAt);
+  ASSERT_EQ(OutcomeOf(RequestFor(RequestKind::kCancel, path)), kNone);
+  advanceUntil(cancelledAt + Seconds(60));
+  EXPECT_EQ(OutcomeOf(RequestFor(RequestKind::kSubmit, path)), kNone);
+}
+
 // Guards against cancellations of unknown jobs that use memory for good, or
 // that block the same id for another workspace or without limit.
 TEST_F(NodeTest, RefusalIsForgottenLikeAnEndedJob)
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -133,7 +133,7 @@
 FleetState::ApplyJob(const gen::SubmitJob& aJob)
 {
   Job job = JobFromSubmission(aJob);
-  if (IsRefused(job.id, job.workspace)) {
+  if (IsRefused(job.id, job.workspace, job.queue)) {
     return;
   }
   auto [it, inserted] = mJobs.try_emplace(job.id, std::move(job));
@@ -159,7 +159,10 @@
   JobId id(aJob.id);
   WorkspaceId workspace(aJob.workspace);
   auto it = mJobs.find(id);
-  if (it != mJobs.end() && it->second.workspace == workspace) {
+  bool known = it != mJobs.end() &&
+               (it->second.workspace == workspace ||
+                (workspace.empty() && IsPublicQueue(it->second.queue)));
+  if (known) {
     // The job was accepted between the proposal and its commit.
     ApplyCancel(id, aAt);
   } else {
@@ -167,6 +170,26 @@
   }
 }
 
+bool
+FleetState::IsPublicQueue(const QueueId& aQueue) const
+{
+  return mConfiguration &&
+         std::any_of(
+           mConfiguration->queues.begin(),
+           mConfiguration->queues.end(),
+           [&](const Queue& it) { return it.name == aQueue && it.isPublic; });
+}
+
+bool
+FleetState::IsRefused(const JobId& aJob,
+                      const WorkspaceId& aWorkspace,
+                      const QueueId& aQueue) const
+{
+  return mRefusedJobs.contains({ aJob, aWorkspace }) ||
+         (mRefusedJobs.contains({ aJob, WorkspaceId() }) &&
+          IsPublicQueue(aQueue));
+}
+
 bool
 FleetState::IsRefused(const JobId& aJob) const
 {
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -190,12 +190,12 @@
   const std::set<JobId>& LiveJobs() const { return mLiveJobs; }
   const std::map<WorkerId, Worker>& Workers() const { return mWorkers; }
 
-  // Whether a cancellation by the workspace was acknowledged before the job was
-  // submitted, so that the job must never run.
-  bool IsRefused(const JobId& aJob, const WorkspaceId& aWorkspace) const
-  {
-    return mRefusedJobs.contains({ aJob, aWorkspace });
-  }
+  // Whether a cancellation was acknowledged before the workspace submitted the
+  // job to the queue, so that the job must never run. Refusals with an empty
+  // workspace apply to all callers of public queues.
+  bool IsRefused(const JobId& aJob,
+                 const WorkspaceId& aWorkspace,
+                 const QueueId& aQueue) const;
   bool IsRefused(const JobId& aJob) const;
   // Refused jobs, ordered by job.
   const std::set<std::pair<JobId, WorkspaceId>>& RefusedJobs() const
@@ -249,6 +249,7 @@
   void UpdateLive(const Job& aJob);
   void RecordChange(Change aChange) { mChanges.push_back(std::move(aChange)); }
   void RebuildKeyIndex();
+  bool IsPublicQueue(const QueueId& aQueue) const;
 
   friend gen::StateSnapshot WriteState(const FleetState& aState);
   friend void ReadState(const gen::StateSnapshot& aSnapshot,
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -314,8 +314,8 @@
   FleetState restored;
   ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
   JobId id("00000000000000c1");
-  EXPECT_TRUE(restored.IsRefused(id, WorkspaceId("a")));
-  EXPECT_FALSE(restored.IsRefused(id, WorkspaceId("b")));
+  EXPECT_TRUE(restored.IsRefused(id, WorkspaceId("a"), QueueId("queue")));
+  EXPECT_FALSE(restored.IsRefused(id, WorkspaceId("b"), QueueId("queue")));
   ASSERT_NE(restored.FindJob(id), nullptr);
   EXPECT_EQ(restored.FindJob(id)->status, JobStatus::kQueued);
 }
