--- a/packages/http/internal/session.cc
+++ b/packages/http/internal/session.cc
@@ -448,6 +448,14 @@
   return ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool
+Session::PeerStoppedSending()
+{
+  char byte = 0;
+  auto n = ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void
 Session::Reset()
 {
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -85,6 +85,7 @@
                WriteCallback aDone);
   void WriteBody(std::string_view aPart, bool aLast, WriteCallback aDone);
   void WatchPeer(std::function<void()> aDone);
+  bool PeerStoppedSending();
   boost::asio::io_context& Context() { return mServer->context; }
 
 private:
--- a/packages/http/message.h
+++ b/packages/http/message.h
@@ -82,6 +82,9 @@
   std::string target = "/";
   Headers headers;
   std::string body;
+  // Set by `Server`: the peer had shut down its sending side, or lost its
+  // connection, when the request was complete. Most such peers have left.
+  bool peerStoppedSending = false;
 };
 
 struct Response
--- a/packages/http/server.cc
+++ b/packages/http/server.cc
@@ -94,6 +94,7 @@
     request.target = std::move(head.target);
     request.headers = std::move(head.headers);
     request.body = std::move(mBody);
+    request.peerStoppedSending = mExchange->PeerStoppedSending();
     Responder respond = [exchange = mExchange](Response aResponse) {
       if (!exchange->ResponseStarted()) {
         SendResponse(exchange, std::move(aResponse));
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -95,6 +95,12 @@
   }
 }
 
+bool
+Exchange::PeerStoppedSending() const
+{
+  return mSession == nullptr || mSession->PeerStoppedSending();
+}
+
 void
 Exchange::WatchPeer(std::function<void()> aDone)
 {
--- a/packages/http/stream_server.h
+++ b/packages/http/stream_server.h
@@ -151,6 +151,10 @@
   // sent a pipelined request.
   void WatchPeer(std::function<void()> aDone);
 
+  // Whether the peer has shut down its sending side, or the connection is lost.
+  // False if the peer has sent a pipelined request before.
+  bool PeerStoppedSending() const;
+
   bool ResponseStarted() const { return mResponseStarted; }
 
 private:
