--- a/packages/fleet/change_event.cc
+++ b/packages/fleet/change_event.cc
@@ -65,6 +65,36 @@
   return event;
 }
 
+LogEvent
+ZoneEvacuatedEvent(const ZoneId& aZone, const FleetState& aState)
+{
+  size_t workers = 0;
+  size_t runs = 0;
+  int64_t remaining = 0;
+  for (const auto& [id, worker] : aState.Workers()) {
+    if (worker.report.zone == aZone) {
+      ++workers;
+      runs += worker.active.size();
+    }
+    if (!aState.IsEvacuated(worker.report.zone)) {
+      remaining += worker.report.capacity.accelerators;
+    }
+  }
+  int64_t guaranteed = 0;
+  if (aState.Config()) {
+    for (const Workspace& it : aState.Config()->workspaces) {
+      guaranteed += it.guaranteedAccelerators;
+    }
+  }
+  LogEvent event("zone_evacuated");
+  event.Add("zone", aZone)
+    .Add("workers", workers)
+    .Add("active_runs", runs)
+    .Add("remaining_accelerators", remaining)
+    .Add("guaranteed_accelerators", guaranteed);
+  return event;
+}
+
 } // namespace
 
 std::optional<LogEvent>
@@ -94,9 +124,13 @@
     case Change::Kind::kWorkerDraining:
       return LogEvent("worker_draining").Add("worker", aChange.worker);
     case Change::Kind::kWorkerGone:
+      return LogEvent("worker_gone").Add("worker", aChange.worker);
+    case Change::Kind::kZoneEvacuated:
+      return ZoneEvacuatedEvent(aChange.zone, aState);
+    case Change::Kind::kZoneRestored:
       break;
   }
-  return LogEvent("worker_gone").Add("worker", aChange.worker);
+  return LogEvent("zone_restored").Add("zone", aChange.zone);
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/codec.cc
+++ b/packages/fleet/codec.cc
@@ -255,6 +255,7 @@
   out.draining = aReport.draining;
   out.sequence = static_cast<int64_t>(aReport.sequence);
   out.clockMs = aReport.clock.Count();
+  out.warmUpMs = aReport.coldRemaining.Count();
   return out;
 }
 
@@ -274,6 +275,7 @@
   out.draining = aReport.draining;
   out.sequence = static_cast<uint64_t>(aReport.sequence);
   out.clock = Millis(aReport.clockMs);
+  out.coldRemaining = Millis(aReport.warmUpMs);
   return out;
 }
 
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -66,6 +66,7 @@
   added.draining = report.draining;
   added.sequence = report.sequence;
   added.capacity = report.capacity;
+  added.coldUntil = aNow + report.coldRemaining;
   added.reportedAt = aNow;
   bool replaced = it != mLinks.end();
   bool announced = replaced && (it->second.draining || it->second.leftAt);
@@ -139,6 +140,7 @@
     link.lastHeard = aNow;
     link.reportedAt = aNow;
     link.capacity = aReport.capacity;
+    link.coldUntil = aNow + aReport.coldRemaining;
     link.OnClock(aReport.clock, aNow);
     const WorkerReport& stored = known->report;
     if (stored.draining == aReport.draining &&
--- a/packages/fleet/dispatcher_starts.cc
+++ b/packages/fleet/dispatcher_starts.cc
@@ -101,6 +101,9 @@
   if (aLink.draining) {
     return "worker_draining";
   }
+  if (mState.IsEvacuated(mState.FindWorker(aStart.worker)->report.zone)) {
+    return "zone_evacuated";
+  }
   // The worker may be lost, and a start that was not sent can go to another
   // worker.
   if (!aLink.reachable) {
--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -99,6 +99,8 @@
   10: i64 sequence
   11: i64 clockMs
   12: string machine
+  // Time for which the worker remains slow after its start; 0 if it is not slow.
+  13: i64 warmUpMs
 }
 
 struct WorkerGone {
@@ -137,6 +139,18 @@
   2: string workspace
 }
 
+struct ZoneOrder {
+  1: string zone
+  // False takes the zone back into service.
+  2: bool evacuate
+}
+
+struct EvacuatedZone {
+  1: string zone
+  // Wall clock of the leader that accepted the order.
+  2: i64 sinceMs
+}
+
 struct Command {
   1: optional Configuration configuration
   2: list<SubmitJob> jobs
@@ -151,6 +165,8 @@
   // Cancellations of jobs that the proposer did not know. Their submissions may
   // still arrive and must be refused.
   10: list<RefusedJob> refused
+  // Applied in this order, before the starts of the command.
+  11: list<ZoneOrder> zoneOrders
 }
 
 struct TaskSnapshot {
@@ -190,6 +206,7 @@
   2: list<JobSnapshot> jobs
   3: list<WorkerReport> workers
   4: list<RefusedJob> refused
+  5: list<EvacuatedZone> evacuatedZones
 }
 
 struct Request {
@@ -201,6 +218,8 @@
   5: optional JobSpec job
   6: optional WorkerReport worker
   7: optional Configuration configuration
+  // Set for orders about a zone.
+  8: string zone
 }
 
 struct Reply {
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -1941,6 +1941,10 @@
 void WorkerReport::__set_machine(const std::string& val) {
   this->machine = val;
 }
+
+void WorkerReport::__set_warmUpMs(const int64_t val) {
+  this->warmUpMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
 {
   obj.printTo(out);
@@ -2077,6 +2081,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->warmUpMs);
+          this->__isset.warmUpMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2150,6 +2162,10 @@
   xfer += oprot->writeString(this->machine);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("warmUpMs", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->warmUpMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2169,6 +2185,7 @@
   swap(a.sequence, b.sequence);
   swap(a.clockMs, b.clockMs);
   swap(a.machine, b.machine);
+  swap(a.warmUpMs, b.warmUpMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2185,6 +2202,7 @@
   sequence = other68.sequence;
   clockMs = other68.clockMs;
   machine = other68.machine;
+  warmUpMs = other68.warmUpMs;
   __isset = other68.__isset;
 }
 WorkerReport::WorkerReport(WorkerReport&& other69) noexcept {
@@ -2200,6 +2218,7 @@
   sequence = other69.sequence;
   clockMs = other69.clockMs;
   machine = std::move(other69.machine);
+  warmUpMs = other69.warmUpMs;
   __isset = other69.__isset;
 }
 WorkerReport& WorkerReport::operator=(const WorkerReport& other70) {
@@ -2215,6 +2234,7 @@
   sequence = other70.sequence;
   clockMs = other70.clockMs;
   machine = other70.machine;
+  warmUpMs = other70.warmUpMs;
   __isset = other70.__isset;
   return *this;
 }
@@ -2231,6 +2251,7 @@
   sequence = other71.sequence;
   clockMs = other71.clockMs;
   machine = std::move(other71.machine);
+  warmUpMs = other71.warmUpMs;
   __isset = other71.__isset;
   return *this;
 }
@@ -2249,6 +2270,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "clockMs=" << to_string(clockMs);
   out << ", " << "machine=" << to_string(machine);
+  out << ", " << "warmUpMs=" << to_string(warmUpMs);
   out << ")";
 }
 
@@ -3066,6 +3088,252 @@
 }
 
 
+ZoneOrder::~ZoneOrder() noexcept {
+}
+
+
+void ZoneOrder::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneOrder::__set_evacuate(const bool val) {
+  this->evacuate = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuate);
+          this->__isset.evacuate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneOrder");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuate", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->evacuate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneOrder &a, ZoneOrder &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.evacuate, b.evacuate);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneOrder::ZoneOrder(const ZoneOrder& other92) {
+  zone = other92.zone;
+  evacuate = other92.evacuate;
+  __isset = other92.__isset;
+}
+ZoneOrder::ZoneOrder(ZoneOrder&& other93) noexcept {
+  zone = std::move(other93.zone);
+  evacuate = other93.evacuate;
+  __isset = other93.__isset;
+}
+ZoneOrder& ZoneOrder::operator=(const ZoneOrder& other94) {
+  zone = other94.zone;
+  evacuate = other94.evacuate;
+  __isset = other94.__isset;
+  return *this;
+}
+ZoneOrder& ZoneOrder::operator=(ZoneOrder&& other95) noexcept {
+  zone = std::move(other95.zone);
+  evacuate = other95.evacuate;
+  __isset = other95.__isset;
+  return *this;
+}
+void ZoneOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneOrder(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "evacuate=" << to_string(evacuate);
+  out << ")";
+}
+
+
+EvacuatedZone::~EvacuatedZone() noexcept {
+}
+
+
+void EvacuatedZone::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void EvacuatedZone::__set_sinceMs(const int64_t val) {
+  this->sinceMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuatedZone& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuatedZone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceMs);
+          this->__isset.sinceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuatedZone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuatedZone");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sinceMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sinceMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuatedZone &a, EvacuatedZone &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.sinceMs, b.sinceMs);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuatedZone::EvacuatedZone(const EvacuatedZone& other96) {
+  zone = other96.zone;
+  sinceMs = other96.sinceMs;
+  __isset = other96.__isset;
+}
+EvacuatedZone::EvacuatedZone(EvacuatedZone&& other97) noexcept {
+  zone = std::move(other97.zone);
+  sinceMs = other97.sinceMs;
+  __isset = other97.__isset;
+}
+EvacuatedZone& EvacuatedZone::operator=(const EvacuatedZone& other98) {
+  zone = other98.zone;
+  sinceMs = other98.sinceMs;
+  __isset = other98.__isset;
+  return *this;
+}
+EvacuatedZone& EvacuatedZone::operator=(EvacuatedZone&& other99) noexcept {
+  zone = std::move(other99.zone);
+  sinceMs = other99.sinceMs;
+  __isset = other99.__isset;
+  return *this;
+}
+void EvacuatedZone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuatedZone(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "sinceMs=" << to_string(sinceMs);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -3110,6 +3378,10 @@
 void Command::__set_refused(const std::vector<RefusedJob> & val) {
   this->refused = val;
 }
+
+void Command::__set_zoneOrders(const std::vector<ZoneOrder> & val) {
+  this->zoneOrders = val;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -3150,14 +3422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->jobs.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->jobs.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->jobs[_i96].read(iprot);
+              xfer += this->jobs[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3170,14 +3442,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cancelled.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->cancelled.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->cancelled.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readString(this->cancelled[_i101]);
+              xfer += iprot->readString(this->cancelled[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3190,14 +3462,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->workers.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->workers.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->workers[_i106].read(iprot);
+              xfer += this->workers[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3210,14 +3482,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->gone.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->gone.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->gone[_i111].read(iprot);
+              xfer += this->gone[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3230,14 +3502,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->ends.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->ends.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->ends[_i116].read(iprot);
+              xfer += this->ends[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3250,14 +3522,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->starts.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->starts.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->starts[_i121].read(iprot);
+              xfer += this->starts[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3270,14 +3542,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forgotten.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->forgotten.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->forgotten.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += iprot->readString(this->forgotten[_i126]);
+              xfer += iprot->readString(this->forgotten[_i134]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3298,14 +3570,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size127;
-            ::apache::thrift::protocol::TType _etype130;
-            xfer += iprot->readListBegin(_etype130, _size127);
-            this->refused.resize(_size127);
-            uint32_t _i131;
-            for (_i131 = 0; _i131 < _size127; ++_i131)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->refused.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += this->refused[_i131].read(iprot);
+              xfer += this->refused[_i139].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3314,6 +3586,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zoneOrders.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->zoneOrders.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += this->zoneOrders[_i144].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zoneOrders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3339,10 +3631,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<SubmitJob> ::const_iterator _iter132;
-    for (_iter132 = this->jobs.begin(); _iter132 != this->jobs.end(); ++_iter132)
+    std::vector<SubmitJob> ::const_iterator _iter145;
+    for (_iter145 = this->jobs.begin(); _iter145 != this->jobs.end(); ++_iter145)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3351,10 +3643,10 @@
   xfer += oprot->writeFieldBegin("cancelled", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cancelled.size()));
-    std::vector<std::string> ::const_iterator _iter133;
-    for (_iter133 = this->cancelled.begin(); _iter133 != this->cancelled.end(); ++_iter133)
+    std::vector<std::string> ::const_iterator _iter146;
+    for (_iter146 = this->cancelled.begin(); _iter146 != this->cancelled.end(); ++_iter146)
     {
-      xfer += oprot->writeString((*_iter133));
+      xfer += oprot->writeString((*_iter146));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3363,10 +3655,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter134;
-    for (_iter134 = this->workers.begin(); _iter134 != this->workers.end(); ++_iter134)
+    std::vector<WorkerReport> ::const_iterator _iter147;
+    for (_iter147 = this->workers.begin(); _iter147 != this->workers.end(); ++_iter147)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3375,10 +3667,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gone.size()));
-    std::vector<WorkerGone> ::const_iterator _iter135;
-    for (_iter135 = this->gone.begin(); _iter135 != this->gone.end(); ++_iter135)
+    std::vector<WorkerGone> ::const_iterator _iter148;
+    for (_iter148 = this->gone.begin(); _iter148 != this->gone.end(); ++_iter148)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3387,10 +3679,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter136;
-    for (_iter136 = this->ends.begin(); _iter136 != this->ends.end(); ++_iter136)
+    std::vector<RunEnd> ::const_iterator _iter149;
+    for (_iter149 = this->ends.begin(); _iter149 != this->ends.end(); ++_iter149)
     {
-      xfer += (*_iter136).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3399,10 +3691,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<RunStart> ::const_iterator _iter137;
-    for (_iter137 = this->starts.begin(); _iter137 != this->starts.end(); ++_iter137)
+    std::vector<RunStart> ::const_iterator _iter150;
+    for (_iter150 = this->starts.begin(); _iter150 != this->starts.end(); ++_iter150)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3411,10 +3703,10 @@
   xfer += oprot->writeFieldBegin("forgotten", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forgotten.size()));
-    std::vector<std::string> ::const_iterator _iter138;
-    for (_iter138 = this->forgotten.begin(); _iter138 != this->forgotten.end(); ++_iter138)
+    std::vector<std::string> ::const_iterator _iter151;
+    for (_iter151 = this->forgotten.begin(); _iter151 != this->forgotten.end(); ++_iter151)
     {
-      xfer += oprot->writeString((*_iter138));
+      xfer += oprot->writeString((*_iter151));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3427,10 +3719,22 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedJob> ::const_iterator _iter139;
-    for (_iter139 = this->refused.begin(); _iter139 != this->refused.end(); ++_iter139)
+    std::vector<RefusedJob> ::const_iterator _iter152;
+    for (_iter152 = this->refused.begin(); _iter152 != this->refused.end(); ++_iter152)
+    {
+      xfer += (*_iter152).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zoneOrders", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zoneOrders.size()));
+    std::vector<ZoneOrder> ::const_iterator _iter153;
+    for (_iter153 = this->zoneOrders.begin(); _iter153 != this->zoneOrders.end(); ++_iter153)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3453,61 +3757,66 @@
   swap(a.forgotten, b.forgotten);
   swap(a.atMs, b.atMs);
   swap(a.refused, b.refused);
+  swap(a.zoneOrders, b.zoneOrders);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other140) {
-  configuration = other140.configuration;
-  jobs = other140.jobs;
-  cancelled = other140.cancelled;
-  workers = other140.workers;
-  gone = other140.gone;
-  ends = other140.ends;
-  starts = other140.starts;
-  forgotten = other140.forgotten;
-  atMs = other140.atMs;
-  refused = other140.refused;
-  __isset = other140.__isset;
-}
-Command::Command(Command&& other141) noexcept {
-  configuration = std::move(other141.configuration);
-  jobs = std::move(other141.jobs);
-  cancelled = std::move(other141.cancelled);
-  workers = std::move(other141.workers);
-  gone = std::move(other141.gone);
-  ends = std::move(other141.ends);
-  starts = std::move(other141.starts);
-  forgotten = std::move(other141.forgotten);
-  atMs = other141.atMs;
-  refused = std::move(other141.refused);
-  __isset = other141.__isset;
-}
-Command& Command::operator=(const Command& other142) {
-  configuration = other142.configuration;
-  jobs = other142.jobs;
-  cancelled = other142.cancelled;
-  workers = other142.workers;
-  gone = other142.gone;
-  ends = other142.ends;
-  starts = other142.starts;
-  forgotten = other142.forgotten;
-  atMs = other142.atMs;
-  refused = other142.refused;
-  __isset = other142.__isset;
+Command::Command(const Command& other154) {
+  configuration = other154.configuration;
+  jobs = other154.jobs;
+  cancelled = other154.cancelled;
+  workers = other154.workers;
+  gone = other154.gone;
+  ends = other154.ends;
+  starts = other154.starts;
+  forgotten = other154.forgotten;
+  atMs = other154.atMs;
+  refused = other154.refused;
+  zoneOrders = other154.zoneOrders;
+  __isset = other154.__isset;
+}
+Command::Command(Command&& other155) noexcept {
+  configuration = std::move(other155.configuration);
+  jobs = std::move(other155.jobs);
+  cancelled = std::move(other155.cancelled);
+  workers = std::move(other155.workers);
+  gone = std::move(other155.gone);
+  ends = std::move(other155.ends);
+  starts = std::move(other155.starts);
+  forgotten = std::move(other155.forgotten);
+  atMs = other155.atMs;
+  refused = std::move(other155.refused);
+  zoneOrders = std::move(other155.zoneOrders);
+  __isset = other155.__isset;
+}
+Command& Command::operator=(const Command& other156) {
+  configuration = other156.configuration;
+  jobs = other156.jobs;
+  cancelled = other156.cancelled;
+  workers = other156.workers;
+  gone = other156.gone;
+  ends = other156.ends;
+  starts = other156.starts;
+  forgotten = other156.forgotten;
+  atMs = other156.atMs;
+  refused = other156.refused;
+  zoneOrders = other156.zoneOrders;
+  __isset = other156.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other143) noexcept {
-  configuration = std::move(other143.configuration);
-  jobs = std::move(other143.jobs);
-  cancelled = std::move(other143.cancelled);
-  workers = std::move(other143.workers);
-  gone = std::move(other143.gone);
-  ends = std::move(other143.ends);
-  starts = std::move(other143.starts);
-  forgotten = std::move(other143.forgotten);
-  atMs = other143.atMs;
-  refused = std::move(other143.refused);
-  __isset = other143.__isset;
+Command& Command::operator=(Command&& other157) noexcept {
+  configuration = std::move(other157.configuration);
+  jobs = std::move(other157.jobs);
+  cancelled = std::move(other157.cancelled);
+  workers = std::move(other157.workers);
+  gone = std::move(other157.gone);
+  ends = std::move(other157.ends);
+  starts = std::move(other157.starts);
+  forgotten = std::move(other157.forgotten);
+  atMs = other157.atMs;
+  refused = std::move(other157.refused);
+  zoneOrders = std::move(other157.zoneOrders);
+  __isset = other157.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -3523,6 +3832,7 @@
   out << ", " << "forgotten=" << to_string(forgotten);
   out << ", " << "atMs=" << to_string(atMs);
   out << ", " << "refused=" << to_string(refused);
+  out << ", " << "zoneOrders=" << to_string(zoneOrders);
   out << ")";
 }
 
@@ -3721,50 +4031,50 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskSnapshot::TaskSnapshot(const TaskSnapshot& other144) {
-  phase = other144.phase;
-  run = other144.run;
-  failures = other144.failures;
-  worker = other144.worker;
-  checkpoint = other144.checkpoint;
-  crashes = other144.crashes;
-  crashesAtStart = other144.crashesAtStart;
-  incarnation = other144.incarnation;
-  __isset = other144.__isset;
-}
-TaskSnapshot::TaskSnapshot(TaskSnapshot&& other145) noexcept {
-  phase = other145.phase;
-  run = other145.run;
-  failures = other145.failures;
-  worker = std::move(other145.worker);
-  checkpoint = std::move(other145.checkpoint);
-  crashes = other145.crashes;
-  crashesAtStart = other145.crashesAtStart;
-  incarnation = other145.incarnation;
-  __isset = other145.__isset;
-}
-TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other146) {
-  phase = other146.phase;
-  run = other146.run;
-  failures = other146.failures;
-  worker = other146.worker;
-  checkpoint = other146.checkpoint;
-  crashes = other146.crashes;
-  crashesAtStart = other146.crashesAtStart;
-  incarnation = other146.incarnation;
-  __isset = other146.__isset;
+TaskSnapshot::TaskSnapshot(const TaskSnapshot& other158) {
+  phase = other158.phase;
+  run = other158.run;
+  failures = other158.failures;
+  worker = other158.worker;
+  checkpoint = other158.checkpoint;
+  crashes = other158.crashes;
+  crashesAtStart = other158.crashesAtStart;
+  incarnation = other158.incarnation;
+  __isset = other158.__isset;
+}
+TaskSnapshot::TaskSnapshot(TaskSnapshot&& other159) noexcept {
+  phase = other159.phase;
+  run = other159.run;
+  failures = other159.failures;
+  worker = std::move(other159.worker);
+  checkpoint = std::move(other159.checkpoint);
+  crashes = other159.crashes;
+  crashesAtStart = other159.crashesAtStart;
+  incarnation = other159.incarnation;
+  __isset = other159.__isset;
+}
+TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other160) {
+  phase = other160.phase;
+  run = other160.run;
+  failures = other160.failures;
+  worker = other160.worker;
+  checkpoint = other160.checkpoint;
+  crashes = other160.crashes;
+  crashesAtStart = other160.crashesAtStart;
+  incarnation = other160.incarnation;
+  __isset = other160.__isset;
   return *this;
 }
-TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other147) noexcept {
-  phase = other147.phase;
-  run = other147.run;
-  failures = other147.failures;
-  worker = std::move(other147.worker);
-  checkpoint = std::move(other147.checkpoint);
-  crashes = other147.crashes;
-  crashesAtStart = other147.crashesAtStart;
-  incarnation = other147.incarnation;
-  __isset = other147.__isset;
+TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other161) noexcept {
+  phase = other161.phase;
+  run = other161.run;
+  failures = other161.failures;
+  worker = std::move(other161.worker);
+  checkpoint = std::move(other161.checkpoint);
+  crashes = other161.crashes;
+  crashesAtStart = other161.crashesAtStart;
+  incarnation = other161.incarnation;
+  __isset = other161.__isset;
   return *this;
 }
 void TaskSnapshot::printTo(std::ostream& out) const {
@@ -3833,14 +4143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->tasks.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->tasks.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += this->tasks[_i152].read(iprot);
+              xfer += this->tasks[_i166].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3893,10 +4203,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskSnapshot> ::const_iterator _iter153;
-    for (_iter153 = this->tasks.begin(); _iter153 != this->tasks.end(); ++_iter153)
+    std::vector<TaskSnapshot> ::const_iterator _iter167;
+    for (_iter167 = this->tasks.begin(); _iter167 != this->tasks.end(); ++_iter167)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3928,34 +4238,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StepSnapshot::StepSnapshot(const StepSnapshot& other154) {
-  tasks = other154.tasks;
-  gangFailures = other154.gangFailures;
-  lastFailedRun = other154.lastFailedRun;
-  lastRun = other154.lastRun;
-  __isset = other154.__isset;
-}
-StepSnapshot::StepSnapshot(StepSnapshot&& other155) noexcept {
-  tasks = std::move(other155.tasks);
-  gangFailures = other155.gangFailures;
-  lastFailedRun = other155.lastFailedRun;
-  lastRun = other155.lastRun;
-  __isset = other155.__isset;
-}
-StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other156) {
-  tasks = other156.tasks;
-  gangFailures = other156.gangFailures;
-  lastFailedRun = other156.lastFailedRun;
-  lastRun = other156.lastRun;
-  __isset = other156.__isset;
+StepSnapshot::StepSnapshot(const StepSnapshot& other168) {
+  tasks = other168.tasks;
+  gangFailures = other168.gangFailures;
+  lastFailedRun = other168.lastFailedRun;
+  lastRun = other168.lastRun;
+  __isset = other168.__isset;
+}
+StepSnapshot::StepSnapshot(StepSnapshot&& other169) noexcept {
+  tasks = std::move(other169.tasks);
+  gangFailures = other169.gangFailures;
+  lastFailedRun = other169.lastFailedRun;
+  lastRun = other169.lastRun;
+  __isset = other169.__isset;
+}
+StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other170) {
+  tasks = other170.tasks;
+  gangFailures = other170.gangFailures;
+  lastFailedRun = other170.lastFailedRun;
+  lastRun = other170.lastRun;
+  __isset = other170.__isset;
   return *this;
 }
-StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other157) noexcept {
-  tasks = std::move(other157.tasks);
-  gangFailures = other157.gangFailures;
-  lastFailedRun = other157.lastFailedRun;
-  lastRun = other157.lastRun;
-  __isset = other157.__isset;
+StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other171) noexcept {
+  tasks = std::move(other171.tasks);
+  gangFailures = other171.gangFailures;
+  lastFailedRun = other171.lastFailedRun;
+  lastRun = other171.lastRun;
+  __isset = other171.__isset;
   return *this;
 }
 void StepSnapshot::printTo(std::ostream& out) const {
@@ -4008,14 +4318,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->steps.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->steps.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->steps[_i162].read(iprot);
+              xfer += this->steps[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4044,10 +4354,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepSnapshot> ::const_iterator _iter163;
-    for (_iter163 = this->steps.begin(); _iter163 != this->steps.end(); ++_iter163)
+    std::vector<StepSnapshot> ::const_iterator _iter177;
+    for (_iter177 = this->steps.begin(); _iter177 != this->steps.end(); ++_iter177)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4064,22 +4374,22 @@
   swap(a.__isset, b.__isset);
 }
 
-OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other164) {
-  steps = other164.steps;
-  __isset = other164.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other178) {
+  steps = other178.steps;
+  __isset = other178.__isset;
 }
-OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other165) noexcept {
-  steps = std::move(other165.steps);
-  __isset = other165.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other179) noexcept {
+  steps = std::move(other179.steps);
+  __isset = other179.__isset;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other166) {
-  steps = other166.steps;
-  __isset = other166.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other180) {
+  steps = other180.steps;
+  __isset = other180.__isset;
   return *this;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other167) noexcept {
-  steps = std::move(other167.steps);
-  __isset = other167.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other181) noexcept {
+  steps = std::move(other181.steps);
+  __isset = other181.__isset;
   return *this;
 }
 void OccurrenceSnapshot::printTo(std::ostream& out) const {
@@ -4181,14 +4491,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->occurrences.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->occurrences.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->occurrences.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->occurrences[_i172].read(iprot);
+              xfer += this->occurrences[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4241,10 +4551,10 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::vector<OccurrenceSnapshot> ::const_iterator _iter173;
-    for (_iter173 = this->occurrences.begin(); _iter173 != this->occurrences.end(); ++_iter173)
+    std::vector<OccurrenceSnapshot> ::const_iterator _iter187;
+    for (_iter187 = this->occurrences.begin(); _iter187 != this->occurrences.end(); ++_iter187)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4270,42 +4580,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobSnapshot::JobSnapshot(const JobSnapshot& other174) {
-  job = other174.job;
-  status = other174.status;
-  started = other174.started;
-  endedAtMs = other174.endedAtMs;
-  occurrences = other174.occurrences;
-  reason = other174.reason;
-  __isset = other174.__isset;
-}
-JobSnapshot::JobSnapshot(JobSnapshot&& other175) noexcept {
-  job = std::move(other175.job);
-  status = other175.status;
-  started = other175.started;
-  endedAtMs = other175.endedAtMs;
-  occurrences = std::move(other175.occurrences);
-  reason = std::move(other175.reason);
-  __isset = other175.__isset;
-}
-JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other176) {
-  job = other176.job;
-  status = other176.status;
-  started = other176.started;
-  endedAtMs = other176.endedAtMs;
-  occurrences = other176.occurrences;
-  reason = other176.reason;
-  __isset = other176.__isset;
+JobSnapshot::JobSnapshot(const JobSnapshot& other188) {
+  job = other188.job;
+  status = other188.status;
+  started = other188.started;
+  endedAtMs = other188.endedAtMs;
+  occurrences = other188.occurrences;
+  reason = other188.reason;
+  __isset = other188.__isset;
+}
+JobSnapshot::JobSnapshot(JobSnapshot&& other189) noexcept {
+  job = std::move(other189.job);
+  status = other189.status;
+  started = other189.started;
+  endedAtMs = other189.endedAtMs;
+  occurrences = std::move(other189.occurrences);
+  reason = std::move(other189.reason);
+  __isset = other189.__isset;
+}
+JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other190) {
+  job = other190.job;
+  status = other190.status;
+  started = other190.started;
+  endedAtMs = other190.endedAtMs;
+  occurrences = other190.occurrences;
+  reason = other190.reason;
+  __isset = other190.__isset;
   return *this;
 }
-JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other177) noexcept {
-  job = std::move(other177.job);
-  status = other177.status;
-  started = other177.started;
-  endedAtMs = other177.endedAtMs;
-  occurrences = std::move(other177.occurrences);
-  reason = std::move(other177.reason);
-  __isset = other177.__isset;
+JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other191) noexcept {
+  job = std::move(other191.job);
+  status = other191.status;
+  started = other191.started;
+  endedAtMs = other191.endedAtMs;
+  occurrences = std::move(other191.occurrences);
+  reason = std::move(other191.reason);
+  __isset = other191.__isset;
   return *this;
 }
 void JobSnapshot::printTo(std::ostream& out) const {
@@ -4341,6 +4651,10 @@
 void StateSnapshot::__set_refused(const std::vector<RefusedJob> & val) {
   this->refused = val;
 }
+
+void StateSnapshot::__set_evacuatedZones(const std::vector<EvacuatedZone> & val) {
+  this->evacuatedZones = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -4381,14 +4695,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->jobs.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->jobs.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->jobs[_i182].read(iprot);
+              xfer += this->jobs[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4401,14 +4715,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->workers.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->workers.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->workers[_i187].read(iprot);
+              xfer += this->workers[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4421,14 +4735,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->refused.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->refused.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->refused[_i192].read(iprot);
+              xfer += this->refused[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4437,6 +4751,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuatedZones.clear();
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->evacuatedZones.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
+            {
+              xfer += this->evacuatedZones[_i211].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuatedZones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4462,10 +4796,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter193;
-    for (_iter193 = this->jobs.begin(); _iter193 != this->jobs.end(); ++_iter193)
+    std::vector<JobSnapshot> ::const_iterator _iter212;
+    for (_iter212 = this->jobs.begin(); _iter212 != this->jobs.end(); ++_iter212)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter212).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4474,10 +4808,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter194;
-    for (_iter194 = this->workers.begin(); _iter194 != this->workers.end(); ++_iter194)
+    std::vector<WorkerReport> ::const_iterator _iter213;
+    for (_iter213 = this->workers.begin(); _iter213 != this->workers.end(); ++_iter213)
     {
-      xfer += (*_iter194).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4486,10 +4820,22 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedJob> ::const_iterator _iter195;
-    for (_iter195 = this->refused.begin(); _iter195 != this->refused.end(); ++_iter195)
+    std::vector<RefusedJob> ::const_iterator _iter214;
+    for (_iter214 = this->refused.begin(); _iter214 != this->refused.end(); ++_iter214)
     {
-      xfer += (*_iter195).write(oprot);
+      xfer += (*_iter214).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuatedZones", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuatedZones.size()));
+    std::vector<EvacuatedZone> ::const_iterator _iter215;
+    for (_iter215 = this->evacuatedZones.begin(); _iter215 != this->evacuatedZones.end(); ++_iter215)
+    {
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4506,37 +4852,42 @@
   swap(a.jobs, b.jobs);
   swap(a.workers, b.workers);
   swap(a.refused, b.refused);
+  swap(a.evacuatedZones, b.evacuatedZones);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other196) {
-  configuration = other196.configuration;
-  jobs = other196.jobs;
-  workers = other196.workers;
-  refused = other196.refused;
-  __isset = other196.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other197) noexcept {
-  configuration = std::move(other197.configuration);
-  jobs = std::move(other197.jobs);
-  workers = std::move(other197.workers);
-  refused = std::move(other197.refused);
-  __isset = other197.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other198) {
-  configuration = other198.configuration;
-  jobs = other198.jobs;
-  workers = other198.workers;
-  refused = other198.refused;
-  __isset = other198.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other216) {
+  configuration = other216.configuration;
+  jobs = other216.jobs;
+  workers = other216.workers;
+  refused = other216.refused;
+  evacuatedZones = other216.evacuatedZones;
+  __isset = other216.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other217) noexcept {
+  configuration = std::move(other217.configuration);
+  jobs = std::move(other217.jobs);
+  workers = std::move(other217.workers);
+  refused = std::move(other217.refused);
+  evacuatedZones = std::move(other217.evacuatedZones);
+  __isset = other217.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other218) {
+  configuration = other218.configuration;
+  jobs = other218.jobs;
+  workers = other218.workers;
+  refused = other218.refused;
+  evacuatedZones = other218.evacuatedZones;
+  __isset = other218.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other199) noexcept {
-  configuration = std::move(other199.configuration);
-  jobs = std::move(other199.jobs);
-  workers = std::move(other199.workers);
-  refused = std::move(other199.refused);
-  __isset = other199.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other219) noexcept {
+  configuration = std::move(other219.configuration);
+  jobs = std::move(other219.jobs);
+  workers = std::move(other219.workers);
+  refused = std::move(other219.refused);
+  evacuatedZones = std::move(other219.evacuatedZones);
+  __isset = other219.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -4546,6 +4897,7 @@
   out << ", " << "jobs=" << to_string(jobs);
   out << ", " << "workers=" << to_string(workers);
   out << ", " << "refused=" << to_string(refused);
+  out << ", " << "evacuatedZones=" << to_string(evacuatedZones);
   out << ")";
 }
 
@@ -4584,6 +4936,10 @@
   this->configuration = val;
 __isset.configuration = true;
 }
+
+void Request::__set_zone(const std::string& val) {
+  this->zone = val;
+}
 std::ostream& operator<<(std::ostream& out, const Request& obj)
 {
   obj.printTo(out);
@@ -4668,6 +5024,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4716,6 +5080,10 @@
     xfer += this->configuration.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4730,49 +5098,54 @@
   swap(a.job, b.job);
   swap(a.worker, b.worker);
   swap(a.configuration, b.configuration);
+  swap(a.zone, b.zone);
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other200) {
-  kind = other200.kind;
-  host = other200.host;
-  path = other200.path;
-  key = other200.key;
-  job = other200.job;
-  worker = other200.worker;
-  configuration = other200.configuration;
-  __isset = other200.__isset;
-}
-Request::Request(Request&& other201) noexcept {
-  kind = other201.kind;
-  host = std::move(other201.host);
-  path = std::move(other201.path);
-  key = std::move(other201.key);
-  job = std::move(other201.job);
-  worker = std::move(other201.worker);
-  configuration = std::move(other201.configuration);
-  __isset = other201.__isset;
-}
-Request& Request::operator=(const Request& other202) {
-  kind = other202.kind;
-  host = other202.host;
-  path = other202.path;
-  key = other202.key;
-  job = other202.job;
-  worker = other202.worker;
-  configuration = other202.configuration;
-  __isset = other202.__isset;
+Request::Request(const Request& other220) {
+  kind = other220.kind;
+  host = other220.host;
+  path = other220.path;
+  key = other220.key;
+  job = other220.job;
+  worker = other220.worker;
+  configuration = other220.configuration;
+  zone = other220.zone;
+  __isset = other220.__isset;
+}
+Request::Request(Request&& other221) noexcept {
+  kind = other221.kind;
+  host = std::move(other221.host);
+  path = std::move(other221.path);
+  key = std::move(other221.key);
+  job = std::move(other221.job);
+  worker = std::move(other221.worker);
+  configuration = std::move(other221.configuration);
+  zone = std::move(other221.zone);
+  __isset = other221.__isset;
+}
+Request& Request::operator=(const Request& other222) {
+  kind = other222.kind;
+  host = other222.host;
+  path = other222.path;
+  key = other222.key;
+  job = other222.job;
+  worker = other222.worker;
+  configuration = other222.configuration;
+  zone = other222.zone;
+  __isset = other222.__isset;
   return *this;
 }
-Request& Request::operator=(Request&& other203) noexcept {
-  kind = other203.kind;
-  host = std::move(other203.host);
-  path = std::move(other203.path);
-  key = std::move(other203.key);
-  job = std::move(other203.job);
-  worker = std::move(other203.worker);
-  configuration = std::move(other203.configuration);
-  __isset = other203.__isset;
+Request& Request::operator=(Request&& other223) noexcept {
+  kind = other223.kind;
+  host = std::move(other223.host);
+  path = std::move(other223.path);
+  key = std::move(other223.key);
+  job = std::move(other223.job);
+  worker = std::move(other223.worker);
+  configuration = std::move(other223.configuration);
+  zone = std::move(other223.zone);
+  __isset = other223.__isset;
   return *this;
 }
 void Request::printTo(std::ostream& out) const {
@@ -4785,6 +5158,7 @@
   out << ", " << "job="; (__isset.job ? (out << to_string(job)) : (out << "<null>"));
   out << ", " << "worker="; (__isset.worker ? (out << to_string(worker)) : (out << "<null>"));
   out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
@@ -4901,14 +5275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->members.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->members.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += iprot->readString(this->members[_i208]);
+              xfer += iprot->readString(this->members[_i228]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4981,10 +5355,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter209;
-    for (_iter209 = this->members.begin(); _iter209 != this->members.end(); ++_iter209)
+    std::vector<std::string> ::const_iterator _iter229;
+    for (_iter229 = this->members.begin(); _iter229 != this->members.end(); ++_iter229)
     {
-      xfer += oprot->writeString((*_iter209));
+      xfer += oprot->writeString((*_iter229));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5022,54 +5396,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other210) {
-  outcome = other210.outcome;
-  retryAfterMs = other210.retryAfterMs;
-  leader = other210.leader;
-  text = other210.text;
-  count = other210.count;
-  members = other210.members;
-  jobStatus = other210.jobStatus;
-  version = other210.version;
-  limits = other210.limits;
-  __isset = other210.__isset;
-}
-Reply::Reply(Reply&& other211) noexcept {
-  outcome = other211.outcome;
-  retryAfterMs = other211.retryAfterMs;
-  leader = std::move(other211.leader);
-  text = std::move(other211.text);
-  count = other211.count;
-  members = std::move(other211.members);
-  jobStatus = other211.jobStatus;
-  version = other211.version;
-  limits = std::move(other211.limits);
-  __isset = other211.__isset;
-}
-Reply& Reply::operator=(const Reply& other212) {
-  outcome = other212.outcome;
-  retryAfterMs = other212.retryAfterMs;
-  leader = other212.leader;
-  text = other212.text;
-  count = other212.count;
-  members = other212.members;
-  jobStatus = other212.jobStatus;
-  version = other212.version;
-  limits = other212.limits;
-  __isset = other212.__isset;
+Reply::Reply(const Reply& other230) {
+  outcome = other230.outcome;
+  retryAfterMs = other230.retryAfterMs;
+  leader = other230.leader;
+  text = other230.text;
+  count = other230.count;
+  members = other230.members;
+  jobStatus = other230.jobStatus;
+  version = other230.version;
+  limits = other230.limits;
+  __isset = other230.__isset;
+}
+Reply::Reply(Reply&& other231) noexcept {
+  outcome = other231.outcome;
+  retryAfterMs = other231.retryAfterMs;
+  leader = std::move(other231.leader);
+  text = std::move(other231.text);
+  count = other231.count;
+  members = std::move(other231.members);
+  jobStatus = other231.jobStatus;
+  version = other231.version;
+  limits = std::move(other231.limits);
+  __isset = other231.__isset;
+}
+Reply& Reply::operator=(const Reply& other232) {
+  outcome = other232.outcome;
+  retryAfterMs = other232.retryAfterMs;
+  leader = other232.leader;
+  text = other232.text;
+  count = other232.count;
+  members = other232.members;
+  jobStatus = other232.jobStatus;
+  version = other232.version;
+  limits = other232.limits;
+  __isset = other232.__isset;
   return *this;
 }
-Reply& Reply::operator=(Reply&& other213) noexcept {
-  outcome = other213.outcome;
-  retryAfterMs = other213.retryAfterMs;
-  leader = std::move(other213.leader);
-  text = std::move(other213.text);
-  count = other213.count;
-  members = std::move(other213.members);
-  jobStatus = other213.jobStatus;
-  version = other213.version;
-  limits = std::move(other213.limits);
-  __isset = other213.__isset;
+Reply& Reply::operator=(Reply&& other233) noexcept {
+  outcome = other233.outcome;
+  retryAfterMs = other233.retryAfterMs;
+  leader = std::move(other233.leader);
+  text = std::move(other233.text);
+  count = other233.count;
+  members = std::move(other233.members);
+  jobStatus = other233.jobStatus;
+  version = other233.version;
+  limits = std::move(other233.limits);
+  __isset = other233.__isset;
   return *this;
 }
 void Reply::printTo(std::ostream& out) const {
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -49,6 +49,10 @@
 
 class RefusedJob;
 
+class ZoneOrder;
+
+class EvacuatedZone;
+
 class Command;
 
 class TaskSnapshot;
@@ -726,7 +730,7 @@
 std::ostream& operator<<(std::ostream& out, const SubmitJob& obj);
 
 typedef struct _WorkerReport__isset {
-  _WorkerReport__isset() : id(false), incarnation(false), address(false), serviceId(false), zone(false), capacity(false), labels(false), rack(false), draining(false), sequence(false), clockMs(false), machine(false) {}
+  _WorkerReport__isset() : id(false), incarnation(false), address(false), serviceId(false), zone(false), capacity(false), labels(false), rack(false), draining(false), sequence(false), clockMs(false), machine(false), warmUpMs(false) {}
   bool id :1;
   bool incarnation :1;
   bool address :1;
@@ -739,6 +743,7 @@
   bool sequence :1;
   bool clockMs :1;
   bool machine :1;
+  bool warmUpMs :1;
 } _WorkerReport__isset;
 
 class WorkerReport : public virtual ::apache::thrift::TBase {
@@ -758,7 +763,8 @@
                  draining(0),
                  sequence(0),
                  clockMs(0),
-                 machine() {
+                 machine(),
+                 warmUpMs(0) {
   }
 
   virtual ~WorkerReport() noexcept;
@@ -774,6 +780,7 @@
   int64_t sequence;
   int64_t clockMs;
   std::string machine;
+  int64_t warmUpMs;
 
   _WorkerReport__isset __isset;
 
@@ -801,6 +808,8 @@
 
   void __set_machine(const std::string& val);
 
+  void __set_warmUpMs(const int64_t val);
+
   bool operator == (const WorkerReport & rhs) const
   {
     if (!(id == rhs.id))
@@ -827,6 +836,8 @@
       return false;
     if (!(machine == rhs.machine))
       return false;
+    if (!(warmUpMs == rhs.warmUpMs))
+      return false;
     return true;
   }
   bool operator != (const WorkerReport &rhs) const {
@@ -1166,8 +1177,112 @@
 
 std::ostream& operator<<(std::ostream& out, const RefusedJob& obj);
 
+typedef struct _ZoneOrder__isset {
+  _ZoneOrder__isset() : zone(false), evacuate(false) {}
+  bool zone :1;
+  bool evacuate :1;
+} _ZoneOrder__isset;
+
+class ZoneOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneOrder(const ZoneOrder&);
+  ZoneOrder(ZoneOrder&&) noexcept;
+  ZoneOrder& operator=(const ZoneOrder&);
+  ZoneOrder& operator=(ZoneOrder&&) noexcept;
+  ZoneOrder() noexcept
+            : zone(),
+              evacuate(0) {
+  }
+
+  virtual ~ZoneOrder() noexcept;
+  std::string zone;
+  bool evacuate;
+
+  _ZoneOrder__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_evacuate(const bool val);
+
+  bool operator == (const ZoneOrder & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(evacuate == rhs.evacuate))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneOrder &a, ZoneOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneOrder& obj);
+
+typedef struct _EvacuatedZone__isset {
+  _EvacuatedZone__isset() : zone(false), sinceMs(false) {}
+  bool zone :1;
+  bool sinceMs :1;
+} _EvacuatedZone__isset;
+
+class EvacuatedZone : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuatedZone(const EvacuatedZone&);
+  EvacuatedZone(EvacuatedZone&&) noexcept;
+  EvacuatedZone& operator=(const EvacuatedZone&);
+  EvacuatedZone& operator=(EvacuatedZone&&) noexcept;
+  EvacuatedZone() noexcept
+                : zone(),
+                  sinceMs(0) {
+  }
+
+  virtual ~EvacuatedZone() noexcept;
+  std::string zone;
+  int64_t sinceMs;
+
+  _EvacuatedZone__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_sinceMs(const int64_t val);
+
+  bool operator == (const EvacuatedZone & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(sinceMs == rhs.sinceMs))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuatedZone &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuatedZone & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuatedZone &a, EvacuatedZone &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedZone& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false), refused(false) {}
+  _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false), refused(false), zoneOrders(false) {}
   bool configuration :1;
   bool jobs :1;
   bool cancelled :1;
@@ -1178,6 +1293,7 @@
   bool forgotten :1;
   bool atMs :1;
   bool refused :1;
+  bool zoneOrders :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1202,6 +1318,7 @@
   std::vector<std::string>  forgotten;
   int64_t atMs;
   std::vector<RefusedJob>  refused;
+  std::vector<ZoneOrder>  zoneOrders;
 
   _Command__isset __isset;
 
@@ -1225,6 +1342,8 @@
 
   void __set_refused(const std::vector<RefusedJob> & val);
 
+  void __set_zoneOrders(const std::vector<ZoneOrder> & val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1249,6 +1368,8 @@
       return false;
     if (!(refused == rhs.refused))
       return false;
+    if (!(zoneOrders == rhs.zoneOrders))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1549,11 +1670,12 @@
 std::ostream& operator<<(std::ostream& out, const JobSnapshot& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false) {}
+  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false), evacuatedZones(false) {}
   bool configuration :1;
   bool jobs :1;
   bool workers :1;
   bool refused :1;
+  bool evacuatedZones :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -1571,6 +1693,7 @@
   std::vector<JobSnapshot>  jobs;
   std::vector<WorkerReport>  workers;
   std::vector<RefusedJob>  refused;
+  std::vector<EvacuatedZone>  evacuatedZones;
 
   _StateSnapshot__isset __isset;
 
@@ -1582,6 +1705,8 @@
 
   void __set_refused(const std::vector<RefusedJob> & val);
 
+  void __set_evacuatedZones(const std::vector<EvacuatedZone> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1594,6 +1719,8 @@
       return false;
     if (!(refused == rhs.refused))
       return false;
+    if (!(evacuatedZones == rhs.evacuatedZones))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
@@ -1613,7 +1740,7 @@
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj);
 
 typedef struct _Request__isset {
-  _Request__isset() : kind(false), host(false), path(false), key(false), job(false), worker(false), configuration(false) {}
+  _Request__isset() : kind(false), host(false), path(false), key(false), job(false), worker(false), configuration(false), zone(false) {}
   bool kind :1;
   bool host :1;
   bool path :1;
@@ -1621,6 +1748,7 @@
   bool job :1;
   bool worker :1;
   bool configuration :1;
+  bool zone :1;
 } _Request__isset;
 
 class Request : public virtual ::apache::thrift::TBase {
@@ -1634,7 +1762,8 @@
           : kind(0),
             host(),
             path(),
-            key() {
+            key(),
+            zone() {
   }
 
   virtual ~Request() noexcept;
@@ -1645,6 +1774,7 @@
   JobSpec job;
   WorkerReport worker;
   Configuration configuration;
+  std::string zone;
 
   _Request__isset __isset;
 
@@ -1662,6 +1792,8 @@
 
   void __set_configuration(const Configuration& val);
 
+  void __set_zone(const std::string& val);
+
   bool operator == (const Request & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1684,6 +1816,8 @@
       return false;
     else if (__isset.configuration && !(configuration == rhs.configuration))
       return false;
+    if (!(zone == rhs.zone))
+      return false;
     return true;
   }
   bool operator != (const Request &rhs) const {
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -189,7 +189,7 @@
               command.cancelled.empty() && command.refused.empty() &&
               command.workers.empty() && command.gone.empty() &&
               command.ends.empty() && command.starts.empty() &&
-              command.forgotten.empty();
+              command.forgotten.empty() && command.zoneOrders.empty();
   if (idle) {
     // The remaining callbacks wait for a change that an earlier batch contains,
     // whose outcome is not known here.
@@ -312,6 +312,8 @@
         mCounters.jobsCancelled += job->status == JobStatus::kCancelled;
       }
     }
+    mCounters.zonesEvacuated += it.kind == Change::Kind::kZoneEvacuated ? 1 : 0;
+    mCounters.zonesRestored += it.kind == Change::Kind::kZoneRestored ? 1 : 0;
   }
 }
 
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -40,6 +40,9 @@
   // How long the status of a job remains available after the job has ended, at
   // least; measured by the leader, anew after a change of leader.
   Millis endedJobRetention = Seconds(120);
+  // Zones of the deployment. Orders about other zones are accepted if a worker
+  // has reported the zone.
+  std::set<ZoneId> zones{};
 };
 
 // Services that the process provides to a node.
@@ -69,6 +72,9 @@
   uint64_t proposals = 0;
   uint64_t leaderships = 0;
   uint64_t membershipChanges = 0;
+  // Committed changes of a zone's service.
+  uint64_t zonesEvacuated = 0;
+  uint64_t zonesRestored = 0;
   // From the proposal of an entry to its outcome.
   LatencyHistogram commitLatency;
   // Duration of the dispatcher's ticks, with the planning passes.
@@ -142,6 +148,8 @@
   void OnReport(const gen::Request& aRequest, ReplyCallback aDone);
   void OnPutConfiguration(const gen::Request& aRequest, ReplyCallback aDone);
   void OnGetConfiguration(const ReplyCallback& aDone);
+  void OnZoneOrder(const gen::Request& aRequest, ReplyCallback aDone);
+  bool IsKnownZone(const ZoneId& aZone) const;
 
   // The queue, workspace and job that a request refers to, or the outcome of
   // the failed check.
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -109,6 +109,10 @@
     case RequestKind::kGetConfiguration:
       OnGetConfiguration(aDone);
       break;
+    case RequestKind::kEvacuateZone:
+    case RequestKind::kRestoreZone:
+      OnZoneOrder(aRequest, std::move(aDone));
+      break;
     default:
       Answer(aDone, RequestOutcome::kInvalid);
       break;
@@ -387,4 +391,32 @@
   Answer(aDone, std::move(reply));
 }
 
+bool
+Node::IsKnownZone(const ZoneId& aZone) const
+{
+  return mOptions.zones.contains(aZone) || mState.IsEvacuated(aZone) ||
+         std::any_of(mState.Workers().begin(),
+                     mState.Workers().end(),
+                     [&](const auto& aEntry) {
+                       return aEntry.second.report.zone == aZone;
+                     });
+}
+
+void
+Node::OnZoneOrder(const gen::Request& aRequest, ReplyCallback aDone)
+{
+  if (!IsKnownZone(ZoneId(aRequest.zone))) {
+    Answer(aDone, RequestOutcome::kUnknownZone);
+    return;
+  }
+  // Proposed even if the zone is in the requested state: an opposite order may
+  // be proposed and not committed yet.
+  gen::ZoneOrder order;
+  order.zone = aRequest.zone;
+  order.evacuate =
+    static_cast<RequestKind>(aRequest.kind) == RequestKind::kEvacuateZone;
+  mBatch.command.zoneOrders.push_back(std::move(order));
+  AnswerAfterCommit(std::move(aDone));
+}
+
 } // namespace limpetwood::fleet
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -66,6 +66,7 @@
   report.incarnation = Incarnation(1);
   report.address = "127.0.0.1:1";
   report.service = ServiceId("service");
+  report.zone = ZoneId("z1");
   report.capacity = { .cpu = 64'000, .memoryMb = 256'000, .accelerators = 8 };
   report.sequence = 1;
   report.clock = aNow;
@@ -102,6 +103,7 @@
     options.group.voters = { InstanceId("a") };
     options.group.disk = &mDisk;
     options.toleratedFailures = 0;
+    options.zones = mZones;
     auto node = Node::Open(options, mEnvironment);
     ASSERT_TRUE(node) << node.Error().message();
     mNode = std::move(node).Value();
@@ -148,6 +150,7 @@
   std::unique_ptr<Node> mNode;
   Millis mNow{ 1'000'000 };
   Millis mWallOffset{};
+  std::set<ZoneId> mZones;
 };
 
 // Guards against submissions before a configuration exists, and against
@@ -616,6 +619,82 @@
   EXPECT_NE(received[1].find("\"in_force\":1"), std::string::npos);
 }
 
+gen::Request
+ZoneRequest(RequestKind aKind, const std::string& aZone)
+{
+  gen::Request request;
+  request.kind = static_cast<int32_t>(aKind);
+  request.zone = aZone;
+  return request;
+}
+
+// Guards against an acknowledged evacuation that a restart loses, or that the
+// next configuration replaces.
+TEST_F(NodeTest, EvacuationSurvivesARestartAndAConfiguration)
+{
+  Open();
+  Configure();
+  ASSERT_EQ(OutcomeOf(ReportRequest(mNow)), RequestOutcome::kOk);
+  ZoneId zone("z1");
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "z1")),
+            RequestOutcome::kOk);
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "z1")),
+            RequestOutcome::kOk);
+  Millis since = mNode->State().EvacuatedZones().at(zone);
+  gen::Request configuration = ConfigurationRequest();
+  configuration.configuration.version = 2;
+  ASSERT_EQ(OutcomeOf(configuration), RequestOutcome::kOk);
+  mNode.reset();
+  Open();
+  ASSERT_TRUE(mNode->State().IsEvacuated(zone));
+  EXPECT_EQ(mNode->State().EvacuatedZones().at(zone), since);
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kRestoreZone, "z1")),
+            RequestOutcome::kOk);
+  EXPECT_FALSE(mNode->State().IsEvacuated(zone));
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kRestoreZone, "z1")),
+            RequestOutcome::kOk);
+}
+
+// Guards against orders that wait in one batch and are applied in another order
+// than they were received.
+TEST_F(NodeTest, LastZoneOrderOfABatchHolds)
+{
+  Open();
+  ASSERT_EQ(OutcomeOf(ReportRequest(mNow)), RequestOutcome::kOk);
+  int answered = 0;
+  for (RequestKind kind : { RequestKind::kEvacuateZone,
+                            RequestKind::kRestoreZone,
+                            RequestKind::kEvacuateZone }) {
+    mNode->Handle(ZoneRequest(kind, "z1"), mNow, [&](const gen::Reply& it) {
+      answered += it.outcome == static_cast<int32_t>(RequestOutcome::kOk);
+    });
+  }
+  for (int n = 0; n < 20; ++n) {
+    Advance();
+  }
+  EXPECT_EQ(answered, 3);
+  EXPECT_TRUE(mNode->State().IsEvacuated(ZoneId("z1")));
+}
+
+// Guards against a misspelled zone that is acknowledged although nothing is
+// evacuated.
+TEST_F(NodeTest, OrderForAnUnknownZoneIsRefused)
+{
+  mZones = { ZoneId("z2") };
+  Open();
+  ASSERT_EQ(OutcomeOf(ReportRequest(mNow)), RequestOutcome::kOk);
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "z3")),
+            RequestOutcome::kUnknownZone);
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "")),
+            RequestOutcome::kUnknownZone);
+  EXPECT_TRUE(mNode->State().EvacuatedZones().empty());
+  // Known by a worker, and by the settings although no worker is left there.
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "z1")),
+            RequestOutcome::kOk);
+  EXPECT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "z2")),
+            RequestOutcome::kOk);
+}
+
 // Three replicas whose messages can be held back, and one worker.
 class GroupTest : public testing::Test
 {
@@ -834,5 +913,31 @@
   EXPECT_EQ(outcome, RequestOutcome::kNotLeader);
 }
 
+// Guards against an acknowledged evacuation that the next leader does not know.
+TEST_F(GroupTest, EvacuationHoldsAtTheNextLeader)
+{
+  Replica& first = *Leader();
+  ASSERT_EQ(Ask(first, ReportRequest(mNow)), RequestOutcome::kOk);
+  ASSERT_EQ(Ask(first, ZoneRequest(RequestKind::kEvacuateZone, "z1")),
+            RequestOutcome::kOk);
+  first.node->PrepareShutdown(mNow);
+  Advance(Seconds(1));
+  Replica* next = Leader();
+  ASSERT_NE(next, nullptr);
+  ASSERT_NE(next, &first);
+  EXPECT_TRUE(next->node->State().IsEvacuated(ZoneId("z1")));
+}
+
+// Guards against an order that is acknowledged by a leader that is cut off.
+TEST_F(GroupTest, ZoneOrderIsNotAcknowledgedWithoutAQuorum)
+{
+  Replica& leader = *Leader();
+  ASSERT_EQ(Ask(leader, ReportRequest(mNow)), RequestOutcome::kOk);
+  mMessagesHeld = true;
+  EXPECT_NE(Ask(leader, ZoneRequest(RequestKind::kEvacuateZone, "z1")),
+            RequestOutcome::kOk);
+  EXPECT_FALSE(leader.node->State().IsEvacuated(ZoneId("z1")));
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -56,13 +56,14 @@
                     share(available.accelerators, all.accelerators) });
 }
 
-// The fault score of the worker, increased by 1 if the request avoids it.
+// The fault score of the worker, increased by 1 if the request avoids it or it
+// is cold.
 int
 EffectiveFaultScore(const PlacementRequest& aRequest,
                     const Candidate& aCandidate)
 {
   bool avoided = (aRequest.isAvoided && aRequest.isAvoided(aCandidate.id)) ||
-                 (aRequest.onTrial && aCandidate.isNew);
+                 (aRequest.onTrial && aCandidate.isNew) || aCandidate.isCold;
   return aCandidate.faultScore + (avoided ? 1 : 0);
 }
 
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -31,6 +31,9 @@
   bool idle = false;
   // Its process has been known for a short time only.
   bool isNew = false;
+  // It is slow because it started recently; used only if the others do not
+  // suffice.
+  bool isCold = false;
   // Higher is worse; 0 for a worker without faults.
   int faultScore = 0;
 };
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -226,7 +226,9 @@
   mTotalWeight = 0;
   mReservedWeight = 0;
   for (const auto& [id, worker] : aView.state->Workers()) {
-    mTotalWeight += ResourceWeight(worker.report.capacity);
+    if (!aView.state->IsEvacuated(worker.report.zone)) {
+      mTotalWeight += ResourceWeight(worker.report.capacity);
+    }
   }
   size_t handledUnits = 0;
   mUnplaceable.clear();
--- a/packages/fleet/request.cc
+++ b/packages/fleet/request.cc
@@ -21,9 +21,13 @@
     case RequestKind::kPutConfiguration:
       return "put_configuration";
     case RequestKind::kGetConfiguration:
+      return "get_configuration";
+    case RequestKind::kEvacuateZone:
+      return "evacuate_zone";
+    case RequestKind::kRestoreZone:
       break;
   }
-  return "get_configuration";
+  return "restore_zone";
 }
 
 std::string_view
@@ -47,9 +51,11 @@
     case RequestOutcome::kInvalid:
       return "invalid";
     case RequestOutcome::kMayHaveRun:
+      return "may_have_run";
+    case RequestOutcome::kUnknownZone:
       break;
   }
-  return "may_have_run";
+  return "unknown_zone";
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/request.h
+++ b/packages/fleet/request.h
@@ -23,6 +23,9 @@
   // Stores a configuration if its version is higher than the current one.
   kPutConfiguration,
   kGetConfiguration,
+  // Takes a zone out of service for new runs, or back into service.
+  kEvacuateZone,
+  kRestoreZone,
 };
 
 // The values are sent; they must not change.
@@ -44,9 +47,11 @@
   // The leader changed before the outcome was known; the request may have been
   // executed.
   kMayHaveRun,
+  // The request names a zone that the deployment does not have.
+  kUnknownZone,
 };
 
-inline constexpr int kRequestOutcomeCount = 9;
+inline constexpr int kRequestOutcomeCount = 10;
 
 std::string_view
 RequestKindName(RequestKind aKind);
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -53,6 +53,9 @@
   if (aCommand.__isset.configuration) {
     ApplyConfiguration(aCommand.configuration);
   }
+  for (const gen::ZoneOrder& it : aCommand.zoneOrders) {
+    ApplyZoneOrder(it, at);
+  }
   for (const gen::WorkerReport& it : aCommand.workers) {
     ApplyWorker(it);
   }
@@ -197,6 +200,19 @@
   return it != mRefusedJobs.end() && it->first == aJob;
 }
 
+void
+FleetState::ApplyZoneOrder(const gen::ZoneOrder& aOrder, Millis aAt)
+{
+  ZoneId zone(aOrder.zone);
+  bool changed = aOrder.evacuate ? mEvacuatedZones.emplace(zone, aAt).second
+                                 : mEvacuatedZones.erase(zone) > 0;
+  if (changed) {
+    RecordChange({ .kind = aOrder.evacuate ? Change::Kind::kZoneEvacuated
+                                           : Change::Kind::kZoneRestored,
+                   .zone = zone });
+  }
+}
+
 void
 FleetState::ApplyWorker(const gen::WorkerReport& aReport)
 {
@@ -283,8 +299,9 @@
   Task* task = MutableTask(run.task, job, step);
   auto worker = mWorkers.find(WorkerId(aStart.worker));
   bool applicable = task != nullptr && worker != mWorkers.end() &&
-                    !job->Ended() && task->phase == Task::Phase::kWaiting &&
-                    !step->gangDone && run.attempt > task->attempt &&
+                    !IsEvacuated(worker->second.report.zone) && !job->Ended() &&
+                    task->phase == Task::Phase::kWaiting && !step->gangDone &&
+                    run.attempt > task->attempt &&
                     worker->second.report.incarnation.Value() ==
                       static_cast<uint64_t>(aStart.incarnation);
   if (!applicable) {
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -150,6 +150,8 @@
     kWorkerJoined,
     kWorkerDraining,
     kWorkerGone,
+    kZoneEvacuated,
+    kZoneRestored,
   };
 
   Kind kind = Kind::kConfiguration;
@@ -160,6 +162,8 @@
   // Set for `kRunEnded`.
   EndKind end = EndKind::kDone;
   CrashEvidence evidence = CrashEvidence::kNone;
+  // Set for changes of a zone.
+  ZoneId zone{};
 };
 
 class FleetState
@@ -203,6 +207,16 @@
     return mRefusedJobs;
   }
 
+  // Zones in which no run may start, with the time of the order (wall clock).
+  const std::map<ZoneId, Millis>& EvacuatedZones() const
+  {
+    return mEvacuatedZones;
+  }
+  bool IsEvacuated(const ZoneId& aZone) const
+  {
+    return mEvacuatedZones.contains(aZone);
+  }
+
   const Task* FindTask(const TaskRef& aTask) const;
   // Whether `aRun` is the active run of its task, on `aWorker`.
   bool IsActive(const RunRef& aRun, const WorkerId& aWorker) const;
@@ -216,6 +230,7 @@
   void ApplyJob(const gen::SubmitJob& aJob);
   void ApplyCancel(const JobId& aId, Millis aAt);
   void ApplyRefusal(const gen::RefusedJob& aJob, Millis aAt);
+  void ApplyZoneOrder(const gen::ZoneOrder& aOrder, Millis aAt);
   void ApplyWorker(const gen::WorkerReport& aReport);
   void ApplyRemoval(const gen::WorkerGone& aGone, Millis aAt);
   void ApplyStart(const gen::RunStart& aStart);
@@ -263,6 +278,9 @@
   // Jobs that were cancelled before they were submitted. None of them is in
   // `mJobs` with the same workspace.
   std::set<std::pair<JobId, WorkspaceId>> mRefusedJobs;
+  // Not part of the configuration, which every operator's document replaces as
+  // a whole.
+  std::map<ZoneId, Millis> mEvacuatedZones;
   std::map<WorkerId, Worker> mWorkers;
   std::vector<Change> mChanges;
 };
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -121,6 +121,11 @@
     refused.id = id.Value();
     refused.workspace = workspace.Value();
   }
+  for (const auto& [zone, since] : aState.mEvacuatedZones) {
+    gen::EvacuatedZone& evacuated = out.evacuatedZones.emplace_back();
+    evacuated.zone = zone.Value();
+    evacuated.sinceMs = since.Count();
+  }
   for (const auto& [id, worker] : aState.mWorkers) {
     out.workers.push_back(ToWire(worker.report));
   }
@@ -140,6 +145,9 @@
   }
   base.refused = aSnapshot.refused;
   aState.Apply(base);
+  for (const gen::EvacuatedZone& it : aSnapshot.evacuatedZones) {
+    aState.mEvacuatedZones[ZoneId(it.zone)] = Millis(it.sinceMs);
+  }
   for (const gen::JobSnapshot& it : aSnapshot.jobs) {
     Job& job = aState.mJobs[JobId(it.job.id)];
     job.status = static_cast<JobStatus>(it.status);
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -320,6 +320,37 @@
   EXPECT_EQ(restored.FindJob(id)->status, JobStatus::kQueued);
 }
 
+// Guards against a start that is committed behind the evacuation of its zone,
+// and against an evacuation that a snapshot loses.
+TEST(FleetState, StartInAnEvacuatedZoneChangesNothing)
+{
+  FleetState state;
+  gen::Command command;
+  command.atMs = 17;
+  command.jobs.push_back(Submission(Tasks(1, false)));
+  command.workers.push_back(Report("w1"));
+  command.workers.back().zone = "z1";
+  gen::ZoneOrder order;
+  order.zone = "z1";
+  order.evacuate = true;
+  command.zoneOrders.push_back(order);
+  state.Apply(command);
+  FleetState restored;
+  ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
+  for (FleetState* it : { &state, &restored }) {
+    ASSERT_TRUE(it->IsEvacuated(ZoneId("z1")));
+    EXPECT_EQ(it->EvacuatedZones().at(ZoneId("z1")), Millis(17));
+    Start(*it, 0, 1);
+    EXPECT_EQ(it->FindJob(JobId(kJob))->activeRuns, 0U);
+  }
+  order.evacuate = false;
+  gen::Command end;
+  end.zoneOrders.push_back(order);
+  state.Apply(end);
+  Start(state, 0, 1);
+  EXPECT_EQ(state.FindJob(JobId(kJob))->activeRuns, 1U);
+}
+
 // Guards against running cancelled jobs.
 TEST(FleetState, StartAfterCancellationChangesNothing)
 {
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -70,6 +70,11 @@
   if (auto it = mCapacities.find(aId); it != mCapacities.end()) {
     report.capacity = it->second;
   }
+  auto zone = mZones.find(aId);
+  report.zone = zone == mZones.end() ? ZoneId("z1") : zone->second;
+  if (auto it = mColdRemaining.find(aId); it != mColdRemaining.end()) {
+    report.coldRemaining = it->second;
+  }
   report.sequence = ++mSequence;
   report.clock = WorkerClock();
   mDispatcher->OnReport(report, mNow);
@@ -179,6 +184,32 @@
   Advance(kAfterPlanPause);
 }
 
+void
+FleetFixture::CommitZoneOrder(const std::string& aZone, bool aEvacuate)
+{
+  gen::ZoneOrder order;
+  order.zone = aZone;
+  order.evacuate = aEvacuate;
+  gen::Command command;
+  command.atMs = mNow.Count();
+  command.zoneOrders.push_back(order);
+  mState.Apply(command);
+  mDispatcher->OnChanged();
+  RunUntilIdle();
+}
+
+void
+FleetFixture::Evacuate(const std::string& aZone)
+{
+  CommitZoneOrder(aZone, true);
+}
+
+void
+FleetFixture::Restore(const std::string& aZone)
+{
+  CommitZoneOrder(aZone, false);
+}
+
 void
 FleetFixture::Cancel(const std::string& aId)
 {
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -68,6 +68,21 @@
     mCapacities[aId] = aCapacity;
   }
 
+  // Sets the zone that the worker's next reports state; "z1" by default.
+  void SetZone(const std::string& aId, const std::string& aZone)
+  {
+    mZones[aId] = ZoneId(aZone);
+  }
+  // Sets how much longer the worker's next reports say that it is slow.
+  void SetColdRemaining(const std::string& aId, Millis aTime)
+  {
+    mColdRemaining[aId] = aTime;
+  }
+  // Commits an order to evacuate or restore a zone, even while commits are held
+  // back.
+  void Evacuate(const std::string& aZone);
+  void Restore(const std::string& aZone);
+
   // Commits the cancellation of a job, even while commits are held back.
   void Cancel(const std::string& aId);
 
@@ -108,6 +123,7 @@
 
 private:
   void RunUntilIdle();
+  void CommitZoneOrder(const std::string& aZone, bool aEvacuate);
   void Report(const std::string& aId,
               Incarnation aIncarnation,
               const std::string& aRack,
@@ -122,6 +138,8 @@
   std::vector<Order> mOrders;
   std::set<WorkerId> mCrashed;
   std::map<std::string, Resources> mCapacities;
+  std::map<std::string, ZoneId> mZones;
+  std::map<std::string, Millis> mColdRemaining;
   bool mCommitsHeld = false;
   uint64_t mSequence = 0;
   Millis mPassTime{};
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -266,6 +266,8 @@
   uint64_t sequence = 0;
   // The worker's monotonic clock, on which leases are measured.
   Millis clock{};
+  // Time for which the worker remains slow after its start.
+  Millis coldRemaining{};
 };
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -99,6 +99,8 @@
   // of that report. The capacity can shrink while the worker runs.
   Resources capacity{};
   Millis reportedAt{};
+  // The worker is slow until this time.
+  Millis coldUntil{ -1'000'000 };
   bool draining = false;
   // The worker has announced its end, or another one listens at its address.
   // Its removal is proposed once its runs have certainly ended and nothing is
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -23,7 +23,9 @@
     return false;
   }
   const WorkerLink& link = it->second;
-  return link.tokenAcknowledged && link.reachable && !link.draining &&
+  const Worker* worker = mState.FindWorker(aWorker);
+  return worker != nullptr && !mState.IsEvacuated(worker->report.zone) &&
+         link.tokenAcknowledged && link.reachable && !link.draining &&
          !link.gone && link.unconfirmedStarts.empty() &&
          aNow >= link.unhealthyUntil &&
          aNow - link.lastHeard < mHeartbeatInterval * kMaxMissedReports &&
@@ -76,6 +78,7 @@
           Min(worker.report.capacity, mLinks.at(id).capacity) - worker.used,
         .idle = worker.active.empty(),
         .isNew = aNow - mLinks.at(id).CreatedAt() < kNewWorkerTime,
+        .isCold = aNow < mLinks.at(id).coldUntil,
         .faultScore = mHealth.FaultScoreOf(id, aNow) });
   }
   // If a large part of the workers looks faulty, the jobs are the likelier
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -1,9 +1,10 @@
 // Selects the workers that can take new tasks and describes them to the
 // planner.
 //
-// Workers that are silent, draining, unhealthy or have a high fault score are
-// excluded. If more than half as many workers are excluded for their fault
-// score as remain, the jobs are the likelier cause, and those workers are kept.
+// Workers that are silent, draining, unhealthy, in an evacuated zone or have a
+// high fault score are excluded. If more than half as many workers are excluded
+// for their fault score as remain, the jobs are the likelier cause, and those
+// workers are kept.
 
 #pragma once
 
@@ -41,9 +42,9 @@
   {
   }
 
-  // Whether the worker is reachable, healthy and not draining, has seen the
-  // fencing token of this term, and has no unconfirmed starts. Does not
-  // consider its fault score.
+  // Whether the worker is reachable, healthy and not draining, is in a zone
+  // that is not evacuated, has seen the fencing token of this term, and has no
+  // unconfirmed starts. Does not consider its fault score.
   bool IsUsable(const WorkerId& aWorker, Millis aNow) const;
 
   // Number of accelerators of all usable workers.
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -71,6 +71,7 @@
   options.group.allowFormation = IsFormationAllowed(aSettings);
   options.group.timing = kReplicationTiming;
   options.toleratedFailures = aSettings.bounds.toleratedInstances;
+  options.zones = { aSettings.zones.begin(), aSettings.zones.end() };
   options.dispatcher.leaseDuration = aSettings.bounds.maxLease;
   options.dispatcher.heartbeatInterval = aSettings.bounds.heartbeatInterval;
   options.dispatcher.maxStopTime = aSettings.bounds.maxStopTime;
--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -143,6 +143,18 @@
   addGauge("limpetwood_workers",
            "Workers that are known",
            static_cast<double>(aNode.State().Workers().size()));
+  addGauge("limpetwood_zones_evacuated",
+           "Zones in which no run may start",
+           static_cast<double>(aNode.State().EvacuatedZones().size()));
+  auto addZoneOrders = [&](const char* aOrder, uint64_t aValue) {
+    daemon::AddCounter(aFamilies,
+                       "limpetwood_zone_orders_total",
+                       "Changes of a zone's service while this replica led",
+                       static_cast<double>(aValue),
+                       { { "order", aOrder } });
+  };
+  addZoneOrders("evacuate", counters.zonesEvacuated);
+  addZoneOrders("restore", counters.zonesRestored);
   auto addJobs = [&](const char* aWhat, uint64_t aValue) {
     daemon::AddCounter(aFamilies,
                        "limpetwood_jobs_total",
--- a/packages/fleetd/settings.cc
+++ b/packages/fleetd/settings.cc
@@ -177,6 +177,26 @@
   }
 }
 
+void
+ReadZones(ObjectReader& aReader, Settings& aOut)
+{
+  const json* zones = aReader.Find("zones", false);
+  if (zones == nullptr) {
+    return;
+  }
+  bool valid = zones->is_array() &&
+               std::all_of(zones->begin(), zones->end(), [](const json& it) {
+                 return it.is_string() && !it.get<std::string>().empty();
+               });
+  if (!valid) {
+    aReader.AddFault("zones", zones->dump(), "an array of zone names");
+    return;
+  }
+  for (const json& it : *zones) {
+    aOut.zones.emplace_back(it.get<std::string>());
+  }
+}
+
 } // namespace
 
 SettingsResult
@@ -205,6 +225,7 @@
   reader.ReadInteger("firstInternalPort", 1, 65000, port);
   settings.firstPort = static_cast<uint16_t>(port);
   ReadSeeds(reader, settings);
+  ReadZones(reader, settings);
   reader.ReadBool("firstStart", settings.firstStart);
   std::string folder;
   reader.ReadString("dataFolder", folder, false);
--- a/packages/fleetd/settings.h
+++ b/packages/fleetd/settings.h
@@ -49,6 +49,8 @@
   uint16_t firstPort = 0;
   // Addresses, without ports, of the control instances known at start-up.
   std::vector<std::string> seeds;
+  // Zones of the deployment; empty if they are not known.
+  std::vector<ZoneId> zones;
   // True only for the first start of the whole system.
   bool firstStart = false;
   // Folder of the replicated state; set only on instances that store it.
--- a/packages/fleetd/settings_test.cc
+++ b/packages/fleetd/settings_test.cc
@@ -48,6 +48,21 @@
   EXPECT_EQ(result.value.controlEndpoint->port, 8081);
 }
 
+// Guards against a misspelled list of zones that lets every zone order fail.
+TEST(FleetSettings, ReadsZones)
+{
+  nlohmann::json settings = ValidSettings();
+  settings["zones"] = { "sogn", "hardanger" };
+  SettingsResult result = ParseSettings(settings.dump());
+  ASSERT_TRUE(result.Ok());
+  EXPECT_EQ(result.value.zones,
+            (std::vector{ ZoneId("sogn"), ZoneId("hardanger") }));
+  settings["zones"] = { "sogn", 3 };
+  EXPECT_TRUE(HasFaultAt(settings, "/zones"));
+  settings["zones"] = "sogn";
+  EXPECT_TRUE(HasFaultAt(settings, "/zones"));
+}
+
 TEST(FleetSettings, MissingValuesAreFaults)
 {
   for (const char* key : { "instance",
