--- a/packages/fleet/change_event.cc
+++ b/packages/fleet/change_event.cc
@@ -1,5 +1,7 @@
 #include "fleet/change_event.h"
 
+#include <algorithm>
+
 namespace limpetwood::fleet {
 
 namespace {
@@ -31,6 +33,10 @@
     .Add("workspace", aJob.workspace)
     .Add("priority", aJob.priority)
     .Add("steps", aJob.spec.steps.size())
+    .Add("saves_checkpoints",
+         std::any_of(aJob.spec.steps.begin(),
+                     aJob.spec.steps.end(),
+                     [](const StepSpec& it) { return it.savesCheckpoints; }))
     .Add("configuration", aState.Version());
   return event;
 }
@@ -56,6 +62,9 @@
   event.Add("run", RunName(aChange.run))
     .Add("how", EndKindName(aChange.end))
     .Add("worker", aChange.worker);
+  if (aChange.end == EndKind::kStopped) {
+    event.Add("reason", StopReasonName(aChange.stopReason));
+  }
   const Task* task = aState.FindTask(aChange.run.task);
   if (aChange.end == EndKind::kWorkerCrashed && task != nullptr) {
     event.Add("evidence", CrashEvidenceName(aChange.evidence))
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -32,7 +32,12 @@
   , mState(aState)
   , mToken(aToken)
   , mProposals(aState)
-  , mMonitor(aState, mLinks, mForecast, aOptions.maxStopTime)
+  , mMonitor(aState,
+             mLinks,
+             mForecast,
+             mSpeeds,
+             aOptions.maxStopTime,
+             aOptions.callerCost)
   , mPlanner(aOptions.planner)
   , mHealth(aOptions.health)
   , mPool(aState,
@@ -40,6 +45,7 @@
           mHealth,
           mProposals,
           mMonitor,
+          mSpeeds,
           aOptions.heartbeatInterval)
   , mNextPlan(aNow)
   , mNextTick(aNow)
@@ -50,6 +56,9 @@
     aNow - aSilence - mOptions.heartbeatInterval * (kMaxMissedReports - 1);
   for (const auto& [id, worker] : aState.Workers()) {
     LinkOf(worker, aNow).reportedAt = reportedAt;
+    if (worker.speed) {
+      mSpeeds.Restore(id, *worker.speed);
+    }
   }
 }
 
@@ -99,6 +108,7 @@
     }
   }
   mHealth.Forget(report.id);
+  mSpeeds.Forget(report.id);
   ScheduleWorker(report.id, aNow);
   return mLinks.insert_or_assign(report.id, std::move(added)).first->second;
 }
@@ -304,6 +314,7 @@
 {
   mPlanDue = true;
   mPlanner.OnJobEnded(aJob);
+  mMonitor.OnJobEnded(aJob);
   const Job* job = mState.FindJob(aJob);
   if (job == nullptr) {
     return;
@@ -469,6 +480,7 @@
   for (auto& [run, view] : aLink.runs) {
     if (mMonitor.HasStalled(run, view, aLink)) {
       view.stopRequested = true;
+      view.stopReason = StopReason::kStalled;
       ++mCounters.stalledRuns;
       LogRunEvent("run_stalled", aWorker.report.id, run)
         .Add("percent", view.progress.Percent())
@@ -528,7 +540,7 @@
   if (mayWait) {
     wait = urgent ? mOptions.maxUrgentRenewalWait : mOptions.maxRenewalWait;
     for (const auto& [run, view] : aLink.runs) {
-      Millis delay = mMonitor.MaxReportDelay(view);
+      Millis delay = mMonitor.MaxReportDelay(run, view);
       if (mMonitor.IsOnTrial(run, view)) {
         delay = std::min(delay, kTrialRenewalWait);
       }
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -28,6 +28,7 @@
 #include "fleet/state.h"
 #include "fleet/worker_link.h"
 #include "fleet/worker_pool.h"
+#include "fleet/worker_speeds.h"
 #include "fleet/worker_timers.h"
 
 #include <array>
@@ -54,6 +55,9 @@
   Millis maxStopTime = Millis(900);
   PlannerOptions planner{};
   HealthOptions health{};
+  // Whether delays and refusals follow what they cost callers: long jobs are
+  // told from slow workers, and slow workers take urgent work last.
+  bool callerCost = false;
 };
 
 struct DispatcherCounters
@@ -182,6 +186,10 @@
                          WorkerLink& aLink,
                          Millis aNow);
   void RecordRunTime(const WorkerId& aWorker, const RunRef& aRun, Millis aNow);
+  // Learns the speed of a worker from its runs.
+  void ObserveSpeeds(const OrderResult& aResult,
+                     const Worker& aWorker,
+                     WorkerLink& aLink);
   void CheckPace(const OrderResult& aResult,
                  const Worker& aWorker,
                  WorkerLink& aLink,
@@ -252,6 +260,7 @@
   WorkerLinks mLinks;
   Forecast mForecast;
   Proposals mProposals;
+  WorkerSpeeds mSpeeds;
   RunMonitor mMonitor;
   Planner mPlanner;
   Health mHealth;
--- a/packages/fleet/dispatcher_planning.cc
+++ b/packages/fleet/dispatcher_planning.cc
@@ -89,8 +89,11 @@
     LogRunEvent("run_preempted", aStop.worker, aStop.run)
       .Add("room_for", aStop.beneficiary)
       .Add("percent", run->second.progress.Percent())
+      .Add("cost_core_s", static_cast<int64_t>(aStop.cost))
+      .Add("max_cost_core_s", static_cast<int64_t>(aStop.maxCost))
       .Add("lost_ms", mMonitor.CostOf(aStop.worker, aStop.run, aNow).lostWork);
     run->second.stopRequested = true;
+    run->second.stopReason = StopReason::kPreempted;
     ++mCounters.preemptions;
   }
   StopRuns(*worker, link->second, aNow);
@@ -104,11 +107,18 @@
     const RunRef& first = aPlan.starts[n].run;
     std::string workers;
     size_t count = 0;
+    size_t resumed = 0;
+    size_t onFast = 0;
+    size_t onSlow = 0;
     while (n < aPlan.starts.size() &&
            aPlan.starts[n].run.task.job == first.task.job &&
            aPlan.starts[n].run.task.step == first.task.step &&
            aPlan.starts[n].run.task.occurrence == first.task.occurrence) {
       workers += (count == 0 ? "" : ",") + aPlan.starts[n].worker.Value();
+      const Task* task = mState.FindTask(aPlan.starts[n].run.task);
+      resumed += task != nullptr && !task->checkpoint.empty() ? 1 : 0;
+      onFast += aPlan.starts[n].speed == SpeedClass::kFast ? 1 : 0;
+      onSlow += aPlan.starts[n].speed == SpeedClass::kSlow ? 1 : 0;
       ++count;
       ++n;
     }
@@ -116,6 +126,9 @@
       .Add("first", RunName(first))
       .Add("tasks", count)
       .Add("workers", workers)
+      .Add("resumed", resumed)
+      .Add("on_fast_workers", onFast)
+      .Add("on_slow_workers", onSlow)
       .Add("blocked_units", aPlan.blockedUnits);
   }
 }
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -5,6 +5,7 @@
 #include "fleet/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpetwood::fleet {
 
@@ -20,6 +21,8 @@
 // Unknown runs of one answer that are stopped; the others are stopped after the
 // next one. Bounds the queue that each stop is compared with.
 constexpr size_t kMaxUnknownRunsStopped = 100;
+// Change of a worker's learned speed that is written to the replicated state.
+constexpr double kMinRecordedSpeedChange = 0.2;
 // Time for which a worker that reported itself unhealthy receives no tasks.
 constexpr Millis kUnhealthyPause = Seconds(2);
 
@@ -162,6 +165,7 @@
         .Add("heard_ms_ago", aNow - aLink.lastHeard);
       run.phase = RunView::Phase::kUnresolved;
       run.stopRequested = true;
+      run.stopReason = StopReason::kUnanswered;
       break;
     case OrderResult::Outcome::kOtherIncarnation:
       break;
@@ -235,6 +239,31 @@
   }
 }
 
+void
+Dispatcher::ObserveSpeeds(const OrderResult& aResult,
+                          const Worker& aWorker,
+                          WorkerLink& aLink)
+{
+  const WorkerId& id = aWorker.report.id;
+  for (const RunningRun& it : aResult.running) {
+    auto found = aLink.runs.find(it.run);
+    auto ratio = found == aLink.runs.end()
+                   ? std::nullopt
+                   : mMonitor.RecordRate(id, it.run, found->second);
+    if (!ratio) {
+      continue;
+    }
+    mSpeeds.Observe(id, *ratio);
+    auto speed = mSpeeds.SpeedOf(id);
+    bool changed =
+      speed && (!aWorker.speed ||
+                std::abs(*speed - *aWorker.speed) > kMinRecordedSpeedChange);
+    if (changed) {
+      mProposals.ProposeSpeed(aWorker, *speed);
+    }
+  }
+}
+
 void
 Dispatcher::CheckPace(const OrderResult& aResult,
                       const Worker& aWorker,
@@ -247,7 +276,7 @@
       continue;
     }
     RunView& view = found->second;
-    switch (mMonitor.PaceOf(it.run, view)) {
+    switch (mMonitor.PaceOf(aWorker.report.id, it.run, view)) {
       case Pace::kUnknown:
         break;
       case Pace::kNormal:
@@ -255,6 +284,7 @@
         break;
       case Pace::kTooSlow:
         view.stopRequested = true;
+        view.stopReason = StopReason::kSlow;
         ++mCounters.laggingRuns;
         LogRunEvent("run_lagging", aWorker.report.id, it.run)
           .Add("percent", it.percent)
@@ -284,8 +314,15 @@
     listed.insert(it.run);
     if (it.number > aLink.endsProposed) {
       aLink.endsProposed = it.number;
-      if (mProposals.ProposeEnd(
-            aOrder.worker, it.run, it.kind, it.checkpoint)) {
+      auto run = aLink.runs.find(it.run);
+      StopReason reason =
+        run == aLink.runs.end() ? StopReason::kNone : run->second.stopReason;
+      if (mProposals.ProposeEnd(aOrder.worker,
+                                it.run,
+                                it.kind,
+                                it.checkpoint,
+                                CrashEvidence::kNone,
+                                reason)) {
         aLink.uncommittedEnds.insert(it.run);
       }
     }
@@ -310,6 +347,7 @@
       }
     }
   }
+  ObserveSpeeds(aResult, aWorker, aLink);
   CheckPace(aResult, aWorker, aLink, aNow);
   // Ends that change nothing are acknowledged without a commit.
   if (aLink.uncommittedEnds.empty()) {
--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -132,6 +132,15 @@
   6: string checkpoint
   // Value of limpetwood::fleet::CrashEvidence; set for crashed workers.
   7: i32 evidence
+  // Value of limpetwood::fleet::StopReason; set if the leader stopped the run.
+  8: i32 stopReason
+}
+
+struct WorkerSpeed {
+  1: string worker
+  2: i64 incarnation
+  // Relative to the median of the workers; 1000 is the median.
+  3: i32 permille
 }
 
 struct RefusedJob {
@@ -167,6 +176,7 @@
   10: list<RefusedJob> refused
   // Applied in this order, before the starts of the command.
   11: list<ZoneOrder> zoneOrders
+  12: list<WorkerSpeed> speeds
 }
 
 struct TaskSnapshot {
@@ -179,6 +189,7 @@
   6: i32 crashes
   7: i32 crashesAtStart
   8: i64 incarnation
+  9: bool movedForPace
 }
 
 struct StepSnapshot {
@@ -207,6 +218,7 @@
   3: list<WorkerReport> workers
   4: list<RefusedJob> refused
   5: list<EvacuatedZone> evacuatedZones
+  6: list<WorkerSpeed> speeds
 }
 
 struct Request {
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -2763,6 +2763,10 @@
 void RunEnd::__set_evidence(const int32_t val) {
   this->evidence = val;
 }
+
+void RunEnd::__set_stopReason(const int32_t val) {
+  this->stopReason = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunEnd& obj)
 {
   obj.printTo(out);
@@ -2847,6 +2851,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->stopReason);
+          this->__isset.stopReason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2892,6 +2904,10 @@
   xfer += oprot->writeI32(this->evidence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stopReason", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->stopReason);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2906,6 +2922,7 @@
   swap(a.kind, b.kind);
   swap(a.checkpoint, b.checkpoint);
   swap(a.evidence, b.evidence);
+  swap(a.stopReason, b.stopReason);
   swap(a.__isset, b.__isset);
 }
 
@@ -2917,6 +2934,7 @@
   kind = other84.kind;
   checkpoint = other84.checkpoint;
   evidence = other84.evidence;
+  stopReason = other84.stopReason;
   __isset = other84.__isset;
 }
 RunEnd::RunEnd(RunEnd&& other85) noexcept {
@@ -2927,6 +2945,7 @@
   kind = other85.kind;
   checkpoint = std::move(other85.checkpoint);
   evidence = other85.evidence;
+  stopReason = other85.stopReason;
   __isset = other85.__isset;
 }
 RunEnd& RunEnd::operator=(const RunEnd& other86) {
@@ -2937,6 +2956,7 @@
   kind = other86.kind;
   checkpoint = other86.checkpoint;
   evidence = other86.evidence;
+  stopReason = other86.stopReason;
   __isset = other86.__isset;
   return *this;
 }
@@ -2948,6 +2968,7 @@
   kind = other87.kind;
   checkpoint = std::move(other87.checkpoint);
   evidence = other87.evidence;
+  stopReason = other87.stopReason;
   __isset = other87.__isset;
   return *this;
 }
@@ -2961,6 +2982,152 @@
   out << ", " << "kind=" << to_string(kind);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "evidence=" << to_string(evidence);
+  out << ", " << "stopReason=" << to_string(stopReason);
+  out << ")";
+}
+
+
+WorkerSpeed::~WorkerSpeed() noexcept {
+}
+
+
+void WorkerSpeed::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void WorkerSpeed::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void WorkerSpeed::__set_permille(const int32_t val) {
+  this->permille = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerSpeed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerSpeed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->permille);
+          this->__isset.permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerSpeed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerSpeed");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerSpeed &a, WorkerSpeed &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.incarnation, b.incarnation);
+  swap(a.permille, b.permille);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerSpeed::WorkerSpeed(const WorkerSpeed& other88) {
+  worker = other88.worker;
+  incarnation = other88.incarnation;
+  permille = other88.permille;
+  __isset = other88.__isset;
+}
+WorkerSpeed::WorkerSpeed(WorkerSpeed&& other89) noexcept {
+  worker = std::move(other89.worker);
+  incarnation = other89.incarnation;
+  permille = other89.permille;
+  __isset = other89.__isset;
+}
+WorkerSpeed& WorkerSpeed::operator=(const WorkerSpeed& other90) {
+  worker = other90.worker;
+  incarnation = other90.incarnation;
+  permille = other90.permille;
+  __isset = other90.__isset;
+  return *this;
+}
+WorkerSpeed& WorkerSpeed::operator=(WorkerSpeed&& other91) noexcept {
+  worker = std::move(other91.worker);
+  incarnation = other91.incarnation;
+  permille = other91.permille;
+  __isset = other91.__isset;
+  return *this;
+}
+void WorkerSpeed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerSpeed(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "permille=" << to_string(permille);
   out << ")";
 }
 
@@ -3057,26 +3224,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RefusedJob::RefusedJob(const RefusedJob& other88) {
-  id = other88.id;
-  workspace = other88.workspace;
-  __isset = other88.__isset;
+RefusedJob::RefusedJob(const RefusedJob& other92) {
+  id = other92.id;
+  workspace = other92.workspace;
+  __isset = other92.__isset;
 }
-RefusedJob::RefusedJob(RefusedJob&& other89) noexcept {
-  id = std::move(other89.id);
-  workspace = std::move(other89.workspace);
-  __isset = other89.__isset;
+RefusedJob::RefusedJob(RefusedJob&& other93) noexcept {
+  id = std::move(other93.id);
+  workspace = std::move(other93.workspace);
+  __isset = other93.__isset;
 }
-RefusedJob& RefusedJob::operator=(const RefusedJob& other90) {
-  id = other90.id;
-  workspace = other90.workspace;
-  __isset = other90.__isset;
+RefusedJob& RefusedJob::operator=(const RefusedJob& other94) {
+  id = other94.id;
+  workspace = other94.workspace;
+  __isset = other94.__isset;
   return *this;
 }
-RefusedJob& RefusedJob::operator=(RefusedJob&& other91) noexcept {
-  id = std::move(other91.id);
-  workspace = std::move(other91.workspace);
-  __isset = other91.__isset;
+RefusedJob& RefusedJob::operator=(RefusedJob&& other95) noexcept {
+  id = std::move(other95.id);
+  workspace = std::move(other95.workspace);
+  __isset = other95.__isset;
   return *this;
 }
 void RefusedJob::printTo(std::ostream& out) const {
@@ -3180,26 +3347,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneOrder::ZoneOrder(const ZoneOrder& other92) {
-  zone = other92.zone;
-  evacuate = other92.evacuate;
-  __isset = other92.__isset;
+ZoneOrder::ZoneOrder(const ZoneOrder& other96) {
+  zone = other96.zone;
+  evacuate = other96.evacuate;
+  __isset = other96.__isset;
 }
-ZoneOrder::ZoneOrder(ZoneOrder&& other93) noexcept {
-  zone = std::move(other93.zone);
-  evacuate = other93.evacuate;
-  __isset = other93.__isset;
+ZoneOrder::ZoneOrder(ZoneOrder&& other97) noexcept {
+  zone = std::move(other97.zone);
+  evacuate = other97.evacuate;
+  __isset = other97.__isset;
 }
-ZoneOrder& ZoneOrder::operator=(const ZoneOrder& other94) {
-  zone = other94.zone;
-  evacuate = other94.evacuate;
-  __isset = other94.__isset;
+ZoneOrder& ZoneOrder::operator=(const ZoneOrder& other98) {
+  zone = other98.zone;
+  evacuate = other98.evacuate;
+  __isset = other98.__isset;
   return *this;
 }
-ZoneOrder& ZoneOrder::operator=(ZoneOrder&& other95) noexcept {
-  zone = std::move(other95.zone);
-  evacuate = other95.evacuate;
-  __isset = other95.__isset;
+ZoneOrder& ZoneOrder::operator=(ZoneOrder&& other99) noexcept {
+  zone = std::move(other99.zone);
+  evacuate = other99.evacuate;
+  __isset = other99.__isset;
   return *this;
 }
 void ZoneOrder::printTo(std::ostream& out) const {
@@ -3303,26 +3470,26 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuatedZone::EvacuatedZone(const EvacuatedZone& other96) {
-  zone = other96.zone;
-  sinceMs = other96.sinceMs;
-  __isset = other96.__isset;
+EvacuatedZone::EvacuatedZone(const EvacuatedZone& other100) {
+  zone = other100.zone;
+  sinceMs = other100.sinceMs;
+  __isset = other100.__isset;
 }
-EvacuatedZone::EvacuatedZone(EvacuatedZone&& other97) noexcept {
-  zone = std::move(other97.zone);
-  sinceMs = other97.sinceMs;
-  __isset = other97.__isset;
+EvacuatedZone::EvacuatedZone(EvacuatedZone&& other101) noexcept {
+  zone = std::move(other101.zone);
+  sinceMs = other101.sinceMs;
+  __isset = other101.__isset;
 }
-EvacuatedZone& EvacuatedZone::operator=(const EvacuatedZone& other98) {
-  zone = other98.zone;
-  sinceMs = other98.sinceMs;
-  __isset = other98.__isset;
+EvacuatedZone& EvacuatedZone::operator=(const EvacuatedZone& other102) {
+  zone = other102.zone;
+  sinceMs = other102.sinceMs;
+  __isset = other102.__isset;
   return *this;
 }
-EvacuatedZone& EvacuatedZone::operator=(EvacuatedZone&& other99) noexcept {
-  zone = std::move(other99.zone);
-  sinceMs = other99.sinceMs;
-  __isset = other99.__isset;
+EvacuatedZone& EvacuatedZone::operator=(EvacuatedZone&& other103) noexcept {
+  zone = std::move(other103.zone);
+  sinceMs = other103.sinceMs;
+  __isset = other103.__isset;
   return *this;
 }
 void EvacuatedZone::printTo(std::ostream& out) const {
@@ -3382,6 +3549,10 @@
 void Command::__set_zoneOrders(const std::vector<ZoneOrder> & val) {
   this->zoneOrders = val;
 }
+
+void Command::__set_speeds(const std::vector<WorkerSpeed> & val) {
+  this->speeds = val;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -3422,14 +3593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->jobs.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->jobs.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->jobs[_i104].read(iprot);
+              xfer += this->jobs[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3442,14 +3613,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cancelled.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->cancelled.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->cancelled.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += iprot->readString(this->cancelled[_i109]);
+              xfer += iprot->readString(this->cancelled[_i113]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3462,14 +3633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->workers.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->workers.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->workers[_i114].read(iprot);
+              xfer += this->workers[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3482,14 +3653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->gone.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->gone.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->gone[_i119].read(iprot);
+              xfer += this->gone[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3502,14 +3673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->ends.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->ends.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->ends[_i124].read(iprot);
+              xfer += this->ends[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3522,14 +3693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->starts.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->starts.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->starts[_i129].read(iprot);
+              xfer += this->starts[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3542,14 +3713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forgotten.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->forgotten.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->forgotten.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += iprot->readString(this->forgotten[_i134]);
+              xfer += iprot->readString(this->forgotten[_i138]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3570,14 +3741,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->refused.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->refused.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->refused[_i139].read(iprot);
+              xfer += this->refused[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3590,14 +3761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zoneOrders.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->zoneOrders.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->zoneOrders.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->zoneOrders[_i144].read(iprot);
+              xfer += this->zoneOrders[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3606,6 +3777,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speeds.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->speeds.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
+            {
+              xfer += this->speeds[_i153].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3631,10 +3822,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<SubmitJob> ::const_iterator _iter145;
-    for (_iter145 = this->jobs.begin(); _iter145 != this->jobs.end(); ++_iter145)
+    std::vector<SubmitJob> ::const_iterator _iter154;
+    for (_iter154 = this->jobs.begin(); _iter154 != this->jobs.end(); ++_iter154)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3643,10 +3834,10 @@
   xfer += oprot->writeFieldBegin("cancelled", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cancelled.size()));
-    std::vector<std::string> ::const_iterator _iter146;
-    for (_iter146 = this->cancelled.begin(); _iter146 != this->cancelled.end(); ++_iter146)
+    std::vector<std::string> ::const_iterator _iter155;
+    for (_iter155 = this->cancelled.begin(); _iter155 != this->cancelled.end(); ++_iter155)
     {
-      xfer += oprot->writeString((*_iter146));
+      xfer += oprot->writeString((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3655,10 +3846,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter147;
-    for (_iter147 = this->workers.begin(); _iter147 != this->workers.end(); ++_iter147)
+    std::vector<WorkerReport> ::const_iterator _iter156;
+    for (_iter156 = this->workers.begin(); _iter156 != this->workers.end(); ++_iter156)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3667,10 +3858,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gone.size()));
-    std::vector<WorkerGone> ::const_iterator _iter148;
-    for (_iter148 = this->gone.begin(); _iter148 != this->gone.end(); ++_iter148)
+    std::vector<WorkerGone> ::const_iterator _iter157;
+    for (_iter157 = this->gone.begin(); _iter157 != this->gone.end(); ++_iter157)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3679,10 +3870,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter149;
-    for (_iter149 = this->ends.begin(); _iter149 != this->ends.end(); ++_iter149)
+    std::vector<RunEnd> ::const_iterator _iter158;
+    for (_iter158 = this->ends.begin(); _iter158 != this->ends.end(); ++_iter158)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3691,10 +3882,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<RunStart> ::const_iterator _iter150;
-    for (_iter150 = this->starts.begin(); _iter150 != this->starts.end(); ++_iter150)
+    std::vector<RunStart> ::const_iterator _iter159;
+    for (_iter159 = this->starts.begin(); _iter159 != this->starts.end(); ++_iter159)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3703,10 +3894,10 @@
   xfer += oprot->writeFieldBegin("forgotten", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forgotten.size()));
-    std::vector<std::string> ::const_iterator _iter151;
-    for (_iter151 = this->forgotten.begin(); _iter151 != this->forgotten.end(); ++_iter151)
+    std::vector<std::string> ::const_iterator _iter160;
+    for (_iter160 = this->forgotten.begin(); _iter160 != this->forgotten.end(); ++_iter160)
     {
-      xfer += oprot->writeString((*_iter151));
+      xfer += oprot->writeString((*_iter160));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3719,10 +3910,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedJob> ::const_iterator _iter152;
-    for (_iter152 = this->refused.begin(); _iter152 != this->refused.end(); ++_iter152)
+    std::vector<RefusedJob> ::const_iterator _iter161;
+    for (_iter161 = this->refused.begin(); _iter161 != this->refused.end(); ++_iter161)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3731,10 +3922,22 @@
   xfer += oprot->writeFieldBegin("zoneOrders", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zoneOrders.size()));
-    std::vector<ZoneOrder> ::const_iterator _iter153;
-    for (_iter153 = this->zoneOrders.begin(); _iter153 != this->zoneOrders.end(); ++_iter153)
+    std::vector<ZoneOrder> ::const_iterator _iter162;
+    for (_iter162 = this->zoneOrders.begin(); _iter162 != this->zoneOrders.end(); ++_iter162)
+    {
+      xfer += (*_iter162).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
+    std::vector<WorkerSpeed> ::const_iterator _iter163;
+    for (_iter163 = this->speeds.begin(); _iter163 != this->speeds.end(); ++_iter163)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3758,65 +3961,70 @@
   swap(a.atMs, b.atMs);
   swap(a.refused, b.refused);
   swap(a.zoneOrders, b.zoneOrders);
+  swap(a.speeds, b.speeds);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other154) {
-  configuration = other154.configuration;
-  jobs = other154.jobs;
-  cancelled = other154.cancelled;
-  workers = other154.workers;
-  gone = other154.gone;
-  ends = other154.ends;
-  starts = other154.starts;
-  forgotten = other154.forgotten;
-  atMs = other154.atMs;
-  refused = other154.refused;
-  zoneOrders = other154.zoneOrders;
-  __isset = other154.__isset;
-}
-Command::Command(Command&& other155) noexcept {
-  configuration = std::move(other155.configuration);
-  jobs = std::move(other155.jobs);
-  cancelled = std::move(other155.cancelled);
-  workers = std::move(other155.workers);
-  gone = std::move(other155.gone);
-  ends = std::move(other155.ends);
-  starts = std::move(other155.starts);
-  forgotten = std::move(other155.forgotten);
-  atMs = other155.atMs;
-  refused = std::move(other155.refused);
-  zoneOrders = std::move(other155.zoneOrders);
-  __isset = other155.__isset;
-}
-Command& Command::operator=(const Command& other156) {
-  configuration = other156.configuration;
-  jobs = other156.jobs;
-  cancelled = other156.cancelled;
-  workers = other156.workers;
-  gone = other156.gone;
-  ends = other156.ends;
-  starts = other156.starts;
-  forgotten = other156.forgotten;
-  atMs = other156.atMs;
-  refused = other156.refused;
-  zoneOrders = other156.zoneOrders;
-  __isset = other156.__isset;
+Command::Command(const Command& other164) {
+  configuration = other164.configuration;
+  jobs = other164.jobs;
+  cancelled = other164.cancelled;
+  workers = other164.workers;
+  gone = other164.gone;
+  ends = other164.ends;
+  starts = other164.starts;
+  forgotten = other164.forgotten;
+  atMs = other164.atMs;
+  refused = other164.refused;
+  zoneOrders = other164.zoneOrders;
+  speeds = other164.speeds;
+  __isset = other164.__isset;
+}
+Command::Command(Command&& other165) noexcept {
+  configuration = std::move(other165.configuration);
+  jobs = std::move(other165.jobs);
+  cancelled = std::move(other165.cancelled);
+  workers = std::move(other165.workers);
+  gone = std::move(other165.gone);
+  ends = std::move(other165.ends);
+  starts = std::move(other165.starts);
+  forgotten = std::move(other165.forgotten);
+  atMs = other165.atMs;
+  refused = std::move(other165.refused);
+  zoneOrders = std::move(other165.zoneOrders);
+  speeds = std::move(other165.speeds);
+  __isset = other165.__isset;
+}
+Command& Command::operator=(const Command& other166) {
+  configuration = other166.configuration;
+  jobs = other166.jobs;
+  cancelled = other166.cancelled;
+  workers = other166.workers;
+  gone = other166.gone;
+  ends = other166.ends;
+  starts = other166.starts;
+  forgotten = other166.forgotten;
+  atMs = other166.atMs;
+  refused = other166.refused;
+  zoneOrders = other166.zoneOrders;
+  speeds = other166.speeds;
+  __isset = other166.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other157) noexcept {
-  configuration = std::move(other157.configuration);
-  jobs = std::move(other157.jobs);
-  cancelled = std::move(other157.cancelled);
-  workers = std::move(other157.workers);
-  gone = std::move(other157.gone);
-  ends = std::move(other157.ends);
-  starts = std::move(other157.starts);
-  forgotten = std::move(other157.forgotten);
-  atMs = other157.atMs;
-  refused = std::move(other157.refused);
-  zoneOrders = std::move(other157.zoneOrders);
-  __isset = other157.__isset;
+Command& Command::operator=(Command&& other167) noexcept {
+  configuration = std::move(other167.configuration);
+  jobs = std::move(other167.jobs);
+  cancelled = std::move(other167.cancelled);
+  workers = std::move(other167.workers);
+  gone = std::move(other167.gone);
+  ends = std::move(other167.ends);
+  starts = std::move(other167.starts);
+  forgotten = std::move(other167.forgotten);
+  atMs = other167.atMs;
+  refused = std::move(other167.refused);
+  zoneOrders = std::move(other167.zoneOrders);
+  speeds = std::move(other167.speeds);
+  __isset = other167.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -3833,6 +4041,7 @@
   out << ", " << "atMs=" << to_string(atMs);
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "zoneOrders=" << to_string(zoneOrders);
+  out << ", " << "speeds=" << to_string(speeds);
   out << ")";
 }
 
@@ -3872,6 +4081,10 @@
 void TaskSnapshot::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void TaskSnapshot::__set_movedForPace(const bool val) {
+  this->movedForPace = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskSnapshot& obj)
 {
   obj.printTo(out);
@@ -3964,6 +4177,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->movedForPace);
+          this->__isset.movedForPace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4013,6 +4234,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("movedForPace", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->movedForPace);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4028,53 +4253,58 @@
   swap(a.crashes, b.crashes);
   swap(a.crashesAtStart, b.crashesAtStart);
   swap(a.incarnation, b.incarnation);
+  swap(a.movedForPace, b.movedForPace);
   swap(a.__isset, b.__isset);
 }
 
-TaskSnapshot::TaskSnapshot(const TaskSnapshot& other158) {
-  phase = other158.phase;
-  run = other158.run;
-  failures = other158.failures;
-  worker = other158.worker;
-  checkpoint = other158.checkpoint;
-  crashes = other158.crashes;
-  crashesAtStart = other158.crashesAtStart;
-  incarnation = other158.incarnation;
-  __isset = other158.__isset;
-}
-TaskSnapshot::TaskSnapshot(TaskSnapshot&& other159) noexcept {
-  phase = other159.phase;
-  run = other159.run;
-  failures = other159.failures;
-  worker = std::move(other159.worker);
-  checkpoint = std::move(other159.checkpoint);
-  crashes = other159.crashes;
-  crashesAtStart = other159.crashesAtStart;
-  incarnation = other159.incarnation;
-  __isset = other159.__isset;
-}
-TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other160) {
-  phase = other160.phase;
-  run = other160.run;
-  failures = other160.failures;
-  worker = other160.worker;
-  checkpoint = other160.checkpoint;
-  crashes = other160.crashes;
-  crashesAtStart = other160.crashesAtStart;
-  incarnation = other160.incarnation;
-  __isset = other160.__isset;
+TaskSnapshot::TaskSnapshot(const TaskSnapshot& other168) {
+  phase = other168.phase;
+  run = other168.run;
+  failures = other168.failures;
+  worker = other168.worker;
+  checkpoint = other168.checkpoint;
+  crashes = other168.crashes;
+  crashesAtStart = other168.crashesAtStart;
+  incarnation = other168.incarnation;
+  movedForPace = other168.movedForPace;
+  __isset = other168.__isset;
+}
+TaskSnapshot::TaskSnapshot(TaskSnapshot&& other169) noexcept {
+  phase = other169.phase;
+  run = other169.run;
+  failures = other169.failures;
+  worker = std::move(other169.worker);
+  checkpoint = std::move(other169.checkpoint);
+  crashes = other169.crashes;
+  crashesAtStart = other169.crashesAtStart;
+  incarnation = other169.incarnation;
+  movedForPace = other169.movedForPace;
+  __isset = other169.__isset;
+}
+TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other170) {
+  phase = other170.phase;
+  run = other170.run;
+  failures = other170.failures;
+  worker = other170.worker;
+  checkpoint = other170.checkpoint;
+  crashes = other170.crashes;
+  crashesAtStart = other170.crashesAtStart;
+  incarnation = other170.incarnation;
+  movedForPace = other170.movedForPace;
+  __isset = other170.__isset;
   return *this;
 }
-TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other161) noexcept {
-  phase = other161.phase;
-  run = other161.run;
-  failures = other161.failures;
-  worker = std::move(other161.worker);
-  checkpoint = std::move(other161.checkpoint);
-  crashes = other161.crashes;
-  crashesAtStart = other161.crashesAtStart;
-  incarnation = other161.incarnation;
-  __isset = other161.__isset;
+TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other171) noexcept {
+  phase = other171.phase;
+  run = other171.run;
+  failures = other171.failures;
+  worker = std::move(other171.worker);
+  checkpoint = std::move(other171.checkpoint);
+  crashes = other171.crashes;
+  crashesAtStart = other171.crashesAtStart;
+  incarnation = other171.incarnation;
+  movedForPace = other171.movedForPace;
+  __isset = other171.__isset;
   return *this;
 }
 void TaskSnapshot::printTo(std::ostream& out) const {
@@ -4088,6 +4318,7 @@
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "crashesAtStart=" << to_string(crashesAtStart);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "movedForPace=" << to_string(movedForPace);
   out << ")";
 }
 
@@ -4143,14 +4374,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->tasks.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->tasks.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->tasks[_i166].read(iprot);
+              xfer += this->tasks[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4203,10 +4434,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskSnapshot> ::const_iterator _iter167;
-    for (_iter167 = this->tasks.begin(); _iter167 != this->tasks.end(); ++_iter167)
+    std::vector<TaskSnapshot> ::const_iterator _iter177;
+    for (_iter177 = this->tasks.begin(); _iter177 != this->tasks.end(); ++_iter177)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4238,34 +4469,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StepSnapshot::StepSnapshot(const StepSnapshot& other168) {
-  tasks = other168.tasks;
-  gangFailures = other168.gangFailures;
-  lastFailedRun = other168.lastFailedRun;
-  lastRun = other168.lastRun;
-  __isset = other168.__isset;
+StepSnapshot::StepSnapshot(const StepSnapshot& other178) {
+  tasks = other178.tasks;
+  gangFailures = other178.gangFailures;
+  lastFailedRun = other178.lastFailedRun;
+  lastRun = other178.lastRun;
+  __isset = other178.__isset;
 }
-StepSnapshot::StepSnapshot(StepSnapshot&& other169) noexcept {
-  tasks = std::move(other169.tasks);
-  gangFailures = other169.gangFailures;
-  lastFailedRun = other169.lastFailedRun;
-  lastRun = other169.lastRun;
-  __isset = other169.__isset;
+StepSnapshot::StepSnapshot(StepSnapshot&& other179) noexcept {
+  tasks = std::move(other179.tasks);
+  gangFailures = other179.gangFailures;
+  lastFailedRun = other179.lastFailedRun;
+  lastRun = other179.lastRun;
+  __isset = other179.__isset;
 }
-StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other170) {
-  tasks = other170.tasks;
-  gangFailures = other170.gangFailures;
-  lastFailedRun = other170.lastFailedRun;
-  lastRun = other170.lastRun;
-  __isset = other170.__isset;
+StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other180) {
+  tasks = other180.tasks;
+  gangFailures = other180.gangFailures;
+  lastFailedRun = other180.lastFailedRun;
+  lastRun = other180.lastRun;
+  __isset = other180.__isset;
   return *this;
 }
-StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other171) noexcept {
-  tasks = std::move(other171.tasks);
-  gangFailures = other171.gangFailures;
-  lastFailedRun = other171.lastFailedRun;
-  lastRun = other171.lastRun;
-  __isset = other171.__isset;
+StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other181) noexcept {
+  tasks = std::move(other181.tasks);
+  gangFailures = other181.gangFailures;
+  lastFailedRun = other181.lastFailedRun;
+  lastRun = other181.lastRun;
+  __isset = other181.__isset;
   return *this;
 }
 void StepSnapshot::printTo(std::ostream& out) const {
@@ -4318,14 +4549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->steps.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->steps.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->steps[_i176].read(iprot);
+              xfer += this->steps[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4354,10 +4585,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepSnapshot> ::const_iterator _iter177;
-    for (_iter177 = this->steps.begin(); _iter177 != this->steps.end(); ++_iter177)
+    std::vector<StepSnapshot> ::const_iterator _iter187;
+    for (_iter187 = this->steps.begin(); _iter187 != this->steps.end(); ++_iter187)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4374,22 +4605,22 @@
   swap(a.__isset, b.__isset);
 }
 
-OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other178) {
-  steps = other178.steps;
-  __isset = other178.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other188) {
+  steps = other188.steps;
+  __isset = other188.__isset;
 }
-OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other179) noexcept {
-  steps = std::move(other179.steps);
-  __isset = other179.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other189) noexcept {
+  steps = std::move(other189.steps);
+  __isset = other189.__isset;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other180) {
-  steps = other180.steps;
-  __isset = other180.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other190) {
+  steps = other190.steps;
+  __isset = other190.__isset;
   return *this;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other181) noexcept {
-  steps = std::move(other181.steps);
-  __isset = other181.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other191) noexcept {
+  steps = std::move(other191.steps);
+  __isset = other191.__isset;
   return *this;
 }
 void OccurrenceSnapshot::printTo(std::ostream& out) const {
@@ -4491,14 +4722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->occurrences.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->occurrences.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->occurrences.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->occurrences[_i186].read(iprot);
+              xfer += this->occurrences[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4551,10 +4782,10 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::vector<OccurrenceSnapshot> ::const_iterator _iter187;
-    for (_iter187 = this->occurrences.begin(); _iter187 != this->occurrences.end(); ++_iter187)
+    std::vector<OccurrenceSnapshot> ::const_iterator _iter197;
+    for (_iter197 = this->occurrences.begin(); _iter197 != this->occurrences.end(); ++_iter197)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4580,42 +4811,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobSnapshot::JobSnapshot(const JobSnapshot& other188) {
-  job = other188.job;
-  status = other188.status;
-  started = other188.started;
-  endedAtMs = other188.endedAtMs;
-  occurrences = other188.occurrences;
-  reason = other188.reason;
-  __isset = other188.__isset;
-}
-JobSnapshot::JobSnapshot(JobSnapshot&& other189) noexcept {
-  job = std::move(other189.job);
-  status = other189.status;
-  started = other189.started;
-  endedAtMs = other189.endedAtMs;
-  occurrences = std::move(other189.occurrences);
-  reason = std::move(other189.reason);
-  __isset = other189.__isset;
-}
-JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other190) {
-  job = other190.job;
-  status = other190.status;
-  started = other190.started;
-  endedAtMs = other190.endedAtMs;
-  occurrences = other190.occurrences;
-  reason = other190.reason;
-  __isset = other190.__isset;
+JobSnapshot::JobSnapshot(const JobSnapshot& other198) {
+  job = other198.job;
+  status = other198.status;
+  started = other198.started;
+  endedAtMs = other198.endedAtMs;
+  occurrences = other198.occurrences;
+  reason = other198.reason;
+  __isset = other198.__isset;
+}
+JobSnapshot::JobSnapshot(JobSnapshot&& other199) noexcept {
+  job = std::move(other199.job);
+  status = other199.status;
+  started = other199.started;
+  endedAtMs = other199.endedAtMs;
+  occurrences = std::move(other199.occurrences);
+  reason = std::move(other199.reason);
+  __isset = other199.__isset;
+}
+JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other200) {
+  job = other200.job;
+  status = other200.status;
+  started = other200.started;
+  endedAtMs = other200.endedAtMs;
+  occurrences = other200.occurrences;
+  reason = other200.reason;
+  __isset = other200.__isset;
   return *this;
 }
-JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other191) noexcept {
-  job = std::move(other191.job);
-  status = other191.status;
-  started = other191.started;
-  endedAtMs = other191.endedAtMs;
-  occurrences = std::move(other191.occurrences);
-  reason = std::move(other191.reason);
-  __isset = other191.__isset;
+JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other201) noexcept {
+  job = std::move(other201.job);
+  status = other201.status;
+  started = other201.started;
+  endedAtMs = other201.endedAtMs;
+  occurrences = std::move(other201.occurrences);
+  reason = std::move(other201.reason);
+  __isset = other201.__isset;
   return *this;
 }
 void JobSnapshot::printTo(std::ostream& out) const {
@@ -4655,6 +4886,10 @@
 void StateSnapshot::__set_evacuatedZones(const std::vector<EvacuatedZone> & val) {
   this->evacuatedZones = val;
 }
+
+void StateSnapshot::__set_speeds(const std::vector<WorkerSpeed> & val) {
+  this->speeds = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -4695,14 +4930,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->jobs.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->jobs.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->jobs[_i196].read(iprot);
+              xfer += this->jobs[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4715,14 +4950,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->workers.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->workers.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->workers[_i201].read(iprot);
+              xfer += this->workers[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4735,14 +4970,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->refused.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->refused.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->refused[_i206].read(iprot);
+              xfer += this->refused[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4755,14 +4990,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuatedZones.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->evacuatedZones.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->evacuatedZones.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->evacuatedZones[_i211].read(iprot);
+              xfer += this->evacuatedZones[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4771,6 +5006,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speeds.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->speeds.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->speeds[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4796,10 +5051,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter212;
-    for (_iter212 = this->jobs.begin(); _iter212 != this->jobs.end(); ++_iter212)
+    std::vector<JobSnapshot> ::const_iterator _iter227;
+    for (_iter227 = this->jobs.begin(); _iter227 != this->jobs.end(); ++_iter227)
     {
-      xfer += (*_iter212).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4808,10 +5063,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter213;
-    for (_iter213 = this->workers.begin(); _iter213 != this->workers.end(); ++_iter213)
+    std::vector<WorkerReport> ::const_iterator _iter228;
+    for (_iter228 = this->workers.begin(); _iter228 != this->workers.end(); ++_iter228)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4820,10 +5075,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedJob> ::const_iterator _iter214;
-    for (_iter214 = this->refused.begin(); _iter214 != this->refused.end(); ++_iter214)
+    std::vector<RefusedJob> ::const_iterator _iter229;
+    for (_iter229 = this->refused.begin(); _iter229 != this->refused.end(); ++_iter229)
     {
-      xfer += (*_iter214).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4832,10 +5087,22 @@
   xfer += oprot->writeFieldBegin("evacuatedZones", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuatedZones.size()));
-    std::vector<EvacuatedZone> ::const_iterator _iter215;
-    for (_iter215 = this->evacuatedZones.begin(); _iter215 != this->evacuatedZones.end(); ++_iter215)
+    std::vector<EvacuatedZone> ::const_iterator _iter230;
+    for (_iter230 = this->evacuatedZones.begin(); _iter230 != this->evacuatedZones.end(); ++_iter230)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter230).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
+    std::vector<WorkerSpeed> ::const_iterator _iter231;
+    for (_iter231 = this->speeds.begin(); _iter231 != this->speeds.end(); ++_iter231)
+    {
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4853,41 +5120,46 @@
   swap(a.workers, b.workers);
   swap(a.refused, b.refused);
   swap(a.evacuatedZones, b.evacuatedZones);
+  swap(a.speeds, b.speeds);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other216) {
-  configuration = other216.configuration;
-  jobs = other216.jobs;
-  workers = other216.workers;
-  refused = other216.refused;
-  evacuatedZones = other216.evacuatedZones;
-  __isset = other216.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other217) noexcept {
-  configuration = std::move(other217.configuration);
-  jobs = std::move(other217.jobs);
-  workers = std::move(other217.workers);
-  refused = std::move(other217.refused);
-  evacuatedZones = std::move(other217.evacuatedZones);
-  __isset = other217.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other218) {
-  configuration = other218.configuration;
-  jobs = other218.jobs;
-  workers = other218.workers;
-  refused = other218.refused;
-  evacuatedZones = other218.evacuatedZones;
-  __isset = other218.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other232) {
+  configuration = other232.configuration;
+  jobs = other232.jobs;
+  workers = other232.workers;
+  refused = other232.refused;
+  evacuatedZones = other232.evacuatedZones;
+  speeds = other232.speeds;
+  __isset = other232.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other233) noexcept {
+  configuration = std::move(other233.configuration);
+  jobs = std::move(other233.jobs);
+  workers = std::move(other233.workers);
+  refused = std::move(other233.refused);
+  evacuatedZones = std::move(other233.evacuatedZones);
+  speeds = std::move(other233.speeds);
+  __isset = other233.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other234) {
+  configuration = other234.configuration;
+  jobs = other234.jobs;
+  workers = other234.workers;
+  refused = other234.refused;
+  evacuatedZones = other234.evacuatedZones;
+  speeds = other234.speeds;
+  __isset = other234.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other219) noexcept {
-  configuration = std::move(other219.configuration);
-  jobs = std::move(other219.jobs);
-  workers = std::move(other219.workers);
-  refused = std::move(other219.refused);
-  evacuatedZones = std::move(other219.evacuatedZones);
-  __isset = other219.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other235) noexcept {
+  configuration = std::move(other235.configuration);
+  jobs = std::move(other235.jobs);
+  workers = std::move(other235.workers);
+  refused = std::move(other235.refused);
+  evacuatedZones = std::move(other235.evacuatedZones);
+  speeds = std::move(other235.speeds);
+  __isset = other235.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -4898,6 +5170,7 @@
   out << ", " << "workers=" << to_string(workers);
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "evacuatedZones=" << to_string(evacuatedZones);
+  out << ", " << "speeds=" << to_string(speeds);
   out << ")";
 }
 
@@ -5102,50 +5375,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other220) {
-  kind = other220.kind;
-  host = other220.host;
-  path = other220.path;
-  key = other220.key;
-  job = other220.job;
-  worker = other220.worker;
-  configuration = other220.configuration;
-  zone = other220.zone;
-  __isset = other220.__isset;
-}
-Request::Request(Request&& other221) noexcept {
-  kind = other221.kind;
-  host = std::move(other221.host);
-  path = std::move(other221.path);
-  key = std::move(other221.key);
-  job = std::move(other221.job);
-  worker = std::move(other221.worker);
-  configuration = std::move(other221.configuration);
-  zone = std::move(other221.zone);
-  __isset = other221.__isset;
-}
-Request& Request::operator=(const Request& other222) {
-  kind = other222.kind;
-  host = other222.host;
-  path = other222.path;
-  key = other222.key;
-  job = other222.job;
-  worker = other222.worker;
-  configuration = other222.configuration;
-  zone = other222.zone;
-  __isset = other222.__isset;
+Request::Request(const Request& other236) {
+  kind = other236.kind;
+  host = other236.host;
+  path = other236.path;
+  key = other236.key;
+  job = other236.job;
+  worker = other236.worker;
+  configuration = other236.configuration;
+  zone = other236.zone;
+  __isset = other236.__isset;
+}
+Request::Request(Request&& other237) noexcept {
+  kind = other237.kind;
+  host = std::move(other237.host);
+  path = std::move(other237.path);
+  key = std::move(other237.key);
+  job = std::move(other237.job);
+  worker = std::move(other237.worker);
+  configuration = std::move(other237.configuration);
+  zone = std::move(other237.zone);
+  __isset = other237.__isset;
+}
+Request& Request::operator=(const Request& other238) {
+  kind = other238.kind;
+  host = other238.host;
+  path = other238.path;
+  key = other238.key;
+  job = other238.job;
+  worker = other238.worker;
+  configuration = other238.configuration;
+  zone = other238.zone;
+  __isset = other238.__isset;
   return *this;
 }
-Request& Request::operator=(Request&& other223) noexcept {
-  kind = other223.kind;
-  host = std::move(other223.host);
-  path = std::move(other223.path);
-  key = std::move(other223.key);
-  job = std::move(other223.job);
-  worker = std::move(other223.worker);
-  configuration = std::move(other223.configuration);
-  zone = std::move(other223.zone);
-  __isset = other223.__isset;
+Request& Request::operator=(Request&& other239) noexcept {
+  kind = other239.kind;
+  host = std::move(other239.host);
+  path = std::move(other239.path);
+  key = std::move(other239.key);
+  job = std::move(other239.job);
+  worker = std::move(other239.worker);
+  configuration = std::move(other239.configuration);
+  zone = std::move(other239.zone);
+  __isset = other239.__isset;
   return *this;
 }
 void Request::printTo(std::ostream& out) const {
@@ -5275,14 +5548,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->members.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->members.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += iprot->readString(this->members[_i228]);
+              xfer += iprot->readString(this->members[_i244]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5355,10 +5628,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter229;
-    for (_iter229 = this->members.begin(); _iter229 != this->members.end(); ++_iter229)
+    std::vector<std::string> ::const_iterator _iter245;
+    for (_iter245 = this->members.begin(); _iter245 != this->members.end(); ++_iter245)
     {
-      xfer += oprot->writeString((*_iter229));
+      xfer += oprot->writeString((*_iter245));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5396,54 +5669,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other230) {
-  outcome = other230.outcome;
-  retryAfterMs = other230.retryAfterMs;
-  leader = other230.leader;
-  text = other230.text;
-  count = other230.count;
-  members = other230.members;
-  jobStatus = other230.jobStatus;
-  version = other230.version;
-  limits = other230.limits;
-  __isset = other230.__isset;
-}
-Reply::Reply(Reply&& other231) noexcept {
-  outcome = other231.outcome;
-  retryAfterMs = other231.retryAfterMs;
-  leader = std::move(other231.leader);
-  text = std::move(other231.text);
-  count = other231.count;
-  members = std::move(other231.members);
-  jobStatus = other231.jobStatus;
-  version = other231.version;
-  limits = std::move(other231.limits);
-  __isset = other231.__isset;
-}
-Reply& Reply::operator=(const Reply& other232) {
-  outcome = other232.outcome;
-  retryAfterMs = other232.retryAfterMs;
-  leader = other232.leader;
-  text = other232.text;
-  count = other232.count;
-  members = other232.members;
-  jobStatus = other232.jobStatus;
-  version = other232.version;
-  limits = other232.limits;
-  __isset = other232.__isset;
+Reply::Reply(const Reply& other246) {
+  outcome = other246.outcome;
+  retryAfterMs = other246.retryAfterMs;
+  leader = other246.leader;
+  text = other246.text;
+  count = other246.count;
+  members = other246.members;
+  jobStatus = other246.jobStatus;
+  version = other246.version;
+  limits = other246.limits;
+  __isset = other246.__isset;
+}
+Reply::Reply(Reply&& other247) noexcept {
+  outcome = other247.outcome;
+  retryAfterMs = other247.retryAfterMs;
+  leader = std::move(other247.leader);
+  text = std::move(other247.text);
+  count = other247.count;
+  members = std::move(other247.members);
+  jobStatus = other247.jobStatus;
+  version = other247.version;
+  limits = std::move(other247.limits);
+  __isset = other247.__isset;
+}
+Reply& Reply::operator=(const Reply& other248) {
+  outcome = other248.outcome;
+  retryAfterMs = other248.retryAfterMs;
+  leader = other248.leader;
+  text = other248.text;
+  count = other248.count;
+  members = other248.members;
+  jobStatus = other248.jobStatus;
+  version = other248.version;
+  limits = other248.limits;
+  __isset = other248.__isset;
   return *this;
 }
-Reply& Reply::operator=(Reply&& other233) noexcept {
-  outcome = other233.outcome;
-  retryAfterMs = other233.retryAfterMs;
-  leader = std::move(other233.leader);
-  text = std::move(other233.text);
-  count = other233.count;
-  members = std::move(other233.members);
-  jobStatus = other233.jobStatus;
-  version = other233.version;
-  limits = std::move(other233.limits);
-  __isset = other233.__isset;
+Reply& Reply::operator=(Reply&& other249) noexcept {
+  outcome = other249.outcome;
+  retryAfterMs = other249.retryAfterMs;
+  leader = std::move(other249.leader);
+  text = std::move(other249.text);
+  count = other249.count;
+  members = std::move(other249.members);
+  jobStatus = other249.jobStatus;
+  version = other249.version;
+  limits = std::move(other249.limits);
+  __isset = other249.__isset;
   return *this;
 }
 void Reply::printTo(std::ostream& out) const {
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -47,6 +47,8 @@
 
 class RunEnd;
 
+class WorkerSpeed;
+
 class RefusedJob;
 
 class ZoneOrder;
@@ -1040,7 +1042,7 @@
 std::ostream& operator<<(std::ostream& out, const RunStart& obj);
 
 typedef struct _RunEnd__isset {
-  _RunEnd__isset() : task(false), run(false), worker(false), incarnation(false), kind(false), checkpoint(false), evidence(false) {}
+  _RunEnd__isset() : task(false), run(false), worker(false), incarnation(false), kind(false), checkpoint(false), evidence(false), stopReason(false) {}
   bool task :1;
   bool run :1;
   bool worker :1;
@@ -1048,6 +1050,7 @@
   bool kind :1;
   bool checkpoint :1;
   bool evidence :1;
+  bool stopReason :1;
 } _RunEnd__isset;
 
 class RunEnd : public virtual ::apache::thrift::TBase {
@@ -1063,7 +1066,8 @@
            incarnation(0),
            kind(0),
            checkpoint(),
-           evidence(0) {
+           evidence(0),
+           stopReason(0) {
   }
 
   virtual ~RunEnd() noexcept;
@@ -1074,6 +1078,7 @@
   int32_t kind;
   std::string checkpoint;
   int32_t evidence;
+  int32_t stopReason;
 
   _RunEnd__isset __isset;
 
@@ -1091,6 +1096,8 @@
 
   void __set_evidence(const int32_t val);
 
+  void __set_stopReason(const int32_t val);
+
   bool operator == (const RunEnd & rhs) const
   {
     if (!(task == rhs.task))
@@ -1107,6 +1114,8 @@
       return false;
     if (!(evidence == rhs.evidence))
       return false;
+    if (!(stopReason == rhs.stopReason))
+      return false;
     return true;
   }
   bool operator != (const RunEnd &rhs) const {
@@ -1125,6 +1134,65 @@
 
 std::ostream& operator<<(std::ostream& out, const RunEnd& obj);
 
+typedef struct _WorkerSpeed__isset {
+  _WorkerSpeed__isset() : worker(false), incarnation(false), permille(false) {}
+  bool worker :1;
+  bool incarnation :1;
+  bool permille :1;
+} _WorkerSpeed__isset;
+
+class WorkerSpeed : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerSpeed(const WorkerSpeed&);
+  WorkerSpeed(WorkerSpeed&&) noexcept;
+  WorkerSpeed& operator=(const WorkerSpeed&);
+  WorkerSpeed& operator=(WorkerSpeed&&) noexcept;
+  WorkerSpeed() noexcept
+              : worker(),
+                incarnation(0),
+                permille(0) {
+  }
+
+  virtual ~WorkerSpeed() noexcept;
+  std::string worker;
+  int64_t incarnation;
+  int32_t permille;
+
+  _WorkerSpeed__isset __isset;
+
+  void __set_worker(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_permille(const int32_t val);
+
+  bool operator == (const WorkerSpeed & rhs) const
+  {
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(permille == rhs.permille))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerSpeed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerSpeed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerSpeed &a, WorkerSpeed &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerSpeed& obj);
+
 typedef struct _RefusedJob__isset {
   _RefusedJob__isset() : id(false), workspace(false) {}
   bool id :1;
@@ -1282,7 +1350,7 @@
 std::ostream& operator<<(std::ostream& out, const EvacuatedZone& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false), refused(false), zoneOrders(false) {}
+  _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false), refused(false), zoneOrders(false), speeds(false) {}
   bool configuration :1;
   bool jobs :1;
   bool cancelled :1;
@@ -1294,6 +1362,7 @@
   bool atMs :1;
   bool refused :1;
   bool zoneOrders :1;
+  bool speeds :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1319,6 +1388,7 @@
   int64_t atMs;
   std::vector<RefusedJob>  refused;
   std::vector<ZoneOrder>  zoneOrders;
+  std::vector<WorkerSpeed>  speeds;
 
   _Command__isset __isset;
 
@@ -1344,6 +1414,8 @@
 
   void __set_zoneOrders(const std::vector<ZoneOrder> & val);
 
+  void __set_speeds(const std::vector<WorkerSpeed> & val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1370,6 +1442,8 @@
       return false;
     if (!(zoneOrders == rhs.zoneOrders))
       return false;
+    if (!(speeds == rhs.speeds))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1389,7 +1463,7 @@
 std::ostream& operator<<(std::ostream& out, const Command& obj);
 
 typedef struct _TaskSnapshot__isset {
-  _TaskSnapshot__isset() : phase(false), run(false), failures(false), worker(false), checkpoint(false), crashes(false), crashesAtStart(false), incarnation(false) {}
+  _TaskSnapshot__isset() : phase(false), run(false), failures(false), worker(false), checkpoint(false), crashes(false), crashesAtStart(false), incarnation(false), movedForPace(false) {}
   bool phase :1;
   bool run :1;
   bool failures :1;
@@ -1398,6 +1472,7 @@
   bool crashes :1;
   bool crashesAtStart :1;
   bool incarnation :1;
+  bool movedForPace :1;
 } _TaskSnapshot__isset;
 
 class TaskSnapshot : public virtual ::apache::thrift::TBase {
@@ -1415,7 +1490,8 @@
                  checkpoint(),
                  crashes(0),
                  crashesAtStart(0),
-                 incarnation(0) {
+                 incarnation(0),
+                 movedForPace(0) {
   }
 
   virtual ~TaskSnapshot() noexcept;
@@ -1427,6 +1503,7 @@
   int32_t crashes;
   int32_t crashesAtStart;
   int64_t incarnation;
+  bool movedForPace;
 
   _TaskSnapshot__isset __isset;
 
@@ -1446,6 +1523,8 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_movedForPace(const bool val);
+
   bool operator == (const TaskSnapshot & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -1464,6 +1543,8 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(movedForPace == rhs.movedForPace))
+      return false;
     return true;
   }
   bool operator != (const TaskSnapshot &rhs) const {
@@ -1670,12 +1751,13 @@
 std::ostream& operator<<(std::ostream& out, const JobSnapshot& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false), evacuatedZones(false) {}
+  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false), evacuatedZones(false), speeds(false) {}
   bool configuration :1;
   bool jobs :1;
   bool workers :1;
   bool refused :1;
   bool evacuatedZones :1;
+  bool speeds :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -1694,6 +1776,7 @@
   std::vector<WorkerReport>  workers;
   std::vector<RefusedJob>  refused;
   std::vector<EvacuatedZone>  evacuatedZones;
+  std::vector<WorkerSpeed>  speeds;
 
   _StateSnapshot__isset __isset;
 
@@ -1707,6 +1790,8 @@
 
   void __set_evacuatedZones(const std::vector<EvacuatedZone> & val);
 
+  void __set_speeds(const std::vector<WorkerSpeed> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1721,6 +1806,8 @@
       return false;
     if (!(evacuatedZones == rhs.evacuatedZones))
       return false;
+    if (!(speeds == rhs.speeds))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -183,6 +183,7 @@
     into.gone = std::move(dispatched.gone);
     into.ends = std::move(dispatched.ends);
     into.starts = std::move(dispatched.starts);
+    into.speeds = std::move(dispatched.speeds);
   }
   gen::Command& command = mBatch.command;
   bool idle = !command.__isset.configuration && command.jobs.empty() &&
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -1,6 +1,8 @@
 #include "fleet/placement.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -67,8 +69,24 @@
   return aCandidate.faultScore + (avoided ? 1 : 0);
 }
 
-// Sorts by fault score, then fullest workers first and, among equal ones, those
-// in the fullest racks, so that empty workers and racks stay whole.
+// Lower for workers that the request prefers for their speed.
+int
+SpeedRank(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  int speed = static_cast<int>(aCandidate.speed);
+  switch (aRequest.speed) {
+    case SpeedPreference::kNone:
+      return 0;
+    case SpeedPreference::kFast:
+      return -speed;
+    case SpeedPreference::kSlow:
+      break;
+  }
+  return speed;
+}
+
+// Sorts by fault score and speed, then fullest workers first and, among equal
+// ones, those in the fullest racks, so that empty workers and racks stay whole.
 void
 SortFullestFirst(const PlacementRequest& aRequest,
                  const std::vector<Candidate>& aCandidates,
@@ -79,12 +97,13 @@
     racks.resize(std::max<size_t>(racks.size(), it.rack + 1));
     racks[it.rack] += it.available.accelerators;
   }
-  using Key = std::tuple<int, int64_t, int64_t, size_t>;
+  using Key = std::tuple<int, int, int64_t, int64_t, size_t>;
   std::vector<std::pair<Key, Fit>> order;
   order.reserve(aFits.size());
   for (const Fit& it : aFits) {
     const Candidate& candidate = aCandidates[it.candidate];
     order.emplace_back(Key{ EffectiveFaultScore(aRequest, candidate),
+                            SpeedRank(aRequest, candidate),
                             FreeShare(candidate),
                             racks[candidate.rack],
                             it.candidate },
@@ -131,7 +150,7 @@
     return fit[aEntry.first] < aRequest.tasks;
   });
   std::vector<size_t> best;
-  std::tuple<bool, int, int64_t> bestKey;
+  std::tuple<bool, int, int, int64_t> bestKey;
   for (auto& [rack, fits] : racks) {
     SortFullestFirst(aRequest, aCandidates, fits);
     std::vector<size_t> chosen = AssignTasks(fits, aRequest.tasks);
@@ -139,8 +158,11 @@
       continue;
     }
     int faultScore = 0;
+    // The tasks of one rack end with the slowest of them.
+    int speedRank = std::numeric_limits<int>::min();
     for (size_t it : chosen) {
       faultScore += EffectiveFaultScore(aRequest, aCandidates[it]);
+      speedRank = std::max(speedRank, SpeedRank(aRequest, aCandidates[it]));
     }
     int64_t available = 0;
     for (const Fit& it : fits) {
@@ -149,7 +171,7 @@
     const RackId& name = aCandidates[chosen.front()].report->rack;
     bool otherRack =
       !aRequest.step->rack.empty() && name != aRequest.step->rack;
-    auto key = std::make_tuple(otherRack, faultScore, available);
+    auto key = std::make_tuple(otherRack, faultScore, speedRank, available);
     if (best.empty() || key < bestKey) {
       best = std::move(chosen);
       bestKey = key;
@@ -158,6 +180,34 @@
   return best;
 }
 
+// Returns an index into `aCandidates` for each task; see `Place`.
+std::vector<size_t>
+PlaceOn(const PlacementRequest& aRequest,
+        const std::vector<Candidate>& aCandidates,
+        std::vector<Fit> aFits)
+{
+  const StepSpec& step = *aRequest.step;
+  if (step.prefersOneRack && aRequest.tasks > 1) {
+    std::vector<size_t> out = PlaceInOneRack(aRequest, aCandidates, aFits);
+    if (!out.empty() || !aRequest.maySpanRacks) {
+      return out;
+    }
+  }
+  if (aRequest.bestFit) {
+    SortFullestFirst(aRequest, aCandidates, aFits);
+  }
+  if (!step.rack.empty()) {
+    std::stable_partition(aFits.begin(), aFits.end(), [&](const Fit& it) {
+      return aCandidates[it.candidate].report->rack == step.rack;
+    });
+  }
+  std::vector<size_t> out = AssignTasks(aFits, aRequest.tasks);
+  if (step.gang && out.size() < aRequest.tasks) {
+    out.clear();
+  }
+  return out;
+}
+
 } // namespace
 
 void
@@ -207,26 +257,28 @@
       const std::vector<Candidate>& aCandidates)
 {
   std::vector<Fit> fits = FindFits(aRequest, aCandidates);
-  const StepSpec& step = *aRequest.step;
-  if (step.prefersOneRack && aRequest.tasks > 1) {
-    std::vector<size_t> out = PlaceInOneRack(aRequest, aCandidates, fits);
-    if (!out.empty() || !aRequest.maySpanRacks) {
+  if (!aRequest.step->gang || aRequest.speed != SpeedPreference::kFast) {
+    return PlaceOn(aRequest, aCandidates, std::move(fits));
+  }
+  // A gang ends with its slowest member, so one slow worker makes fast ones
+  // useless to it. Of workers that are fast enough, the slowest are taken.
+  PlacementRequest uniform = aRequest;
+  uniform.speed = SpeedPreference::kSlow;
+  for (SpeedClass slowest : { SpeedClass::kFast, SpeedClass::kNormal }) {
+    std::vector<Fit> fastEnough;
+    std::copy_if(fits.begin(),
+                 fits.end(),
+                 std::back_inserter(fastEnough),
+                 [&](const Fit& it) {
+                   return aCandidates[it.candidate].speed >= slowest;
+                 });
+    std::vector<size_t> out =
+      PlaceOn(uniform, aCandidates, std::move(fastEnough));
+    if (!out.empty()) {
       return out;
     }
   }
-  if (aRequest.bestFit) {
-    SortFullestFirst(aRequest, aCandidates, fits);
-  }
-  if (!step.rack.empty()) {
-    std::stable_partition(fits.begin(), fits.end(), [&](const Fit& it) {
-      return aCandidates[it.candidate].report->rack == step.rack;
-    });
-  }
-  std::vector<size_t> out = AssignTasks(fits, aRequest.tasks);
-  if (step.gang && out.size() < aRequest.tasks) {
-    out.clear();
-  }
-  return out;
+  return PlaceOn(uniform, aCandidates, std::move(fits));
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -16,6 +16,23 @@
 
 namespace limpetwood::fleet {
 
+// Speed of a worker compared with the median of the workers.
+enum class SpeedClass
+{
+  kSlow,
+  kNormal,
+  kFast,
+};
+
+// Which workers a request uses first. The tasks of urgent steps go to fast
+// workers, and those that can wait to slow ones, so that fast ones stay free.
+enum class SpeedPreference
+{
+  kNone,
+  kFast,
+  kSlow,
+};
+
 // A worker that can take new tasks.
 struct Candidate
 {
@@ -34,6 +51,7 @@
   // It is slow because it started recently; used only if the others do not
   // suffice.
   bool isCold = false;
+  SpeedClass speed = SpeedClass::kNormal;
   // Higher is worse; 0 for a worker without faults.
   int faultScore = 0;
 };
@@ -49,6 +67,7 @@
   // Returns whether a worker is used only if the others do not suffice; may be
   // empty.
   std::function<bool(const WorkerId&)> isAvoided{};
+  SpeedPreference speed = SpeedPreference::kNone;
   // Whether tasks that prefer one rack may be placed on several.
   bool maySpanRacks = false;
   // The tasks may crash their workers: at most one on each, unless the step is
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -5,6 +5,7 @@
 #include "fleet/reservation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -75,6 +76,25 @@
 
 } // namespace
 
+void
+FleetView::AddCallerLoss(RunEstimate& aRun, const CallerCost& aCost)
+{
+  const Job& job = *aRun.job;
+  uint32_t occurrence = aRun.run.task.occurrence;
+  Millis total = aRun.cost.totalTime;
+  if (aRun.remaining == Millis::Max()) {
+    return;
+  }
+  if (aCost.IsWorthless(job, occurrence, aRun.remaining, total)) {
+    aRun.cost.lostWork = Millis(0);
+  }
+  // A run that saves checkpoints goes on where it was.
+  if (!job.spec.steps[aRun.run.task.step].savesCheckpoints) {
+    aRun.callerLoss =
+      aCost.LossByRestart(job, occurrence, aRun.remaining, total);
+  }
+}
+
 const std::vector<RunEstimate>&
 FleetView::RunsOf(const Candidate& aWorker) const
 {
@@ -90,6 +110,10 @@
         .resources = job->spec.steps[run.task.step].CountedResources(),
         .remaining = remainingTimeOf(aWorker.id, run),
         .cost = costOf(aWorker.id, run) });
+    RunEstimate& added = it->second.back();
+    if (callerCost != nullptr && !added.cost.stopping) {
+      AddCallerLoss(added, *callerCost);
+    }
   }
   std::sort(it->second.begin(),
             it->second.end(),
@@ -99,23 +123,6 @@
   return it->second;
 }
 
-Millis
-CriticalPathTime(const Job& aJob, const Forecast& aForecast)
-{
-  const std::vector<StepSpec>& steps = aJob.spec.steps;
-  std::vector<Millis> ends(steps.size());
-  Millis longest;
-  for (size_t n = 0; n < steps.size(); ++n) {
-    Millis start;
-    for (uint32_t it : steps[n].dependencies) {
-      start = std::max(start, ends[it]);
-    }
-    ends[n] = start + aForecast.ExpectedTime(aJob.queue, steps[n].estimate);
-    longest = std::max(longest, ends[n]);
-  }
-  return longest;
-}
-
 std::vector<Unit>
 Planner::CollectUnits(const FleetView& aView, Plan& aPlan) const
 {
@@ -209,6 +216,11 @@
 Planner::Decide(FleetView aView)
 {
   Plan plan;
+  std::optional<CallerCost> callerCost;
+  if (mOptions.callerCost) {
+    callerCost.emplace(*aView.state, *aView.forecast, aView.wallNow);
+    aView.callerCost = &*callerCost;
+  }
   std::vector<Unit> units = CollectUnits(aView, plan);
   SortByRank(units, aView);
   std::erase_if(mPendingPreemptions, [&](const auto& aEntry) {
@@ -359,6 +371,22 @@
   return aUnit.due + job.targetLatency + Millis(allowed) - taskTime;
 }
 
+SpeedPreference
+Planner::SpeedFor(const Unit& aUnit, const FleetView& aView) const
+{
+  if (!mOptions.callerCost) {
+    return SpeedPreference::kNone;
+  }
+  if (aUnit.job->priority == 0) {
+    return SpeedPreference::kFast;
+  }
+  // On a slow worker the result must still be in time.
+  Millis taskTime =
+    aView.forecast->ExpectedTime(aUnit.job->queue, aUnit.Spec().estimate);
+  bool hasSlack = aView.wallNow + taskTime / 2 <= LatestStart(aUnit, aView);
+  return hasSlack ? SpeedPreference::kSlow : SpeedPreference::kNone;
+}
+
 Planner::Rank
 Planner::RankOf(const Unit& aUnit, const FleetView& aView) const
 {
@@ -417,6 +445,7 @@
         return failed != mWorkersWithFailures.end() &&
                failed->second.contains(aWorker);
       },
+    .speed = SpeedFor(aUnit, aView),
     .maySpanRacks = MaySpanRacks(aUnit, aView),
     .onTrial = aUnit.onTrial,
     .onIdleWorkers = NeedsIdleWorkers(aUnit, aView),
@@ -509,7 +538,8 @@
                                         aUnit.tasks[n] },
                                       attempt },
                              .worker = it.id,
-                             .incarnation = it.report->incarnation });
+                             .incarnation = it.report->incarnation,
+                             .speed = it.speed });
   }
   bool complete = chosen.size() == aUnit.tasks.size();
   if (aUnit.onTrial) {
@@ -553,10 +583,18 @@
                           .service = &aUnit.job->service,
                           .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
                           .priority = aUnit.job->priority };
-  if (!IsGuaranteed(aUnit, aView)) {
-    if (aView.wallNow > LatestStart(aUnit, aView)) {
-      return;
+  bool guaranteed = IsGuaranteed(aUnit, aView);
+  if (!guaranteed && aView.wallNow > LatestStart(aUnit, aView)) {
+    return;
+  }
+  if (aView.callerCost != nullptr) {
+    // Until a guarantee is due, it displaces only what costs callers less.
+    bool due =
+      guaranteed && WaitingTime(aUnit, aView) >= mOptions.maxGuaranteeWait;
+    if (!due) {
+      request.maxCost = aView.callerCost->GainInTime(*aUnit.job);
     }
+  } else if (!guaranteed) {
     Millis time = aView.forecast->ExpectedTime(aUnit.job->queue, step.estimate);
     request.maxCost = mOptions.maxPreemptionCostRatio *
                       ResourceWeight(step.resources) *
@@ -572,7 +610,11 @@
   };
   for (const auto& [worker, run] : choice->victims) {
     aPlan.stops.push_back(
-      { .run = run, .worker = worker, .beneficiary = aUnit.job->id });
+      { .run = run,
+        .worker = worker,
+        .beneficiary = aUnit.job->id,
+        .cost = choice->cost,
+        .maxCost = std::isfinite(request.maxCost) ? request.maxCost : 0 });
   }
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -12,6 +12,7 @@
 
 #pragma once
 
+#include "fleet/caller_cost.h"
 #include "fleet/forecast.h"
 #include "fleet/placement.h"
 #include "fleet/state.h"
@@ -72,6 +73,12 @@
   // unit, for units beyond their workspace's guarantee. Above 1 because an
   // urgent result is worth several times more per accelerator second.
   double maxPreemptionCostRatio = 2;
+  // See `DispatcherOptions::callerCost`.
+  bool callerCost = false;
+  // With `callerCost`, the time for which a guaranteed unit waits for room that
+  // costs callers little, before it is given room at any cost. A quarter of the
+  // time in which a guarantee must be met.
+  Millis maxGuaranteeWait = Millis(700);
 };
 
 // Cost of stopping a run now.
@@ -79,6 +86,8 @@
 {
   // Run time that would have to be repeated; 0 for tasks that save checkpoints.
   Millis lostWork{};
+  // Run time of a new run in its place.
+  Millis totalTime{};
   // The run is already being stopped.
   bool stopping = false;
   // Earlier attempts of the task or its gang. They raise the cost, because work
@@ -94,6 +103,8 @@
   Resources resources{};
   Millis remaining{};
   RunCost cost{};
+  // What callers lose beside the work if the run is stopped, in core-seconds.
+  double callerLoss = 0;
 };
 
 struct FleetView
@@ -107,6 +118,8 @@
   // be empty.
   std::function<bool(const WorkerId&, const RunRef&)> isOnTrial{};
   const Forecast* forecast = nullptr;
+  // Set by the planner if `PlannerOptions::callerCost` is.
+  const CallerCost* callerCost = nullptr;
   Millis now{};
   Millis wallNow{};
   // Cache of `RunsOf`, by `Candidate::report`.
@@ -116,6 +129,9 @@
   // Returns the runs on a worker, ordered by their expected end. The reference
   // stays valid for the whole pass.
   const std::vector<RunEstimate>& RunsOf(const Candidate& aWorker) const;
+
+private:
+  static void AddCallerLoss(RunEstimate& aRun, const CallerCost& aCost);
 };
 
 struct PlannedStart
@@ -123,6 +139,7 @@
   RunRef run{};
   WorkerId worker{};
   Incarnation incarnation{};
+  SpeedClass speed = SpeedClass::kNormal;
 };
 
 // A run to stop so that a more urgent unit can use its resources.
@@ -132,6 +149,10 @@
   WorkerId worker{};
   // The job of the more urgent unit.
   JobId beneficiary{};
+  // The cost of all stops for the unit and the most that they may cost, in
+  // core-seconds; without a limit 0.
+  double cost = 0;
+  double maxCost = 0;
 };
 
 struct Plan
@@ -224,6 +245,7 @@
   // Latest start of the unit (wall clock) that still meets the latency
   // objective of its job.
   Millis LatestStart(const Unit& aUnit, const FleetView& aView) const;
+  SpeedPreference SpeedFor(const Unit& aUnit, const FleetView& aView) const;
   // Whether the unit is expected to fit in time without preemption. `aChoice`
   // is the best reservation for it.
   bool WillFitInTime(const Unit& aUnit,
@@ -271,8 +293,4 @@
   std::map<UnitKey, Millis> mWaitingSince;
 };
 
-// Expected run time of the longest chain of dependent steps.
-Millis
-CriticalPathTime(const Job& aJob, const Forecast& aForecast);
-
 } // namespace limpetwood::fleet
--- a/packages/fleet/progress.cc
+++ b/packages/fleet/progress.cc
@@ -83,6 +83,16 @@
   return mLastReportAt - mLastIncreaseReportAt;
 }
 
+std::optional<Millis>
+Progress::TimePerPercent() const
+{
+  Millis time = mLastIncreaseReportAt - mFirstReportAt;
+  if (!mFirstObservedAt || mPercent <= mFirstPercent || time <= Millis(0)) {
+    return std::nullopt;
+  }
+  return time / (mPercent - mFirstPercent);
+}
+
 std::optional<double>
 Progress::MeanRate() const
 {
@@ -104,6 +114,9 @@
   }
   auto referenceRate = PeerRate(aInput.peers);
   double slowRatio = kSlowRatioToPeers;
+  if (!referenceRate) {
+    referenceRate = aInput.stepRate;
+  }
   if (!referenceRate && aInput.learnedTime && *aInput.learnedTime > Millis(0)) {
     referenceRate = kCompletePercent / SecondsOf(*aInput.learnedTime);
     slowRatio = kSlowRatioToLearned;
--- a/packages/fleet/progress.h
+++ b/packages/fleet/progress.h
@@ -33,6 +33,9 @@
   // How long the percentage had not increased at the latest report; 0 before
   // the first. Time without a report does not count.
   Millis ObservedStandstill() const;
+  // Mean time between two increases by one percent, until the latest increase;
+  // empty before the second report with an increase.
+  std::optional<Millis> TimePerPercent() const;
   // Percent per second since the first report; empty if the observed time is
   // too short.
   std::optional<double> MeanRate() const;
@@ -73,6 +76,9 @@
   const Progress* own = nullptr;
   // The other members of the same gang.
   std::vector<const Progress*> peers{};
+  // Median rate of the other runs of the step, in percent per second; used if
+  // the step is not a gang.
+  std::optional<double> stepRate{};
   // Learned run time of one task, if known.
   std::optional<Millis> learnedTime{};
   // A new run would resume from a checkpoint.
--- a/packages/fleet/proposals.cc
+++ b/packages/fleet/proposals.cc
@@ -29,7 +29,8 @@
                       const RunRef& aRun,
                       EndKind aKind,
                       const std::string& aCheckpoint,
-                      CrashEvidence aEvidence)
+                      CrashEvidence aEvidence,
+                      StopReason aReason)
 {
   if (!mState.IsActive(aRun, aWorker) || !mProposedEnds.insert(aRun).second) {
     return false;
@@ -41,6 +42,7 @@
   end.kind = static_cast<int32_t>(aKind);
   end.checkpoint = aCheckpoint;
   end.evidence = static_cast<int32_t>(aEvidence);
+  end.stopReason = static_cast<int32_t>(aReason);
   mCommand.ends.push_back(std::move(end));
   return true;
 }
@@ -58,6 +60,16 @@
   mCommand.starts.push_back(std::move(start));
 }
 
+void
+Proposals::ProposeSpeed(const Worker& aWorker, double aSpeed)
+{
+  gen::WorkerSpeed speed;
+  speed.worker = aWorker.report.id.Value();
+  speed.incarnation = static_cast<int64_t>(aWorker.report.incarnation.Value());
+  speed.permille = static_cast<int32_t>(aSpeed * 1000);
+  mCommand.speeds.push_back(std::move(speed));
+}
+
 void
 Proposals::Requeue(gen::Command aCommand)
 {
@@ -69,6 +81,7 @@
   prepend(mCommand.gone, aCommand.gone);
   prepend(mCommand.ends, aCommand.ends);
   prepend(mCommand.starts, aCommand.starts);
+  prepend(mCommand.speeds, aCommand.speeds);
 }
 
 bool
--- a/packages/fleet/proposals.h
+++ b/packages/fleet/proposals.h
@@ -27,11 +27,15 @@
                   const RunRef& aRun,
                   EndKind aKind,
                   const std::string& aCheckpoint,
-                  CrashEvidence aEvidence = CrashEvidence::kNone);
+                  CrashEvidence aEvidence = CrashEvidence::kNone,
+                  StopReason aReason = StopReason::kNone);
   void ProposeStart(const RunRef& aRun,
                     const WorkerId& aWorker,
                     Incarnation aIncarnation);
 
+  // Waits for the next other change, so that it causes no log entry of its own.
+  void ProposeSpeed(const Worker& aWorker, double aSpeed);
+
   bool HasProposedEnd(const RunRef& aRun) const
   {
     return mProposedEnds.contains(aRun);
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Weight of one accelerator in cores, as the platform prices them.
-constexpr double kCoresPerAccelerator = 8;
-
 // Identifies the runs that end together when one of them is stopped: a gang, or
 // a single run.
 using GroupKey = std::tuple<const Job*, uint32_t, uint32_t, uint32_t>;
@@ -42,15 +39,14 @@
     const StepSpec& step = it.job->spec.steps[task.step];
     uint32_t members = step.gang ? step.tasks : 1;
     double lostSeconds = static_cast<double>(it.cost.lostWork.Count()) / 1000;
+    double lostWork = ResourceWeight(step.resources) * members * lostSeconds *
+                      (1 + it.cost.restarts);
     out.push_back({ .run = &it,
                     .group = { it.job,
                                task.occurrence,
                                task.step,
                                step.gang ? 0 : task.index },
-                    .cost = it.cost.stopping
-                              ? 0
-                              : ResourceWeight(step.resources) * members *
-                                  lostSeconds * (1 + it.cost.restarts),
+                    .cost = it.cost.stopping ? 0 : lostWork + it.callerLoss,
                     .stopping = it.cost.stopping });
   }
   std::sort(out.begin(), out.end(), [](const Victim& x, const Victim& y) {
@@ -209,13 +205,6 @@
 
 } // namespace
 
-double
-ResourceWeight(const Resources& aResources)
-{
-  return static_cast<double>(aResources.accelerators) * kCoresPerAccelerator +
-         static_cast<double>(aResources.cpu) / 1000;
-}
-
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
--- a/packages/fleet/reclaim.h
+++ b/packages/fleet/reclaim.h
@@ -35,10 +35,6 @@
   double cost = 0;
 };
 
-// Weight of one second of work on these resources, in core equivalents.
-double
-ResourceWeight(const Resources& aResources);
-
 // Returns nothing if stopping all less urgent runs does not suffice or costs
 // more than `maxCost`.
 std::optional<ReclaimChoice>
--- a/packages/fleet/run_monitor.cc
+++ b/packages/fleet/run_monitor.cc
@@ -8,10 +8,15 @@
 
 namespace {
 
-// A run without progress for this time is considered stalled. It is several
-// times the longest interval between two one-percent increments of the longest
-// task, and several times the longest pause during a checkpoint restore.
+// A run without progress is considered stalled after this time at the earliest.
+// It is several times the longest pause during a checkpoint restore.
 constexpr Millis kStallTime(2500);
+// The same as a multiple of the time in which the run gains one percent, so
+// that a task of hours is not taken to be stalled.
+constexpr int64_t kStallPercents = 4;
+// The rate of a run is recorded at this progress: before, whole percents are
+// too coarse.
+constexpr int32_t kMinRecordedPercent = 8;
 // A gang member at this progress has finished and waits for the others.
 constexpr int32_t kCompletePercent = 100;
 
@@ -58,16 +63,32 @@
   return job != nullptr && !job->spec.steps[aRun.task.step].longRunning &&
          !aView.stopRequested && aLink.reachable &&
          aView.progress.Percent() < kCompletePercent &&
-         aView.progress.ObservedStandstill() > kStallTime;
+         aView.progress.ObservedStandstill() > StallTimeOf(aRun, aView);
 }
 
 Millis
-RunMonitor::MaxReportDelay(const RunView& aView) const
+RunMonitor::StallTimeOf(const RunRef& aRun, const RunView& aView) const
+{
+  if (auto time = aView.progress.TimePerPercent()) {
+    return std::max(kStallTime, *time * kStallPercents);
+  }
+  const Job* job = mState.FindJob(aRun.task.job);
+  if (job == nullptr) {
+    return kStallTime;
+  }
+  Millis expected = mForecast.ExpectedTime(
+    job->queue, job->spec.steps[aRun.task.step].estimate);
+  return std::max(kStallTime, expected * kStallPercents / kCompletePercent);
+}
+
+Millis
+RunMonitor::MaxReportDelay(const RunRef& aRun, const RunView& aView) const
 {
   if (aView.progress.Percent() >= kCompletePercent) {
     return Millis::Max();
   }
-  return std::max(kStallTime - aView.progress.ObservedStandstill(), Millis(0));
+  return std::max(
+    StallTimeOf(aRun, aView) - aView.progress.ObservedStandstill(), Millis(0));
 }
 
 bool
@@ -98,17 +119,80 @@
   return out;
 }
 
+bool
+RunMonitor::WasMoved(const RunRef& aRun) const
+{
+  const Job& job = *mState.FindJob(aRun.task.job);
+  const Step& step =
+    job.occurrences[aRun.task.occurrence].steps[aRun.task.step];
+  if (!job.spec.steps[aRun.task.step].gang) {
+    return step.tasks[aRun.task.index].movedForPace;
+  }
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [](const Task& it) {
+    return it.movedForPace;
+  });
+}
+
 Pace
-RunMonitor::PaceOf(const RunRef& aRun, const RunView& aView) const
+RunMonitor::PaceOf(const WorkerId& aWorker,
+                   const RunRef& aRun,
+                   const RunView& aView) const
 {
   const Job* job = mState.FindJob(aRun.task.job);
   if (job == nullptr || job->spec.steps[aRun.task.step].longRunning) {
     return Pace::kUnknown;
   }
-  return JudgePace({ .own = &aView.progress,
-                     .peers = PeersOf(aRun, job->spec.steps[aRun.task.step]),
-                     .learnedTime = mForecast.LearnedTime(job->queue),
-                     .resumesFromCheckpoint = !aView.checkpoint.empty() });
+  PaceInput input{ .own = &aView.progress,
+                   .peers = PeersOf(aRun, job->spec.steps[aRun.task.step]),
+                   .learnedTime = mForecast.LearnedTime(job->queue),
+                   .resumesFromCheckpoint = !aView.checkpoint.empty() };
+  if (mJudgeByStep) {
+    input.stepRate = mStepRates.MedianOfPeers(aRun.task, aWorker, mSpeeds);
+  }
+  Pace pace = JudgePace(input);
+  if (!mJudgeByStep || (pace != Pace::kSlow && pace != Pace::kTooSlow)) {
+    return pace;
+  }
+  // The rates of the step's other runs will show whether the job is long.
+  const Step& step =
+    job->occurrences[aRun.task.occurrence].steps[aRun.task.step];
+  if (input.peers.empty() && !input.stepRate &&
+      step.active > StepRates::kMinPeers) {
+    return Pace::kUnknown;
+  }
+  // Without peers, the run may be slow because its job is long.
+  bool hasPeers = input.stepRate || !input.peers.empty();
+  bool moved = WasMoved(aRun);
+  if (pace == Pace::kTooSlow && !moved) {
+    return pace;
+  }
+  return hasPeers && !moved ? Pace::kSlow : Pace::kUnknown;
+}
+
+std::optional<double>
+RunMonitor::RecordRate(const WorkerId& aWorker,
+                       const RunRef& aRun,
+                       RunView& aView)
+{
+  auto rate = aView.progress.MeanRate();
+  bool known = mJudgeByStep && !aView.speedObserved && rate && *rate > 0 &&
+               aView.progress.Percent() >= kMinRecordedPercent;
+  const Job* job = known ? mState.FindJob(aRun.task.job) : nullptr;
+  if (job == nullptr || job->spec.steps[aRun.task.step].longRunning) {
+    return std::nullopt;
+  }
+  if (!aView.rateRecorded) {
+    aView.rateRecorded = true;
+    mStepRates.Record(aRun.task, aWorker, *rate);
+  }
+  auto expected = mStepRates.MedianOfPeers(aRun.task, aWorker, mSpeeds);
+  if (!expected) {
+    return std::nullopt;
+  }
+  aView.speedObserved = true;
+  return mStepRates.TakeSample(aRun.task, aWorker)
+           ? std::optional(*rate / *expected)
+           : std::nullopt;
 }
 
 RunCost
@@ -124,7 +208,12 @@
   RunCost out;
   out.stopping = MustStop(aRun, *view);
   out.restarts = aRun.attempt.Value() - 1;
-  bool saves = job.spec.steps[aRun.task.step].savesCheckpoints;
+  const StepSpec& spec = job.spec.steps[aRun.task.step];
+  bool saves = spec.savesCheckpoints;
+  auto rate = view->progress.MeanRate();
+  out.totalTime = rate && *rate > 0
+                    ? Millis(static_cast<int64_t>(100'000 / *rate))
+                    : mForecast.ExpectedTime(job.queue, spec.estimate);
   if (view->progress.FirstObservedAt() && !saves) {
     out.lostWork = aNow - *view->progress.FirstObservedAt();
   }
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -68,7 +68,8 @@
              static_cast<EndKind>(it.kind),
              it.checkpoint,
              at,
-             static_cast<CrashEvidence>(it.evidence));
+             static_cast<CrashEvidence>(it.evidence),
+             static_cast<StopReason>(it.stopReason));
   }
   for (const gen::SubmitJob& it : aCommand.jobs) {
     ApplyJob(it);
@@ -85,6 +86,9 @@
   for (const std::string& it : aCommand.forgotten) {
     ApplyForget(JobId(it));
   }
+  for (const gen::WorkerSpeed& it : aCommand.speeds) {
+    ApplySpeed(it);
+  }
   if (mChanges.size() > kMaxChanges) {
     mChanges.clear();
   }
@@ -233,6 +237,7 @@
   // one, because a start in flight may have reached it.
   if (report.incarnation != stored.incarnation) {
     RecordChange({ .kind = Change::Kind::kWorkerJoined, .worker = report.id });
+    it->second.speed.reset();
   }
   if (report.draining && !stored.draining) {
     RecordChange(
@@ -327,7 +332,8 @@
                      EndKind aKind,
                      const std::string& aCheckpoint,
                      Millis aAt,
-                     CrashEvidence aEvidence)
+                     CrashEvidence aEvidence,
+                     StopReason aReason)
 {
   Job* job = nullptr;
   Step* step = nullptr;
@@ -357,7 +363,9 @@
                  .run = aRun,
                  .worker = aWorker,
                  .end = aKind,
-                 .evidence = aEvidence });
+                 .evidence = aEvidence,
+                 .stopReason = aReason });
+  task->movedForPace = task->movedForPace || aReason == StopReason::kSlow;
   job->begun = job->begun || aKind != EndKind::kRejected;
   if (!job->begun && job->activeRuns == 0 &&
       job->status == JobStatus::kRunning) {
@@ -480,6 +488,16 @@
   }
 }
 
+void
+FleetState::ApplySpeed(const gen::WorkerSpeed& aSpeed)
+{
+  auto it = mWorkers.find(WorkerId(aSpeed.worker));
+  if (it != mWorkers.end() && it->second.report.incarnation.Value() ==
+                                static_cast<uint64_t>(aSpeed.incarnation)) {
+    it->second.speed = aSpeed.permille / 1000.0;
+  }
+}
+
 void
 FleetState::UpdateLive(const Job& aJob)
 {
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -64,6 +64,8 @@
   Incarnation incarnation{};
   // The latest checkpoint of an ended run; empty if there is none.
   std::string checkpoint{};
+  // A run was stopped because it was slow.
+  bool movedForPace = false;
 };
 
 // A task is suspected of crashing its workers and is tried apart from other
@@ -136,6 +138,8 @@
   Resources used{};
   // Runs whose end is not known yet.
   std::set<RunRef> active{};
+  // Speed relative to the median of the workers; empty if it is not known.
+  std::optional<double> speed{};
 };
 
 // An effect of a command, for logs and counters.
@@ -162,6 +166,7 @@
   // Set for `kRunEnded`.
   EndKind end = EndKind::kDone;
   CrashEvidence evidence = CrashEvidence::kNone;
+  StopReason stopReason = StopReason::kNone;
   // Set for changes of a zone.
   ZoneId zone{};
 };
@@ -239,8 +244,10 @@
                 EndKind aKind,
                 const std::string& aCheckpoint,
                 Millis aAt,
-                CrashEvidence aEvidence = CrashEvidence::kNone);
+                CrashEvidence aEvidence = CrashEvidence::kNone,
+                StopReason aReason = StopReason::kNone);
   void ApplyForget(const JobId& aId);
+  void ApplySpeed(const gen::WorkerSpeed& aSpeed);
 
   // Ends all runs on a worker as lost.
   void EndRunsOf(const WorkerId& aId, Millis aAt);
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -39,6 +39,7 @@
     task.crashes = static_cast<int32_t>(it.crashes);
     task.crashesAtStart = static_cast<int32_t>(it.crashesAtStart);
     task.incarnation = static_cast<int64_t>(it.incarnation.Value());
+    task.movedForPace = it.movedForPace;
     out.tasks.push_back(std::move(task));
   }
   out.gangFailures = static_cast<int32_t>(aStep.gangFailures);
@@ -61,6 +62,7 @@
     task.crashes = static_cast<uint32_t>(it.crashes);
     task.crashesAtStart = static_cast<uint32_t>(it.crashesAtStart);
     task.incarnation = Incarnation(static_cast<uint64_t>(it.incarnation));
+    task.movedForPace = it.movedForPace;
     out.done += task.phase == Task::Phase::kDone ? 1 : 0;
     out.active += task.phase == Task::Phase::kActive ? 1 : 0;
   }
@@ -128,6 +130,13 @@
   }
   for (const auto& [id, worker] : aState.mWorkers) {
     out.workers.push_back(ToWire(worker.report));
+    if (worker.speed) {
+      gen::WorkerSpeed& speed = out.speeds.emplace_back();
+      speed.worker = id.Value();
+      speed.incarnation =
+        static_cast<int64_t>(worker.report.incarnation.Value());
+      speed.permille = static_cast<int32_t>(*worker.speed * 1000);
+    }
   }
   return out;
 }
@@ -144,6 +153,7 @@
     base.jobs.push_back(it.job);
   }
   base.refused = aSnapshot.refused;
+  base.speeds = aSnapshot.speeds;
   aState.Apply(base);
   for (const gen::EvacuatedZone& it : aSnapshot.evacuatedZones) {
     aState.mEvacuatedZones[ZoneId(it.zone)] = Millis(it.sinceMs);
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -14,8 +14,9 @@
 
 } // namespace
 
-FleetFixture::FleetFixture()
-  : mDispatcher(std::make_unique<Dispatcher>(mOptions, mState, mToken, mNow))
+FleetFixture::FleetFixture(DispatcherOptions aOptions)
+  : mOptions(aOptions)
+  , mDispatcher(std::make_unique<Dispatcher>(mOptions, mState, mToken, mNow))
 {
 }
 
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -26,7 +26,7 @@
     kUnanswered,
   };
 
-  FleetFixture();
+  explicit FleetFixture(DispatcherOptions aOptions = {});
 
   // Adds a worker with eight accelerators that has reported and, with
   // `kAnswered`, has answered its first renewal.
--- a/packages/fleet/types.cc
+++ b/packages/fleet/types.cc
@@ -53,4 +53,22 @@
   return "none";
 }
 
+std::string_view
+StopReasonName(StopReason aReason)
+{
+  switch (aReason) {
+    case StopReason::kNone:
+      return "not_needed";
+    case StopReason::kSlow:
+      return "slow";
+    case StopReason::kStalled:
+      return "stalled";
+    case StopReason::kPreempted:
+      return "preempted";
+    case StopReason::kUnanswered:
+      break;
+  }
+  return "unanswered";
+}
+
 } // namespace limpetwood::fleet
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -229,6 +229,27 @@
 std::string_view
 EndKindName(EndKind aKind);
 
+// Why the leader stopped a run whose job goes on. The values are stored; they
+// must not change.
+enum class StopReason
+{
+  // The run was not stopped, or its job or gang could not continue.
+  kNone,
+  // A new run on another worker was expected to end sooner.
+  kSlow,
+  // It made no progress.
+  kStalled,
+  // A more urgent job needed its resources.
+  kPreempted,
+  // Its start received no answer.
+  kUnanswered,
+};
+
+inline constexpr int kStopReasonCount = 5;
+
+std::string_view
+StopReasonName(StopReason aReason);
+
 // What the time of a worker's crash says about the part of one of its runs in
 // it. The values are stored; they must not change.
 enum class CrashEvidence
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -41,6 +41,8 @@
   // an earlier leader started.
   bool begun = false;
   bool stopRequested = false;
+  // Why, unless the job or the gang cannot continue.
+  StopReason stopReason = StopReason::kNone;
   bool stopAnswered = false;
   // Time of the latest stop, on the leader's clock. The initial value is long
   // enough ago that the first stop is sent without delay.
@@ -52,6 +54,9 @@
   Millis trackedSince{};
   // The worker listed the run when it had been active for `kStartWatchTime`.
   bool passedStart = false;
+  // Its rate was recorded, and compared with those of its step.
+  bool rateRecorded = false;
+  bool speedObserved = false;
   // Set if the worker's process that the run was started on has ended without
   // notice.
   std::optional<CrashEvidence> crash{};
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -79,6 +79,7 @@
         .idle = worker.active.empty(),
         .isNew = aNow - mLinks.at(id).CreatedAt() < kNewWorkerTime,
         .isCold = aNow < mLinks.at(id).coldUntil,
+        .speed = mSpeeds.ClassOf(id),
         .faultScore = mHealth.FaultScoreOf(id, aNow) });
   }
   // If a large part of the workers looks faulty, the jobs are the likelier
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -14,6 +14,7 @@
 #include "fleet/run_monitor.h"
 #include "fleet/state.h"
 #include "fleet/worker_link.h"
+#include "fleet/worker_speeds.h"
 
 #include <vector>
 
@@ -32,12 +33,14 @@
              const Health& aHealth,
              const Proposals& aProposals,
              const RunMonitor& aMonitor,
+             const WorkerSpeeds& aSpeeds,
              Millis aHeartbeatInterval)
     : mState(aState)
     , mLinks(aLinks)
     , mHealth(aHealth)
     , mProposals(aProposals)
     , mMonitor(aMonitor)
+    , mSpeeds(aSpeeds)
     , mHeartbeatInterval(aHeartbeatInterval)
   {
   }
@@ -63,6 +66,7 @@
   const Health& mHealth;
   const Proposals& mProposals;
   const RunMonitor& mMonitor;
+  const WorkerSpeeds& mSpeeds;
   const Millis mHeartbeatInterval;
 };
 
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -75,6 +75,9 @@
   options.dispatcher.leaseDuration = aSettings.bounds.maxLease;
   options.dispatcher.heartbeatInterval = aSettings.bounds.heartbeatInterval;
   options.dispatcher.maxStopTime = aSettings.bounds.maxStopTime;
+  bool callerCost = aSettings.overloadPolicy == OverloadPolicy::kCallerCost;
+  options.dispatcher.callerCost = callerCost;
+  options.dispatcher.planner.callerCost = callerCost;
   // 600 ms in addition to the maximum stop time, for the answer to the stop
   // order.
   options.dispatcher.planner.reclaimTimeout =
--- a/packages/fleetd/settings.cc
+++ b/packages/fleetd/settings.cc
@@ -197,6 +197,18 @@
   }
 }
 
+void
+ReadOverloadPolicy(ObjectReader& aReader, Settings& aOut)
+{
+  std::string text = "priority";
+  aReader.ReadString("overloadPolicy", text, false);
+  if (text == "caller_cost") {
+    aOut.overloadPolicy = OverloadPolicy::kCallerCost;
+  } else if (text != "priority") {
+    aReader.AddFault("overloadPolicy", text, "priority or caller_cost");
+  }
+}
+
 } // namespace
 
 SettingsResult
@@ -226,6 +238,7 @@
   settings.firstPort = static_cast<uint16_t>(port);
   ReadSeeds(reader, settings);
   ReadZones(reader, settings);
+  ReadOverloadPolicy(reader, settings);
   reader.ReadBool("firstStart", settings.firstStart);
   std::string folder;
   reader.ReadString("dataFolder", folder, false);
--- a/packages/fleetd/settings.h
+++ b/packages/fleetd/settings.h
@@ -35,6 +35,15 @@
   uint32_t toleratedInstances = 1;
 };
 
+// How work is delayed and refused when there is too little capacity.
+enum class OverloadPolicy
+{
+  // By priority and deadline.
+  kPriority,
+  // By what a delay costs callers, with long jobs told from slow workers.
+  kCallerCost,
+};
+
 struct Settings
 {
   InstanceId instance;
@@ -63,6 +72,7 @@
   std::optional<http::Endpoint> readinessEndpoint;
   std::optional<http::Endpoint> controlEndpoint;
   Bounds bounds;
+  OverloadPolicy overloadPolicy = OverloadPolicy::kPriority;
 };
 
 struct SettingsResult
--- a/packages/fleetd/settings_test.cc
+++ b/packages/fleetd/settings_test.cc
@@ -63,6 +63,20 @@
   EXPECT_TRUE(HasFaultAt(settings, "/zones"));
 }
 
+// Guards against a misspelled policy that silently keeps the default.
+TEST(FleetSettings, ReadsTheOverloadPolicy)
+{
+  nlohmann::json settings = ValidSettings();
+  EXPECT_EQ(ParseSettings(settings.dump()).value.overloadPolicy,
+            OverloadPolicy::kPriority);
+  settings["overloadPolicy"] = "caller_cost";
+  SettingsResult result = ParseSettings(settings.dump());
+  ASSERT_TRUE(result.Ok());
+  EXPECT_EQ(result.value.overloadPolicy, OverloadPolicy::kCallerCost);
+  settings["overloadPolicy"] = "callercost";
+  EXPECT_TRUE(HasFaultAt(settings, "/overloadPolicy"));
+}
+
 TEST(FleetSettings, MissingValuesAreFaults)
 {
   for (const char* key : { "instance",
