--- /dev/null
+++ b/packages/fleet/experiment/options.h
@@ -0,0 +1,92 @@
+// Parameters of an emulated fleet: the workers, their faults and the load.
+
+#pragma once
+
+#include "fleet/planner.h"
+
+#include <string>
+#include <vector>
+
+namespace limpetwood::fleet::experiment {
+
+// Interval of the emulation. All times of disturbances are multiples of it.
+inline constexpr Millis kTickInterval(10);
+
+// Parameters of one class of jobs.
+struct JobClass
+{
+  std::string name;
+  int32_t priority = 0;
+  double arrivalsPerSecond = 1;
+  double meanTasks = 4;
+  // Mean run time of a task; jobs vary by 40 percent around it.
+  Millis meanRunTime = Millis(2500);
+  // Possible numbers of accelerators per task; each job draws one.
+  std::vector<int64_t> accelerators{ 1 };
+  // Millicores per task.
+  int64_t cpu = 8000;
+  bool gang = true;
+  double oneRackProbability = 0.6;
+  double checkpointProbability = 0;
+  double stretch = 1.5;
+  Millis targetLatency = Millis(250);
+  // Value of a result in time, and of a late one, relative to other classes.
+  double value = 1;
+  double lateValue = 0.2;
+  uint32_t maxAttempts = 3;
+};
+
+struct Disturbance
+{
+  enum class Kind
+  {
+    // Multiplies the load of the first class by `factor`.
+    kBurst,
+    // A share of the workers hangs, runs slower by `factor`, or fails all runs.
+    kHang,
+    kSlow,
+    kFail,
+    // A share of the workers is lost for good.
+    kLoss,
+    // Of a share of the jobs of the first class, the last task crashes each
+    // worker that starts it. The workers come back after some seconds.
+    kDeadly,
+    // A share of the workers has an eighth of its accelerators.
+    kResize,
+  };
+
+  Kind kind = Kind::kBurst;
+  // Start, relative to the start of the run; `at` and `duration` must be
+  // multiples of 10 ms.
+  Millis at{};
+  Millis duration{};
+  // Share of the workers or jobs that is affected; unused for bursts.
+  double share = 0.1;
+  // Factor of the load or of the slowdown; unused otherwise.
+  double factor = 2;
+};
+
+// Whether the disturbance is in effect at this time from the start of the run.
+inline bool
+IsActive(const Disturbance& aDisturbance, Millis aElapsed)
+{
+  return aElapsed >= aDisturbance.at &&
+         aElapsed < aDisturbance.at + aDisturbance.duration;
+}
+
+struct EmulatorOptions
+{
+  uint64_t seed = 1;
+  size_t workers = 48;
+  size_t workersPerRack = 8;
+  Resources capacity{ .cpu = 128'000, .memoryMb = 512'000, .accelerators = 8 };
+  Millis maxStopTime = Millis(500);
+  Millis duration = Seconds(40);
+  // Time after the last arrival in which jobs may still end.
+  Millis drainTime = Seconds(30);
+  std::vector<JobClass> classes{};
+  std::vector<Disturbance> disturbances{};
+  PlannerOptions planner{};
+};
+
+} // namespace limpetwood::fleet::experiment
