Give emulated workers a speed and track gangs by attempt

Cause: one worker in four of a new deployment runs at less than half of the others' speed, which the emulator could not show. It also searched all workers for the members of a gang in each tick, which is too slow for 350 workers.

A gang ends when its slowest member has finished; by default all members progress at the speed of the slowest, and `GangPace::kOwnSpeed` lets each progress at its own. Workers keep the members of each gang attempt and update them on starts and ends.

--- a/packages/fleet/experiment/options.h
+++ b/packages/fleet/experiment/options.h
@@ -74,12 +74,28 @@
          aElapsed < aDisturbance.at + aDisturbance.duration;
 }
 
+// How the members of a gang progress on workers of different speeds. The gang
+// ends when its slowest member has finished in both cases.
+enum class GangPace
+{
+  // All members progress at the speed of the slowest one.
+  kSlowestMember,
+  // Each member progresses at its own speed and waits for the others at the
+  // end, so that the members' progress shows which worker is slow.
+  kOwnSpeed,
+};
+
 struct EmulatorOptions
 {
   uint64_t seed = 1;
   size_t workers = 48;
   size_t workersPerRack = 8;
   Resources capacity{ .cpu = 128'000, .memoryMb = 512'000, .accelerators = 8 };
+  // A share of the workers, chosen at random, has this speed relative to the
+  // others.
+  double slowWorkerShare = 0;
+  double slowWorkerSpeed = 0.45;
+  GangPace gangPace = GangPace::kSlowestMember;
   Millis maxStopTime = Millis(500);
   Millis duration = Seconds(40);
   // Time after the last arrival in which jobs may still end.
--- a/packages/fleet/experiment/workers.cc
+++ b/packages/fleet/experiment/workers.cc
@@ -45,6 +45,24 @@
   for (auto& [id, worker] : mWorkers) {
     worker.position = position++;
   }
+  ChooseSlowWorkers();
+}
+
+void
+EmulatedWorkers::ChooseSlowWorkers()
+{
+  std::vector<WorkerState*> others;
+  for (auto& [id, worker] : mWorkers) {
+    others.push_back(&worker);
+  }
+  Random random(mOptions.seed + 4);
+  double share = std::clamp(mOptions.slowWorkerShare, 0.0, 1.0);
+  auto count =
+    static_cast<size_t>(share * static_cast<double>(mOptions.workers) + 0.5);
+  for (size_t n = 0; n < count; ++n) {
+    std::swap(others[n], others[n + random.Below(others.size() - n)]);
+    others[n]->speed = mOptions.slowWorkerSpeed;
+  }
 }
 
 void
@@ -174,9 +192,7 @@
   while (!aWorker.runs.empty()) {
     auto [task, run] = *aWorker.runs.begin();
     EndRun(aWorker, task, EndKind::kLost, true);
-    if (run.spec->steps[task.step].gang) {
-      EndGang(run, EndKind::kGangMemberEnded);
-    }
+    EndGang(run, EndKind::kGangMemberEnded);
   }
   aWorker.ended.clear();
 }
@@ -187,6 +203,7 @@
   aWorker.restartAt = Millis::Max();
   WorkerState next;
   next.position = aWorker.position;
+  next.speed = aWorker.speed;
   next.report = aWorker.report;
   next.report.incarnation = Incarnation(mNow.Count());
   next.report.sequence = 0;
@@ -277,6 +294,10 @@
 {
   const TaskRef& task = aOrder.run.task;
   CheckStart(aWorker, task);
+  if (aWorker.runs.contains(task)) {
+    // The later attempt replaces the earlier one, which is a violation.
+    EndRun(aWorker, task, EndKind::kStopped, true);
+  }
   const JobInfo& job = mWorkload.Find(task.job);
   const JobSpec& spec = mState.FindJob(task.job)->spec;
   aWorker.usedAccelerators += spec.steps[task.step].resources.accelerators;
@@ -284,6 +305,7 @@
   RunState& run = aWorker.runs[task];
   run = { .run = aOrder.run,
           .spec = &spec,
+          .gang = UpdateGang(aOrder.run, spec.steps[task.step], &aWorker),
           .startedAt = mNow,
           .done = saved,
           .work = static_cast<double>(job.work.Count()) };
@@ -293,51 +315,60 @@
   mMetrics.OnRunStarted(task.job, mNow);
 }
 
-bool
-EmulatedWorkers::IsGangPresent(const RunState& aRun) const
+EmulatedWorkers::Gang*
+EmulatedWorkers::UpdateGang(const RunRef& aRun,
+                            const StepSpec& aStep,
+                            WorkerState* aWorker)
 {
-  const TaskRef& task = aRun.run.task;
-  const StepSpec& step = aRun.spec->steps[task.step];
-  if (!step.gang) {
-    return true;
-  }
-  for (uint32_t n = 0; n < step.tasks; ++n) {
-    TaskRef member = task;
-    member.index = n;
-    const Task* state = mState.FindTask(member);
-    if (state == nullptr || state->phase != Task::Phase::kActive) {
-      return false;
-    }
-    auto worker = mWorkers.find(state->worker);
-    if (worker == mWorkers.end() || !worker->second.runs.contains(member)) {
-      return false;
+  if (!aStep.gang) {
+    return nullptr;
+  }
+  RunRef key = aRun;
+  key.task.index = 0;
+  Gang& gang = mGangs[key];
+  if (aWorker != nullptr) {
+    gang.members[aRun.task.index] = aWorker;
+  } else {
+    gang.members.erase(aRun.task.index);
+  }
+  if (gang.members.empty()) {
+    mGangs.erase(key);
+    return nullptr;
+  }
+  const WorkerState& first = *gang.members.begin()->second;
+  gang.complete = gang.members.size() == aStep.tasks;
+  gang.slowestSpeed = first.speed;
+  gang.rackSlowdown = 1;
+  for (const auto& [index, worker] : gang.members) {
+    gang.slowestSpeed = std::min(gang.slowestSpeed, worker->speed);
+    if (aStep.prefersOneRack && worker->report.rack != first.report.rack) {
+      gang.rackSlowdown = kMultiRackSlowdown;
     }
   }
-  return true;
+  return &gang;
 }
 
 double
-EmulatedWorkers::RackSlowdown(const RunState& aRun) const
+EmulatedWorkers::RateOf(const RunState& aRun, const WorkerState& aWorker) const
 {
-  const StepSpec& step = aRun.spec->steps[aRun.run.task.step];
-  if (!step.prefersOneRack || !step.gang) {
-    return 1;
-  }
-  std::optional<RackId> rack;
-  for (uint32_t n = 0; n < step.tasks; ++n) {
-    TaskRef member = aRun.run.task;
-    member.index = n;
-    const Task* task = mState.FindTask(member);
-    auto worker = mWorkers.find(task->worker);
-    if (worker == mWorkers.end()) {
-      continue;
-    }
-    if (rack && *rack != worker->second.report.rack) {
-      return kMultiRackSlowdown;
-    }
-    rack = worker->second.report.rack;
+  if (aRun.gang == nullptr) {
+    return aWorker.speed / aWorker.slowdown;
   }
-  return 1;
+  bool lockstep = mOptions.gangPace == GangPace::kSlowestMember;
+  return (lockstep ? aRun.gang->slowestSpeed : aWorker.speed) /
+         (aWorker.slowdown * aRun.gang->rackSlowdown);
+}
+
+bool
+EmulatedWorkers::IsFinished(const Gang& aGang, const TaskRef& aMember)
+{
+  return std::all_of(
+    aGang.members.begin(), aGang.members.end(), [&](const auto& aEntry) {
+      TaskRef member = aMember;
+      member.index = aEntry.first;
+      const RunState& run = aEntry.second->runs.at(member);
+      return run.done >= run.work;
+    });
 }
 
 void
@@ -349,6 +380,7 @@
   RunState run = aWorker.runs.at(aTask);
   const StepSpec& step = run.spec->steps[aTask.step];
   aWorker.runs.erase(aTask);
+  UpdateGang(run.run, step, nullptr);
   aWorker.usedAccelerators -= step.resources.accelerators;
   bool saved = step.savesCheckpoints && aKind != EndKind::kLost;
   mMetrics.OnRunEnded(step, mNow - run.startedAt, aWasted && !saved);
@@ -362,18 +394,17 @@
 void
 EmulatedWorkers::EndGang(const RunState& aRun, EndKind aKind)
 {
-  const TaskRef& task = aRun.run.task;
-  for (auto& [id, worker] : mWorkers) {
-    std::vector<TaskRef> members;
-    for (const auto& [member, run] : worker.runs) {
-      if (member.job == task.job && member.step == task.step &&
-          member.occurrence == task.occurrence) {
-        members.push_back(member);
-      }
-    }
-    for (const TaskRef& it : members) {
-      EndRun(worker, it, aKind, aKind != EndKind::kDone);
-    }
+  RunRef key = aRun.run;
+  key.task.index = 0;
+  auto gang = mGangs.find(key);
+  if (gang == mGangs.end()) {
+    return;
+  }
+  // Ends the runs of a copy, because each end changes the gang.
+  for (const auto& [index, worker] : std::map(gang->second.members)) {
+    TaskRef member = aRun.run.task;
+    member.index = index;
+    EndRun(*worker, member, aKind, aKind != EndKind::kDone);
   }
 }
 
@@ -382,32 +413,23 @@
 {
   std::vector<std::pair<TaskRef, EndKind>> ends;
   for (auto& [task, run] : aWorker.runs) {
+    bool present = run.gang == nullptr || run.gang->complete;
     if (run.stopAt <= mNow) {
       ends.emplace_back(task, EndKind::kStopped);
     } else if (aWorker.failing) {
       ends.emplace_back(task, EndKind::kFailed);
-    } else if (!aWorker.hanging && IsGangPresent(run)) {
-      run.done += static_cast<double>(kTickInterval.Count()) /
-                  (aWorker.slowdown * RackSlowdown(run));
-      if (run.done >= run.work && !run.spec->steps[task.step].gang) {
+    } else if (!aWorker.hanging && present) {
+      run.done +=
+        static_cast<double>(kTickInterval.Count()) * RateOf(run, aWorker);
+      if (run.done >= run.work && run.gang == nullptr) {
         ends.emplace_back(task, EndKind::kDone);
       }
     }
   }
   // A gang completes when its slowest member has finished.
-  for (auto& [task, run] : aWorker.runs) {
-    const StepSpec& step = run.spec->steps[task.step];
-    if (!step.gang || task.index != 0 || run.done < run.work) {
-      continue;
-    }
-    bool all = true;
-    for (const auto& [id, other] : mWorkers) {
-      for (const auto& [member, peer] : other.runs) {
-        bool same = member.job == task.job && member.step == task.step;
-        all = all && (!same || peer.done >= peer.work);
-      }
-    }
-    if (all && IsGangPresent(run)) {
+  for (const auto& [task, run] : aWorker.runs) {
+    if (run.gang != nullptr && task.index == 0 && run.done >= run.work &&
+        run.gang->complete && IsFinished(*run.gang, task)) {
       ends.emplace_back(task, EndKind::kDone);
     }
   }
@@ -418,9 +440,7 @@
     }
     RunState run = it->second;
     EndRun(aWorker, task, kind, kind != EndKind::kDone);
-    if (run.spec->steps[task.step].gang) {
-      EndGang(run, kind == EndKind::kDone ? kind : EndKind::kGangMemberEnded);
-    }
+    EndGang(run, kind == EndKind::kDone ? kind : EndKind::kGangMemberEnded);
   }
 }
 
--- a/packages/fleet/experiment/workers.h
+++ b/packages/fleet/experiment/workers.h
@@ -32,10 +32,26 @@
   void Deliver(const Order& aOrder, Dispatcher& aDispatcher);
 
 private:
+  struct WorkerState;
+
+  // One attempt of a gang, while any of its members is on a worker.
+  struct Gang
+  {
+    // Workers of the members that are present, by index of the task.
+    std::map<uint32_t, WorkerState*> members{};
+    // Whether all members are present.
+    bool complete = false;
+    // The lowest speed of the members' workers.
+    double slowestSpeed = 1;
+    double rackSlowdown = 1;
+  };
+
   struct RunState
   {
     RunRef run{};
     const JobSpec* spec = nullptr;
+    // Null if the task is not a member of a gang.
+    Gang* gang = nullptr;
     Millis startedAt{};
     // Completed and total work, in milliseconds at normal speed.
     double done = 0;
@@ -57,6 +73,7 @@
     Millis restartAt = Millis::Max();
     bool hanging = false;
     bool failing = false;
+    double speed = 1;
     double slowdown = 1;
     std::map<TaskRef, RunState> runs{};
     std::vector<EndedRun> ended{};
@@ -75,6 +92,7 @@
     size_t startsAfterLimit = 0;
   };
 
+  void ChooseSlowWorkers();
   void Disturb(WorkerState& aWorker,
                const Disturbance& aDisturbance,
                bool aBegins);
@@ -87,8 +105,15 @@
   // Counts the violations by a start on the worker.
   void CheckStart(const WorkerState& aWorker, const TaskRef& aTask);
   bool CrashesWorker(const TaskRef& aTask) const;
-  bool IsGangPresent(const RunState& aRun) const;
-  double RackSlowdown(const RunState& aRun) const;
+  // Adds a member to its gang, or removes it if `aWorker` is null, and returns
+  // the gang; null for tasks that are not members of one, and for empty gangs.
+  Gang* UpdateGang(const RunRef& aRun,
+                   const StepSpec& aStep,
+                   WorkerState* aWorker);
+  // Work that the run completes per millisecond.
+  double RateOf(const RunState& aRun, const WorkerState& aWorker) const;
+  // Whether all members of the gang have completed their work.
+  static bool IsFinished(const Gang& aGang, const TaskRef& aMember);
   void EndRun(WorkerState& aWorker,
               const TaskRef& aTask,
               EndKind aKind,
@@ -105,6 +130,8 @@
   Random mCrashes;
   Millis mNow{};
   std::map<WorkerId, WorkerState> mWorkers;
+  // By attempt; the index of the task is 0.
+  std::map<RunRef, Gang> mGangs;
   std::map<TaskRef, CrashRecord> mCrashRecords;
 };
 
