Emulate the loads of an overloaded and uneven fleet

Cause: the emulator had one kind of run times, estimates that are wrong by a factor of two, one workspace, no cancellations and no refusals, so it could not show decisions under the loads of docs/design/evacuation-and-overload.md, section 3.1.

Change: options for a share of jobs that take several times as long, for the range of wrong estimates, for several workspaces of which one may flood the fleet, for a wave of cancellations, and for admission with callers that return after Retry-After. A job's objective is its target latency plus the stretch times the true run time of its longest chain. Outcomes have, by priority, the mean value of jobs, stops by reason, work thrown away and broken gangs, and counts of where all jobs and runs went.

The emulator now tells the dispatcher that a job ended, as `Node` does.

--- a/packages/fleet/experiment/emulator.cc
+++ b/packages/fleet/experiment/emulator.cc
@@ -1,5 +1,7 @@
 #include "fleet/experiment/emulator.h"
 
+#include "fleet/admission.h"
+
 namespace limpetwood::fleet::experiment {
 
 namespace {
@@ -27,11 +29,15 @@
 {
   gen::Configuration configuration;
   configuration.version = 1;
-  gen::Workspace workspace;
-  workspace.name = Workload::kWorkspace;
-  workspace.guaranteedAccelerators =
-    static_cast<int64_t>(mOptions.workers) * mOptions.capacity.accelerators / 2;
-  configuration.workspaces.push_back(workspace);
+  int64_t accelerators =
+    static_cast<int64_t>(mOptions.workers) * mOptions.capacity.accelerators;
+  for (size_t n = 0; n < mOptions.workspaces; ++n) {
+    gen::Workspace workspace;
+    workspace.name = Workload::WorkspaceName(n);
+    workspace.guaranteedAccelerators =
+      accelerators / 2 / static_cast<int64_t>(mOptions.workspaces);
+    configuration.workspaces.push_back(workspace);
+  }
   gen::Command command;
   command.__set_configuration(configuration);
   mState.Apply(command);
@@ -41,11 +47,9 @@
 Emulator::Run()
 {
   Millis end = mBegin + mOptions.duration + mOptions.drainTime;
-  for (; mNow < end; mNow += kTickInterval) {
+  for (; mNow < end && !IsDrained(); mNow += kTickInterval) {
     mWorkers.BeginTick(mNow - mBegin, mNow);
-    if (mNow < mBegin + mOptions.duration) {
-      SubmitArrivals();
-    }
+    SendRequests();
     mWorkers.Advance(mDispatcher);
     Commit();
     mDispatcher.Tick(mNow, mNow);
@@ -55,24 +59,77 @@
     for (const Order& it : mDispatcher.TakeOrders()) {
       mWorkers.Deliver(it, mDispatcher);
     }
-    mDispatcher.TakeEvents();
-    mState.TakeChanges();
-    mMetrics.AccountEndedJobs(mNow);
+    HandleDecisions();
   }
-  mMetrics.AccountLiveJobs();
+  mMetrics.Finish(mNow);
+  mMetrics.Counters().counts.runsActive = mWorkers.ActiveRuns();
   return mMetrics.Result();
 }
 
+bool
+Emulator::IsDrained() const
+{
+  return mNow >= mBegin + mOptions.duration && mWorkload.Returning() == 0 &&
+         mState.LiveJobs().empty();
+}
+
 void
-Emulator::SubmitArrivals()
+Emulator::SendRequests()
 {
-  for (gen::SubmitJob& it : mWorkload.TakeArrivals(mNow)) {
-    JobId id(it.id);
-    gen::Command command;
-    command.jobs.push_back(std::move(it));
+  if (mNow < mBegin + mOptions.duration) {
+    for (gen::SubmitJob& it : mWorkload.TakeArrivals(mNow)) {
+      mMetrics.OnSubmitted(JobId(it.id));
+      Submit(std::move(it));
+    }
+  }
+  for (gen::SubmitJob& it : mWorkload.TakeReturns(mNow)) {
+    Submit(std::move(it));
+  }
+  gen::Command command;
+  command.atMs = mNow.Count();
+  for (const JobId& it : mWorkload.TakeCancellations(mNow)) {
+    command.cancelled.push_back(it.Value());
+  }
+  if (!command.cancelled.empty()) {
     mState.Apply(command);
-    mDispatcher.OnChanged();
-    mMetrics.OnAccepted(id);
+  }
+}
+
+void
+Emulator::Submit(gen::SubmitJob aJob)
+{
+  if (mOptions.admissionEnabled) {
+    AdmissionVerdict verdict =
+      Admit(FleetState::JobFromSubmission(aJob),
+            { .state = &mState,
+              .forecast = &mDispatcher.GetForecast(),
+              .usable = mDispatcher.UsableResources(mNow) });
+    if (!verdict.accepted) {
+      JobId id(aJob.id);
+      // Callers are told the delay in whole seconds, rounded up.
+      Millis retryAfter = Seconds((verdict.retryAfter.Count() + 999) / 1000);
+      bool returns = mWorkload.OnRefused(std::move(aJob), retryAfter, mNow);
+      mMetrics.OnRefused(id, !returns);
+      return;
+    }
+  }
+  gen::Command command;
+  command.jobs.push_back(std::move(aJob));
+  mState.Apply(command);
+  mDispatcher.OnChanged();
+}
+
+void
+Emulator::HandleDecisions()
+{
+  for (const LogEvent& it : mDispatcher.TakeEvents()) {
+    mMetrics.OnEvent(it);
+  }
+  for (const Change& it : mState.TakeChanges()) {
+    if (it.kind == Change::Kind::kJobEnded) {
+      mDispatcher.OnJobEnded(it.run.task.job, mNow);
+    }
+    mMetrics.OnChange(it, mNow);
   }
 }
 
--- a/packages/fleet/experiment/emulator.h
+++ b/packages/fleet/experiment/emulator.h
@@ -31,8 +31,16 @@
 
   Outcomes Run();
 
+  const FleetState& State() const { return mState; }
+  const DispatcherCounters& Counters() const { return mDispatcher.Counters(); }
+
 private:
-  void SubmitArrivals();
+  // Submits the jobs that arrive or return, and sends the cancellations.
+  void SendRequests();
+  void Submit(gen::SubmitJob aJob);
+  void HandleDecisions();
+  // Whether nothing is left to do after the last arrival.
+  bool IsDrained() const;
   void Commit();
 
   const EmulatorOptions mOptions;
--- a/packages/fleet/experiment/metrics.h
+++ b/packages/fleet/experiment/metrics.h
@@ -2,10 +2,12 @@
 
 #pragma once
 
+#include "base/log_event.h"
 #include "fleet/experiment/workload.h"
 #include "fleet/state.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,11 +23,73 @@
   double maxValue = 0;
   // Times from submission to the first start.
   std::vector<Millis> startDelays;
+  // Times from submission to the end of completed jobs.
+  std::vector<Millis> latencies;
+};
+
+// The jobs of one priority. Jobs whose tasks crash workers are not included.
+struct PriorityOutcome
+{
+  // Jobs that were submitted, whether they were accepted or not.
+  size_t jobs = 0;
+  // Refused submissions, and jobs whose callers gave up after the last one.
+  size_t refusals = 0;
+  size_t givenUp = 0;
+  // Jobs that are not rated: cancelled by their callers, or unfinished at the
+  // end of the run but not late enough to be without value.
+  size_t cancelled = 0;
+  size_t open = 0;
+  // Rated jobs: 1 is earned in time, less if late, and nothing for a result
+  // beyond three times the objective, a failed job, or a caller that gave up.
+  size_t rated = 0;
+  size_t inTime = 0;
+  double value = 0;
+  // The rated jobs of workspaces that do not flood the fleet.
+  size_t othersRated = 0;
+  double othersValue = 0;
+  // Stopped runs.
+  size_t tooSlow = 0;
+  size_t stalled = 0;
+  size_t preempted = 0;
+  // Tasks that were stopped more than once for being too slow.
+  size_t repeatedlyTooSlow = 0;
+  // Accelerator seconds in use, and of those the ones whose work was thrown
+  // away. Work on jobs that their callers cancelled is not thrown away.
+  double usedAcceleratorSeconds = 0;
+  double lostAcceleratorSeconds = 0;
+  // Attempts of gangs that ended before they were done, after a member had
+  // started, for whatever reason except a cancellation by the caller.
+  size_t brokenGangs = 0;
+
+  double InTimeShare() const;
+  double MeanValue() const;
+  double OthersMeanValue() const;
+  void Add(const PriorityOutcome& aOther);
+};
+
+// Where all jobs and runs went.
+struct Counts
+{
+  size_t submitted = 0;
+  size_t accepted = 0;
+  size_t givenUp = 0;
+  // Refused callers that have not returned yet.
+  size_t returning = 0;
+  size_t completed = 0;
+  size_t failed = 0;
+  size_t cancelled = 0;
+  size_t live = 0;
+  // Runs on the workers.
+  size_t runsStarted = 0;
+  size_t runsEnded = 0;
+  size_t runsActive = 0;
 };
 
 struct Outcomes
 {
   std::map<std::string, ClassOutcome> classes;
+  std::map<int32_t, PriorityOutcome> priorities;
+  Counts counts;
   // Accelerator seconds in use, and of those the ones whose work was lost.
   double usedAcceleratorSeconds = 0;
   double wastedAcceleratorSeconds = 0;
@@ -42,7 +106,8 @@
   double ValueRatio() const;
 };
 
-// Collects the outcomes. Jobs whose tasks crash workers are not counted.
+// Collects the outcomes. Jobs whose tasks crash workers are only part of
+// `Counts`.
 class Metrics
 {
 public:
@@ -53,23 +118,40 @@
   {
   }
 
-  void OnAccepted(const JobId& aJob);
+  void OnSubmitted(const JobId& aJob);
+  void OnRefused(const JobId& aJob, bool aGivesUp);
   void OnRunStarted(const JobId& aJob, Millis aNow);
-  // A run of the step ended on its worker; its work is lost if `aWasted`.
-  void OnRunEnded(const StepSpec& aStep, Millis aDuration, bool aWasted);
-  // Accounts for the jobs that ended since the last call.
-  void AccountEndedJobs(Millis aNow);
-  // Accounts for the jobs that have not ended by the end of the run.
-  void AccountLiveJobs();
+  // A run ended on its worker; its work is lost if `aWasted`.
+  void OnRunEnded(const TaskRef& aTask, Millis aDuration, bool aWasted);
+  // A change of the replicated state.
+  void OnChange(const Change& aChange, Millis aNow);
+  // A decision of the dispatcher.
+  void OnEvent(const LogEvent& aEvent);
+  // Accounts for what has not ended by the end of the run.
+  void Finish(Millis aNow);
 
   // Counters that the emulated workers increment.
   Outcomes& Counters() { return mOutcomes; }
   const Outcomes& Result() const { return mOutcomes; }
 
 private:
+  PriorityOutcome& PriorityOf(const JobInfo& aJob)
+  {
+    return mOutcomes.priorities[aJob.jobClass->priority];
+  }
+  bool IsCancelled(const JobId& aJob) const;
+  // Adds a job to the rated ones.
+  void Rate(const JobInfo& aJob, double aValue, bool aInTime);
+  void AccountEndedJob(const JobId& aJob, Millis aNow);
+  void OnRunEndCommitted(const Change& aChange);
+
   const FleetState& mState;
   Workload& mWorkload;
   Outcomes mOutcomes;
+  std::set<RunRef> mBrokenGangs;
+  // Number of times that each task was stopped for being too slow, by the task
+  // part of `RunName`.
+  std::map<std::string, size_t> mTooSlowStops;
 };
 
 } // namespace limpetwood::fleet::experiment
--- a/packages/fleet/experiment/options.h
+++ b/packages/fleet/experiment/options.h
@@ -34,6 +34,12 @@
   double value = 1;
   double lateValue = 0.2;
   uint32_t maxAttempts = 3;
+  // Number of steps of a job, which run one after another.
+  uint32_t steps = 1;
+  // All jobs have `meanTasks` tasks with a run time of `meanRunTime`.
+  bool exactSize = false;
+  // Number of jobs after which no more arrive.
+  size_t maxJobs = SIZE_MAX;
 };
 
 struct Disturbance
@@ -53,6 +59,11 @@
     kDeadly,
     // A share of the workers has an eighth of its accelerators.
     kResize,
+    // The first workspace submits `factor` times as many jobs as each other.
+    kFlood,
+    // The callers of a share of the unfinished jobs cancel them, each at a
+    // random time of the disturbance.
+    kCancel,
   };
 
   Kind kind = Kind::kBurst;
@@ -60,7 +71,8 @@
   // multiples of 10 ms.
   Millis at{};
   Millis duration{};
-  // Share of the workers or jobs that is affected; unused for bursts.
+  // Share of the workers or jobs that is affected; unused for bursts and
+  // floods.
   double share = 0.1;
   // Factor of the load or of the slowdown; unused otherwise.
   double factor = 2;
@@ -96,6 +108,22 @@
   double slowWorkerShare = 0;
   double slowWorkerSpeed = 0.45;
   GangPace gangPace = GangPace::kSlowestMember;
+  // A share of the jobs takes this many times as long as the others.
+  double longJobShare = 0;
+  double longJobFactor = 7;
+  // Bounds of the ratio of callers' estimates to the run times at normal speed.
+  double minEstimateFactor = 0.5;
+  double maxEstimateFactor = 2;
+  // Number of workspaces; their guarantees are equal and add up to half of the
+  // accelerators.
+  size_t workspaces = 1;
+  // Whether jobs may be refused. Refused callers return after the delay that
+  // they are told, up to `maxReturns` times.
+  bool admissionEnabled = false;
+  uint32_t maxReturns = 5;
+  // Whether the latency of a job that was refused counts from its first
+  // submission or from the one that was accepted.
+  bool countsFromFirstSubmission = false;
   Millis maxStopTime = Millis(500);
   Millis duration = Seconds(40);
   // Time after the last arrival in which jobs may still end.
--- a/packages/fleet/experiment/workers.cc
+++ b/packages/fleet/experiment/workers.cc
@@ -90,6 +90,16 @@
   CrashWorkers();
 }
 
+size_t
+EmulatedWorkers::ActiveRuns() const
+{
+  size_t out = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    out += worker.runs.size();
+  }
+  return out;
+}
+
 void
 EmulatedWorkers::Disturb(WorkerState& aWorker,
                          const Disturbance& aDisturbance,
@@ -98,6 +108,8 @@
   switch (aDisturbance.kind) {
     case Disturbance::Kind::kBurst:
     case Disturbance::Kind::kDeadly:
+    case Disturbance::Kind::kFlood:
+    case Disturbance::Kind::kCancel:
       break;
     case Disturbance::Kind::kResize:
       Resize(aWorker,
@@ -308,7 +320,7 @@
           .gang = UpdateGang(aOrder.run, spec.steps[task.step], &aWorker),
           .startedAt = mNow,
           .done = saved,
-          .work = static_cast<double>(job.work.Count()) };
+          .work = static_cast<double>(job.work[task.step].Count()) };
   if (CrashesWorker(task)) {
     run.crashAt = mNow + mCrashes.Between(Millis(10), Millis(200));
   }
@@ -373,7 +385,7 @@
 
 void
 EmulatedWorkers::EndRun(WorkerState& aWorker,
-                        const TaskRef& aTask,
+                        TaskRef aTask,
                         EndKind aKind,
                         bool aWasted)
 {
@@ -383,7 +395,7 @@
   UpdateGang(run.run, step, nullptr);
   aWorker.usedAccelerators -= step.resources.accelerators;
   bool saved = step.savesCheckpoints && aKind != EndKind::kLost;
-  mMetrics.OnRunEnded(step, mNow - run.startedAt, aWasted && !saved);
+  mMetrics.OnRunEnded(aTask, mNow - run.startedAt, aWasted && !saved);
   aWorker.ended.push_back(
     { .number = ++aWorker.endNumber,
       .run = run.run,
--- a/packages/fleet/experiment/workers.h
+++ b/packages/fleet/experiment/workers.h
@@ -31,6 +31,8 @@
   // Executes an order, and answers it unless it is a renewal.
   void Deliver(const Order& aOrder, Dispatcher& aDispatcher);
 
+  size_t ActiveRuns() const;
+
 private:
   struct WorkerState;
 
@@ -114,10 +116,7 @@
   double RateOf(const RunState& aRun, const WorkerState& aWorker) const;
   // Whether all members of the gang have completed their work.
   static bool IsFinished(const Gang& aGang, const TaskRef& aMember);
-  void EndRun(WorkerState& aWorker,
-              const TaskRef& aTask,
-              EndKind aKind,
-              bool aWasted);
+  void EndRun(WorkerState& aWorker, TaskRef aTask, EndKind aKind, bool aWasted);
   void EndGang(const RunState& aRun, EndKind aKind);
   void AdvanceRuns(WorkerState& aWorker);
   void AnswerRenewals(WorkerState& aWorker, Dispatcher& aDispatcher);
--- a/packages/fleet/experiment/workload.cc
+++ b/packages/fleet/experiment/workload.cc
@@ -14,35 +14,91 @@
   return std::string(16 - digits.size(), '0') + digits;
 }
 
+Millis
+Scale(Millis aTime, double aFactor)
+{
+  return Millis(
+    static_cast<int64_t>(static_cast<double>(aTime.Count()) * aFactor));
+}
+
+// Removes and returns the entries that are due.
+template<typename T>
+std::vector<T>
+TakeDue(std::multimap<Millis, T>& aEntries, Millis aNow)
+{
+  std::vector<T> out;
+  while (!aEntries.empty() && aEntries.begin()->first <= aNow) {
+    out.push_back(std::move(aEntries.begin()->second));
+    aEntries.erase(aEntries.begin());
+  }
+  return out;
+}
+
 } // namespace
 
 const ServiceId Workload::kService("service");
-const std::string Workload::kWorkspace = "workspace";
+
+Millis
+LongestChain(const JobSpec& aSpec, const std::vector<Millis>& aWork)
+{
+  // Dependencies refer to earlier steps.
+  std::vector<Millis> ends;
+  Millis longest;
+  for (size_t n = 0; n < aSpec.steps.size(); ++n) {
+    Millis start;
+    for (uint32_t it : aSpec.steps[n].dependencies) {
+      start = std::max(start, ends[it]);
+    }
+    ends.push_back(start + aWork[n]);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
 
 Workload::Workload(const EmulatorOptions& aOptions, Millis aBegin)
   : mOptions(aOptions)
   , mBegin(aBegin)
   , mRandom(aOptions.seed)
   , mDeadlyJobs(aOptions.seed + 2)
+  , mLongJobs(aOptions.seed + 5)
+  , mWorkspaces(aOptions.seed + 6)
+  , mCancellations(aOptions.seed + 7)
 {
 }
 
+std::string
+Workload::WorkspaceName(size_t aIndex)
+{
+  return "workspace" + std::to_string(aIndex);
+}
+
+const Disturbance*
+Workload::FindActive(Disturbance::Kind aKind, Millis aNow) const
+{
+  for (const Disturbance& it : mOptions.disturbances) {
+    if (it.kind == aKind && IsActive(it, aNow - mBegin)) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
 std::vector<gen::SubmitJob>
 Workload::TakeArrivals(Millis aNow)
 {
   std::vector<gen::SubmitJob> out;
-  double boost = 1;
-  for (const Disturbance& it : mOptions.disturbances) {
-    bool active =
-      it.kind == Disturbance::Kind::kBurst && IsActive(it, aNow - mBegin);
-    boost = active ? std::max(boost, it.factor) : boost;
-  }
+  const Disturbance* burst = FindActive(Disturbance::Kind::kBurst, aNow);
+  const Disturbance* flood = FindActive(Disturbance::Kind::kFlood, aNow);
+  double boost = burst != nullptr ? std::max(1.0, burst->factor) : 1;
+  auto workspaces = static_cast<double>(mOptions.workspaces);
+  double growth =
+    flood != nullptr ? (workspaces - 1 + flood->factor) / workspaces : 1;
   for (const JobClass& it : mOptions.classes) {
     Millis& next = mNextArrival[it.name];
     double rate =
-      it.arrivalsPerSecond * (&it == &mOptions.classes[0] ? boost : 1);
+      it.arrivalsPerSecond * growth * (&it == &mOptions.classes[0] ? boost : 1);
     while (next <= aNow) {
-      if (next > Millis(0)) {
+      if (next > Millis(0) && mArrivals[it.name]++ < it.maxJobs) {
         out.push_back(MakeJob(it, aNow));
       }
       double gap = -std::log(1 - mRandom.UniformDouble()) / rate * 1000;
@@ -52,11 +108,56 @@
   return out;
 }
 
-gen::SubmitJob
-Workload::MakeJob(const JobClass& aClass, Millis aNow)
+std::vector<gen::SubmitJob>
+Workload::TakeReturns(Millis aNow)
+{
+  std::vector<gen::SubmitJob> out = TakeDue(mReturns, aNow);
+  for (gen::SubmitJob& it : out) {
+    it.acceptedAtMs = aNow.Count();
+    if (!mOptions.countsFromFirstSubmission) {
+      Find(JobId(it.id)).submittedAt = aNow;
+    }
+  }
+  return out;
+}
+
+bool
+Workload::OnRefused(gen::SubmitJob aJob, Millis aRetryAfter, Millis aNow)
+{
+  JobInfo& info = Find(JobId(aJob.id));
+  if (++info.refusals > mOptions.maxReturns) {
+    info.accounted = true;
+    return false;
+  }
+  mReturns.emplace(aNow + aRetryAfter, std::move(aJob));
+  return true;
+}
+
+std::vector<JobId>
+Workload::TakeCancellations(Millis aNow)
+{
+  for (const Disturbance& it : mOptions.disturbances) {
+    if (it.kind != Disturbance::Kind::kCancel || aNow != mBegin + it.at) {
+      continue;
+    }
+    for (const auto& [id, job] : mJobs) {
+      if (job.accepted && !job.accounted && mCancellations.Chance(it.share)) {
+        mPendingCancellations.emplace(
+          aNow + mCancellations.Between(Millis(0), it.duration), id);
+      }
+    }
+  }
+  std::vector<JobId> out = TakeDue(mPendingCancellations, aNow);
+  std::erase_if(out, [&](const JobId& aId) { return Find(aId).accounted; });
+  return out;
+}
+
+StepSpec
+Workload::MakeStep(const JobClass& aClass)
 {
   StepSpec step;
   double tasks = -std::log(1 - mRandom.UniformDouble()) * aClass.meanTasks;
+  tasks = aClass.exactSize ? aClass.meanTasks : tasks;
   step.tasks =
     static_cast<uint32_t>(std::clamp(tasks, 1.0, aClass.meanTasks * 6));
   step.gang = aClass.gang;
@@ -68,19 +169,50 @@
   };
   step.prefersOneRack = mRandom.Chance(aClass.oneRackProbability);
   step.savesCheckpoints = mRandom.Chance(aClass.checkpointProbability);
-  auto mean = static_cast<double>(aClass.meanRunTime.Count());
-  Millis work(
-    static_cast<int64_t>(mean * (0.6 + 0.8 * mRandom.UniformDouble())));
-  // Callers' estimates are wrong by up to a factor of two.
-  step.estimate =
-    Millis(static_cast<int64_t>(static_cast<double>(work.Count()) *
-                                std::exp2(mRandom.UniformDouble() * 2 - 1)));
+  return step;
+}
+
+Millis
+Workload::DrawWork(const JobClass& aClass, bool aLong, StepSpec& aStep)
+{
+  double factor = 0.6 + 0.8 * mRandom.UniformDouble();
+  Millis work = Scale(aClass.meanRunTime,
+                      (aClass.exactSize ? 1 : factor) *
+                        (aLong ? mOptions.longJobFactor : 1));
+  double low = std::log2(mOptions.minEstimateFactor);
+  double high = std::log2(mOptions.maxEstimateFactor);
+  aStep.estimate =
+    Scale(work, std::exp2(low + mRandom.UniformDouble() * (high - low)));
+  return work;
+}
+
+size_t
+Workload::DrawWorkspace(Millis aNow)
+{
+  const Disturbance* flood = FindActive(Disturbance::Kind::kFlood, aNow);
+  double first = flood != nullptr ? flood->factor : 1;
+  auto others = static_cast<double>(mOptions.workspaces - 1);
+  double drawn = mWorkspaces.UniformDouble() * (first + others) - first;
+  return drawn < 0 ? 0 : 1 + static_cast<size_t>(drawn);
+}
+
+gen::SubmitJob
+Workload::MakeJob(const JobClass& aClass, Millis aNow)
+{
+  size_t workspace = DrawWorkspace(aNow);
+  bool isLong = mLongJobs.Chance(mOptions.longJobShare);
   JobSpec spec;
-  spec.steps = { step };
+  std::vector<Millis> work;
+  StepSpec step = MakeStep(aClass);
+  for (uint32_t n = 0; n < aClass.steps; ++n) {
+    work.push_back(DrawWork(aClass, isLong, step));
+    spec.steps.push_back(step);
+    step.dependencies = { n };
+  }
   gen::SubmitJob job;
   job.id = JobName(mNextJob++);
   job.queue = aClass.name;
-  job.workspace = kWorkspace;
+  job.workspace = WorkspaceName(workspace);
   job.serviceId = kService.Value();
   job.spec = ToWire(spec);
   job.acceptedAtMs = aNow.Count();
@@ -91,18 +223,20 @@
   JobInfo& info = mJobs[JobId(job.id)];
   info.jobClass = &aClass;
   info.submittedAt = aNow;
-  info.work = work;
-  info.objective = aClass.targetLatency +
-                   Millis(static_cast<int64_t>(
-                     static_cast<double>(work.Count()) * aClass.stretch));
+  info.objective =
+    aClass.targetLatency + Scale(LongestChain(spec, work), aClass.stretch);
+  info.work = std::move(work);
   // Larger jobs have more value, up to four times the mean size.
   info.value = 0.3 + 0.7 * std::min(step.tasks / aClass.meanTasks, 4.0);
-  for (const Disturbance& it : mOptions.disturbances) {
-    bool active =
-      it.kind == Disturbance::Kind::kDeadly && IsActive(it, aNow - mBegin);
-    info.deadly = info.deadly || (active && &aClass == &mOptions.classes[0] &&
-                                  mDeadlyJobs.Chance(it.share));
-  }
+  info.flooding =
+    workspace == 0 && std::any_of(mOptions.disturbances.begin(),
+                                  mOptions.disturbances.end(),
+                                  [](const Disturbance& it) {
+                                    return it.kind == Disturbance::Kind::kFlood;
+                                  });
+  const Disturbance* deadly = FindActive(Disturbance::Kind::kDeadly, aNow);
+  info.deadly = deadly != nullptr && &aClass == &mOptions.classes[0] &&
+                mDeadlyJobs.Chance(deadly->share);
   return job;
 }
 
