--- a/packages/fleet/experiment/patterns.cc
+++ b/packages/fleet/experiment/patterns.cc
@@ -56,8 +56,78 @@
            .factor = aFactor };
 }
 
+// Number of workers for which `ClassesAt(1)` is the usual load.
+constexpr double kUsualWorkers = 48;
+// Rate at which the usual classes leave hardly any accelerators idle.
+constexpr double kFullLoad = 1.2;
+// Rate at which less urgent jobs are refused within the first minute.
+constexpr double kRefusalLoad = 3.2;
+
+EmulatorOptions
+OverloadBase(uint64_t aSeed, double aLoad, size_t aWorkers)
+{
+  EmulatorOptions out;
+  out.seed = aSeed;
+  out.workers = aWorkers;
+  out.classes =
+    ClassesAt(aLoad * static_cast<double>(aWorkers) / kUsualWorkers);
+  out.duration = Seconds(60);
+  out.drainTime = Seconds(120);
+  out.workspaces = 4;
+  out.admissionEnabled = true;
+  return out;
+}
+
 } // namespace
 
+std::vector<Pattern>
+OverloadPatterns(uint64_t aSeed, double aLoad, size_t aWorkers)
+{
+  using Kind = Disturbance::Kind;
+  auto base = [&](double aFactor) {
+    return OverloadBase(aSeed, aLoad * aFactor, aWorkers);
+  };
+  EmulatorOptions heavyTail = base(1);
+  heavyTail.longJobShare = 0.03;
+  EmulatorOptions uneven = base(1);
+  uneven.slowWorkerShare = 0.25;
+  EmulatorOptions estimates = base(1);
+  estimates.minEstimateFactor = 0.1;
+  estimates.maxEstimateFactor = 1.9;
+  EmulatorOptions burst = base(kFullLoad);
+  burst.disturbances = { { .kind = Kind::kBurst,
+                           .at = Seconds(20),
+                           .duration = Seconds(15),
+                           .factor = 3 } };
+  EmulatorOptions flood = base(1);
+  flood.disturbances = { { .kind = Kind::kFlood,
+                           .at = Seconds(15),
+                           .duration = Seconds(30),
+                           .factor = 6 } };
+  EmulatorOptions cancellations = base(kFullLoad);
+  cancellations.disturbances = { { .kind = Kind::kCancel,
+                                   .at = Seconds(30),
+                                   .duration = Seconds(5),
+                                   .share = 0.5 } };
+  EmulatorOptions all = base(kFullLoad);
+  all.longJobShare = heavyTail.longJobShare;
+  all.slowWorkerShare = uneven.slowWorkerShare;
+  all.minEstimateFactor = estimates.minEstimateFactor;
+  all.maxEstimateFactor = estimates.maxEstimateFactor;
+  for (const EmulatorOptions* it : { &burst, &flood, &cancellations }) {
+    all.disturbances.push_back(it->disturbances[0]);
+  }
+  return { { .name = "usual", .options = base(1) },
+           { .name = "heavy-tail", .options = heavyTail },
+           { .name = "uneven", .options = uneven },
+           { .name = "estimates", .options = estimates },
+           { .name = "urgent-burst", .options = burst },
+           { .name = "flood", .options = flood },
+           { .name = "cancellations", .options = cancellations },
+           { .name = "returns", .options = base(kRefusalLoad) },
+           { .name = "all", .options = all } };
+}
+
 std::vector<Pattern>
 AllPatterns(uint64_t aSeed, double aLoad)
 {
--- a/packages/fleet/experiment/patterns.h
+++ b/packages/fleet/experiment/patterns.h
@@ -21,6 +21,12 @@
 std::vector<Pattern>
 AllPatterns(uint64_t aSeed, double aLoad);
 
+// The loads of an overloaded or uneven fleet, one kind for each pattern and all
+// kinds together, at `aLoad` times the usual rate for this number of workers.
+// The fleet has four workspaces, and jobs may be refused.
+std::vector<Pattern>
+OverloadPatterns(uint64_t aSeed, double aLoad, size_t aWorkers);
+
 struct Policy
 {
   std::string name;
