Keep the rate of arrivals of emulated jobs at large fleets

Cause: each gap between two arrivals was rounded up to the emulation's interval of 10 ms. With 400 jobs per second, 1,966 instead of 8,000 arrived in 20 s. The loss grows with the rate, and therefore with the size of the fleet.

Change: the exact time of the next arrival of each class is kept.

Result: the new test fails before the change with 1,966 jobs.

--- a/packages/fleet/experiment/emulator_test.cc
+++ b/packages/fleet/experiment/emulator_test.cc
@@ -259,6 +259,22 @@
   EXPECT_NEAR(highest, 1.9, 0.05);
 }
 
+// Guards against a load that falls behind its rate on large fleets, where
+// several jobs arrive in one step of the emulation.
+TEST(Workload, KeepsHighRatesOfArrivals)
+{
+  EmulatorOptions options = OneJob(1, false);
+  options.classes[0].maxJobs = SIZE_MAX;
+  options.classes[0].arrivalsPerSecond = 400;
+  Workload workload(options, Millis(0));
+  size_t jobs = 0;
+  for (Millis now; now < Seconds(20); now += kTickInterval) {
+    jobs += workload.TakeArrivals(now).size();
+  }
+  // Three standard deviations of the number of arrivals.
+  EXPECT_NEAR(static_cast<double>(jobs), 8000, 270);
+}
+
 // Guards against refused callers that return early, never, or without end.
 TEST(Workload, ReturnsRefusedCallersAfterTheDelay)
 {
--- a/packages/fleet/experiment/workload.cc
+++ b/packages/fleet/experiment/workload.cc
@@ -94,15 +94,16 @@
   double growth =
     flood != nullptr ? (workspaces - 1 + flood->factor) / workspaces : 1;
   for (const JobClass& it : mOptions.classes) {
-    Millis& next = mNextArrival[it.name];
+    double& next = mNextArrival[it.name];
     double rate =
       it.arrivalsPerSecond * growth * (&it == &mOptions.classes[0] ? boost : 1);
-    while (next <= aNow) {
-      if (next > Millis(0) && mArrivals[it.name]++ < it.maxJobs) {
+    // The exact times are kept, because rounding each gap up to the interval of
+    // the emulation would lower high rates.
+    while (next <= static_cast<double>((aNow - mBegin).Count())) {
+      if (next > 0 && mArrivals[it.name]++ < it.maxJobs) {
         out.push_back(MakeJob(it, aNow));
       }
-      double gap = -std::log(1 - mRandom.UniformDouble()) / rate * 1000;
-      next = std::max(next, aNow) + Millis(static_cast<int64_t>(gap) + 1);
+      next += -std::log(1 - mRandom.UniformDouble()) / rate * 1000;
     }
   }
   return out;
--- a/packages/fleet/experiment/workload.h
+++ b/packages/fleet/experiment/workload.h
@@ -87,7 +87,8 @@
   Random mWorkspaces;
   Random mCancellations;
   std::map<JobId, JobInfo> mJobs;
-  std::map<std::string, Millis> mNextArrival;
+  // Milliseconds from the start of the run, by class.
+  std::map<std::string, double> mNextArrival;
   std::map<std::string, size_t> mArrivals;
   std::multimap<Millis, gen::SubmitJob> mReturns;
   std::multimap<Millis, JobId> mPendingCancellations;
