Emulate long tasks and several queues per class

Change: the share of long run times is taken of jobs or of tasks, where a gang counts as one task, and the jobs of a class are spread over several queues. The overload patterns have 12 queues per class, which is chosen and not measured, and a pattern `long-tasks`.

--- a/packages/fleet/experiment/emulator_test.cc
+++ b/packages/fleet/experiment/emulator_test.cc
@@ -232,8 +232,8 @@
   EmulatorOptions options = OneJob(1, false);
   options.classes[0].maxJobs = 4000;
   options.classes[0].arrivalsPerSecond = 20;
-  options.longJobShare = 0.03;
-  options.longJobFactor = 7;
+  options.longShare = 0.03;
+  options.longFactor = 7;
   options.minEstimateFactor = 0.1;
   options.maxEstimateFactor = 1.9;
   Workload workload(options, Millis(0));
@@ -243,7 +243,7 @@
   double highest = 1;
   for (Millis now; now < Seconds(300); now += kTickInterval) {
     for (const gen::SubmitJob& it : workload.TakeArrivals(now)) {
-      Millis work = workload.Find(JobId(it.id)).work[0];
+      Millis work = workload.WorkOf({ .job = JobId(it.id) });
       EXPECT_TRUE(work == Seconds(4) || work == Seconds(28));
       double ratio = static_cast<double>(it.spec.steps[0].estimateMs) /
                      static_cast<double>(work.Count());
@@ -259,6 +259,40 @@
   EXPECT_NEAR(highest, 1.9, 0.05);
 }
 
+// Guards against long tasks that make a whole job or none of it long, gangs
+// whose members differ, and objectives that ignore a long task.
+TEST(Workload, DrawsLongTasksIndependently)
+{
+  for (bool gang : { false, true }) {
+    EmulatorOptions options = OneJob(20, gang);
+    options.classes[0].maxJobs = 200;
+    options.longShare = 0.1;
+    options.longShareOf = LongShare::kTasks;
+    Workload workload(options, Millis(0));
+    size_t jobs = 0;
+    size_t partlyLong = 0;
+    size_t longTasks = 0;
+    for (Millis now; now < Seconds(20); now += kTickInterval) {
+      for (const gen::SubmitJob& it : workload.TakeArrivals(now)) {
+        size_t count = 0;
+        TaskRef task{ .job = JobId(it.id) };
+        for (; task.index < 20; ++task.index) {
+          count += workload.WorkOf(task) == Seconds(28) ? 1 : 0;
+        }
+        ++jobs;
+        longTasks += count;
+        partlyLong += count > 0 && count < 20 ? 1 : 0;
+        Millis longest = count > 0 ? Seconds(28) : Seconds(4);
+        EXPECT_EQ(workload.Find(task.job).objective,
+                  Millis(250) + longest * 3 / 2);
+      }
+    }
+    ASSERT_EQ(jobs, 200U);
+    EXPECT_NEAR(static_cast<double>(longTasks) / (200 * 20), 0.1, 0.07);
+    EXPECT_EQ(partlyLong > 0, !gang);
+  }
+}
+
 // Guards against a load that falls behind its rate on large fleets, where
 // several jobs arrive in one step of the emulation.
 TEST(Workload, KeepsHighRatesOfArrivals)
--- a/packages/fleet/experiment/options.h
+++ b/packages/fleet/experiment/options.h
@@ -97,6 +97,15 @@
   kOwnSpeed,
 };
 
+// What the share of long run times is taken of.
+enum class LongShare
+{
+  // All tasks of a long job are long.
+  kJobs,
+  // Tasks are long independently of each other; a gang counts as one task.
+  kTasks,
+};
+
 struct EmulatorOptions
 {
   uint64_t seed = 1;
@@ -108,9 +117,13 @@
   double slowWorkerShare = 0;
   double slowWorkerSpeed = 0.45;
   GangPace gangPace = GangPace::kSlowestMember;
-  // A share of the jobs takes this many times as long as the others.
-  double longJobShare = 0;
-  double longJobFactor = 7;
+  // A share of the jobs or tasks takes this many times as long as the others.
+  double longShare = 0;
+  double longFactor = 7;
+  LongShare longShareOf = LongShare::kJobs;
+  // The jobs of a class are spread over this many queues, for each of which the
+  // scheduler learns run times separately.
+  size_t queuesPerClass = 1;
   // Bounds of the ratio of callers' estimates to the run times at normal speed.
   double minEstimateFactor = 0.5;
   double maxEstimateFactor = 2;
--- a/packages/fleet/experiment/patterns.cc
+++ b/packages/fleet/experiment/patterns.cc
@@ -74,6 +74,7 @@
   out.duration = Seconds(60);
   out.drainTime = Seconds(120);
   out.workspaces = 4;
+  out.queuesPerClass = 12;
   out.admissionEnabled = true;
   return out;
 }
@@ -88,7 +89,9 @@
     return OverloadBase(aSeed, aLoad * aFactor, aWorkers);
   };
   EmulatorOptions heavyTail = base(1);
-  heavyTail.longJobShare = 0.03;
+  heavyTail.longShare = 0.03;
+  EmulatorOptions longTasks = heavyTail;
+  longTasks.longShareOf = LongShare::kTasks;
   EmulatorOptions uneven = base(1);
   uneven.slowWorkerShare = 0.25;
   EmulatorOptions estimates = base(1);
@@ -110,7 +113,8 @@
                                    .duration = Seconds(5),
                                    .share = 0.5 } };
   EmulatorOptions all = base(kFullLoad);
-  all.longJobShare = heavyTail.longJobShare;
+  all.longShare = longTasks.longShare;
+  all.longShareOf = longTasks.longShareOf;
   all.slowWorkerShare = uneven.slowWorkerShare;
   all.minEstimateFactor = estimates.minEstimateFactor;
   all.maxEstimateFactor = estimates.maxEstimateFactor;
@@ -119,6 +123,7 @@
   }
   return { { .name = "usual", .options = base(1) },
            { .name = "heavy-tail", .options = heavyTail },
+           { .name = "long-tasks", .options = longTasks },
            { .name = "uneven", .options = uneven },
            { .name = "estimates", .options = estimates },
            { .name = "urgent-burst", .options = burst },
--- a/packages/fleet/experiment/workers.cc
+++ b/packages/fleet/experiment/workers.cc
@@ -310,7 +310,6 @@
     // The later attempt replaces the earlier one, which is a violation.
     EndRun(aWorker, task, EndKind::kStopped, true);
   }
-  const JobInfo& job = mWorkload.Find(task.job);
   const JobSpec& spec = mState.FindJob(task.job)->spec;
   aWorker.usedAccelerators += spec.steps[task.step].resources.accelerators;
   double saved = aOrder.checkpoint.empty() ? 0 : std::stod(aOrder.checkpoint);
@@ -320,7 +319,7 @@
           .gang = UpdateGang(aOrder.run, spec.steps[task.step], &aWorker),
           .startedAt = mNow,
           .done = saved,
-          .work = static_cast<double>(job.work[task.step].Count()) };
+          .work = static_cast<double>(mWorkload.WorkOf(task).Count()) };
   if (CrashesWorker(task)) {
     run.crashAt = mNow + mCrashes.Between(Millis(10), Millis(200));
   }
--- a/packages/fleet/experiment/workload.cc
+++ b/packages/fleet/experiment/workload.cc
@@ -60,7 +60,8 @@
   , mBegin(aBegin)
   , mRandom(aOptions.seed)
   , mDeadlyJobs(aOptions.seed + 2)
-  , mLongJobs(aOptions.seed + 5)
+  , mLongTasks(aOptions.seed + 5)
+  , mQueues(aOptions.seed + 8)
   , mWorkspaces(aOptions.seed + 6)
   , mCancellations(aOptions.seed + 7)
 {
@@ -174,12 +175,10 @@
 }
 
 Millis
-Workload::DrawWork(const JobClass& aClass, bool aLong, StepSpec& aStep)
+Workload::DrawWork(const JobClass& aClass, StepSpec& aStep)
 {
   double factor = 0.6 + 0.8 * mRandom.UniformDouble();
-  Millis work = Scale(aClass.meanRunTime,
-                      (aClass.exactSize ? 1 : factor) *
-                        (aLong ? mOptions.longJobFactor : 1));
+  Millis work = Scale(aClass.meanRunTime, aClass.exactSize ? 1 : factor);
   double low = std::log2(mOptions.minEstimateFactor);
   double high = std::log2(mOptions.maxEstimateFactor);
   aStep.estimate =
@@ -187,6 +186,49 @@
   return work;
 }
 
+void
+Workload::DrawLongTasks(JobSpec& aSpec, JobInfo& aInfo)
+{
+  bool isLong = mLongTasks.Chance(mOptions.longShare);
+  for (uint32_t n = 0; n < aSpec.steps.size(); ++n) {
+    StepSpec& step = aSpec.steps[n];
+    size_t count = 0;
+    for (uint32_t index = 0; index < step.tasks; ++index) {
+      bool together = step.gang && index > 0;
+      if (mOptions.longShareOf == LongShare::kTasks && !together) {
+        isLong = mLongTasks.Chance(mOptions.longShare);
+      }
+      if (isLong) {
+        aInfo.longTasks.emplace(n, index);
+        ++count;
+      }
+    }
+    // There is one estimate for all tasks of a step, so callers cannot tell
+    // that some of them are long.
+    if (count == step.tasks) {
+      step.estimate = Scale(step.estimate, mOptions.longFactor);
+    }
+  }
+}
+
+std::vector<Millis>
+Workload::LongestTasks(const JobInfo& aInfo) const
+{
+  std::vector<Millis> out = aInfo.work;
+  for (const auto& [step, index] : aInfo.longTasks) {
+    out[step] = Scale(aInfo.work[step], mOptions.longFactor);
+  }
+  return out;
+}
+
+Millis
+Workload::WorkOf(const TaskRef& aTask) const
+{
+  const JobInfo& job = Find(aTask.job);
+  bool isLong = job.longTasks.contains({ aTask.step, aTask.index });
+  return Scale(job.work[aTask.step], isLong ? mOptions.longFactor : 1);
+}
+
 size_t
 Workload::DrawWorkspace(Millis aNow)
 {
@@ -201,18 +243,24 @@
 Workload::MakeJob(const JobClass& aClass, Millis aNow)
 {
   size_t workspace = DrawWorkspace(aNow);
-  bool isLong = mLongJobs.Chance(mOptions.longJobShare);
   JobSpec spec;
   std::vector<Millis> work;
   StepSpec step = MakeStep(aClass);
   for (uint32_t n = 0; n < aClass.steps; ++n) {
-    work.push_back(DrawWork(aClass, isLong, step));
+    work.push_back(DrawWork(aClass, step));
     spec.steps.push_back(step);
     step.dependencies = { n };
   }
+  JobId id(JobName(mNextJob++));
+  JobInfo& info = mJobs[id];
+  info.work = std::move(work);
+  DrawLongTasks(spec, info);
   gen::SubmitJob job;
-  job.id = JobName(mNextJob++);
+  job.id = id.Value();
   job.queue = aClass.name;
+  if (mOptions.queuesPerClass > 1) {
+    job.queue += std::to_string(mQueues.Below(mOptions.queuesPerClass));
+  }
   job.workspace = WorkspaceName(workspace);
   job.serviceId = kService.Value();
   job.spec = ToWire(spec);
@@ -221,12 +269,11 @@
   job.maxAttempts = static_cast<int32_t>(aClass.maxAttempts);
   job.stretch = aClass.stretch;
   job.targetLatencyMs = aClass.targetLatency.Count();
-  JobInfo& info = mJobs[JobId(job.id)];
   info.jobClass = &aClass;
   info.submittedAt = aNow;
   info.objective =
-    aClass.targetLatency + Scale(LongestChain(spec, work), aClass.stretch);
-  info.work = std::move(work);
+    aClass.targetLatency +
+    Scale(LongestChain(spec, LongestTasks(info)), aClass.stretch);
   // Larger jobs have more value, up to four times the mean size.
   info.value = 0.3 + 0.7 * std::min(step.tasks / aClass.meanTasks, 4.0);
   info.flooding =
--- a/packages/fleet/experiment/workload.h
+++ b/packages/fleet/experiment/workload.h
@@ -8,7 +8,9 @@
 #include "fleet/experiment/options.h"
 
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace limpetwood::fleet::experiment {
@@ -22,8 +24,10 @@
   Millis objective{};
   // Weight of the job by its size, multiplied with the value of its class.
   double value = 1;
-  // Run time of a task of each step at normal speed.
+  // Run time of a task of each step at normal speed, unless the task is long.
   std::vector<Millis> work{};
+  // Steps and indexes of the long tasks.
+  std::set<std::pair<uint32_t, uint32_t>> longTasks{};
   uint32_t refusals = 0;
   bool accepted = false;
   bool started = false;
@@ -61,6 +65,9 @@
   // up.
   bool OnRefused(gen::SubmitJob aJob, Millis aRetryAfter, Millis aNow);
 
+  // Run time of the task at normal speed.
+  Millis WorkOf(const TaskRef& aTask) const;
+
   JobInfo& Find(const JobId& aId) { return mJobs.at(aId); }
   const JobInfo& Find(const JobId& aId) const { return mJobs.at(aId); }
   const std::map<JobId, JobInfo>& Jobs() const { return mJobs; }
@@ -72,8 +79,13 @@
   const Disturbance* FindActive(Disturbance::Kind aKind, Millis aNow) const;
   gen::SubmitJob MakeJob(const JobClass& aClass, Millis aNow);
   StepSpec MakeStep(const JobClass& aClass);
-  // Draws the run time and the estimate of a step.
-  Millis DrawWork(const JobClass& aClass, bool aLong, StepSpec& aStep);
+  // Draws the run time and the estimate of the tasks of a step.
+  Millis DrawWork(const JobClass& aClass, StepSpec& aStep);
+  // Draws which tasks are long, and adapts the estimates of steps of which all
+  // are.
+  void DrawLongTasks(JobSpec& aSpec, JobInfo& aInfo);
+  // Run time of the longest task of each step.
+  std::vector<Millis> LongestTasks(const JobInfo& aInfo) const;
   size_t DrawWorkspace(Millis aNow);
 
   const EmulatorOptions& mOptions;
@@ -83,7 +95,8 @@
   // does not change the others.
   Random mRandom;
   Random mDeadlyJobs;
-  Random mLongJobs;
+  Random mLongTasks;
+  Random mQueues;
   Random mWorkspaces;
   Random mCancellations;
   std::map<JobId, JobInfo> mJobs;
