Count stops of a gang together and rate all emulated jobs

Cause: each stop of a gang for being too slow may name another member, so that the stops of a gang were spread over its members.

Change: a gang counts as one task in the number of tasks stopped more than once, and the highest number of stops of one task is printed (`most`). The overload patterns run until all jobs have ended, for at most 600 s; `--drain` sets another limit. Stops and work thrown away grow with this limit, because such jobs go on.

--- a/packages/fleet/experiment/emulator_test.cc
+++ b/packages/fleet/experiment/emulator_test.cc
@@ -135,6 +135,30 @@
   }
 }
 
+// Guards against gangs that look as if they were stopped once because each stop
+// names another member.
+TEST(Metrics, CountsStopsOfAGangTogether)
+{
+  for (bool gang : { false, true }) {
+    EmulatorOptions options = OneJob(2, gang);
+    Workload workload(options, Millis(0));
+    std::vector<gen::SubmitJob> jobs;
+    for (Millis now; jobs.empty() && now < Seconds(5); now += kTickInterval) {
+      jobs = workload.TakeArrivals(now);
+    }
+    ASSERT_EQ(jobs.size(), 1U);
+    FleetState state;
+    Metrics metrics(state, workload);
+    for (const char* run : { ".0.0.0#1", ".0.0.1#1", ".0.0.1#2", ".0.0.0#3" }) {
+      metrics.OnEvent(LogEvent("run_lagging").Add("run", jobs[0].id + run));
+    }
+    const PriorityOutcome& it = metrics.Result().priorities.at(0);
+    EXPECT_EQ(it.tooSlow, 4U);
+    EXPECT_EQ(it.repeatedlyTooSlow, gang ? 1U : 2U);
+    EXPECT_EQ(it.mostTooSlow, gang ? 3U : 2U);
+  }
+}
+
 // Guards against results that cannot be replayed.
 TEST(Emulator, RepeatsARunWithTheSameSeed)
 {
--- a/packages/fleet/experiment/fleet_experiment.cc
+++ b/packages/fleet/experiment/fleet_experiment.cc
@@ -2,7 +2,7 @@
 //
 //   fleet_experiment [--table overload|policies] [--seed N] [--seeds N]
 //     [--load X] [--workers N] [--pattern NAME] [--gang-pace slowest|own]
-//     [--latency-from accepted|first]
+//     [--latency-from accepted|first] [--drain SECONDS]
 //
 // The table `overload` has a row for each pattern of `OverloadPatterns` and
 // priority, summed over the seeds: submitted, cancelled and unfinished jobs
@@ -10,8 +10,9 @@
 // jobs in time (`intime`), their mean value, the mean value of the workspaces
 // that do not flood the fleet (`others`), runs stopped for being too slow, as
 // stalled and by preemption, tasks stopped more than once for being too slow
-// (`again`), accelerator seconds of work thrown away and their share of those
-// in use (`lost`), and broken gang runs. See `PriorityOutcome`.
+// (`again`) and the most such stops of one (`most`), accelerator seconds of
+// work thrown away and their share of those in use (`lost`), and broken gang
+// runs. See `PriorityOutcome`.
 //
 // The table `policies` has a row for each pattern of `AllPatterns` and policy:
 // `worth` (ratio of earned to possible value), one column per class with its
@@ -28,6 +29,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <iostream>
+#include <optional>
 #include <stdexcept>
 
 namespace {
@@ -70,6 +72,8 @@
   std::string pattern;
   GangPace gangPace = GangPace::kSlowestMember;
   bool countsFromFirstSubmission = false;
+  // Overrides `EmulatorOptions::drainTime` of the overload patterns.
+  std::optional<Millis> drainTime{};
 };
 
 Total
@@ -164,7 +168,7 @@
       ? aOutcome.lostAcceleratorSeconds / aOutcome.usedAcceleratorSeconds * 100
       : 0;
   std::printf("%-13s %4d %6zu %6zu %5zu %7zu %6zu %6.3f %6.3f %6.3f %5zu %5zu "
-              "%7zu %5zu %8.0f %5.1f%% %6zu\n",
+              "%7zu %5zu %4zu %8.0f %5.1f%% %6zu\n",
               aPattern.c_str(),
               static_cast<int>(aPriority),
               aOutcome.jobs,
@@ -179,6 +183,7 @@
               aOutcome.stalled,
               aOutcome.preempted,
               aOutcome.repeatedlyTooSlow,
+              aOutcome.mostTooSlow,
               aOutcome.lostAcceleratorSeconds,
               lostPercent,
               aOutcome.brokenGangs);
@@ -197,6 +202,7 @@
         continue;
       }
       it.options.gangPace = aSettings.gangPace;
+      it.options.drainTime = aSettings.drainTime.value_or(it.options.drainTime);
       it.options.countsFromFirstSubmission =
         aSettings.countsFromFirstSubmission;
       Outcomes outcomes = Emulator(it.options).Run();
@@ -214,25 +220,27 @@
 void
 PrintOverload(const Settings& aSettings)
 {
-  std::printf("%-13s %4s %6s %6s %5s %7s %6s %6s %6s %6s %5s %5s %7s %5s %8s "
-              "%6s %6s\n",
-              "pattern",
-              "prio",
-              "jobs",
-              "cancel",
-              "open",
-              "refused",
-              "gaveup",
-              "intime",
-              "value",
-              "others",
-              "slow",
-              "stall",
-              "preempt",
-              "again",
-              "lost s",
-              "lost",
-              "broken");
+  std::printf(
+    "%-13s %4s %6s %6s %5s %7s %6s %6s %6s %6s %5s %5s %7s %5s %4s %8s "
+    "%6s %6s\n",
+    "pattern",
+    "prio",
+    "jobs",
+    "cancel",
+    "open",
+    "refused",
+    "gaveup",
+    "intime",
+    "value",
+    "others",
+    "slow",
+    "stall",
+    "preempt",
+    "again",
+    "most",
+    "lost s",
+    "lost",
+    "broken");
   for (const Pattern& pattern : OverloadPatterns(
          aSettings.firstSeed, aSettings.load, aSettings.workers)) {
     if (!aSettings.pattern.empty() && aSettings.pattern != pattern.name) {
@@ -305,6 +313,9 @@
       options::value<std::string>()->default_value("accepted"),
       "the latency of refused jobs counts from the accepted or the first "
       "submission");
+  add("drain",
+      options::value<int64_t>(),
+      "seconds after the last arrival in which jobs may still end");
   add("help", "print this text");
   try {
     options::variables_map given;
@@ -325,6 +336,9 @@
         : GangPace::kSlowestMember;
     settings.countsFromFirstSubmission =
       Choose(given["latency-from"].as<std::string>(), "accepted", "first");
+    if (given.contains("drain")) {
+      settings.drainTime = Seconds(given["drain"].as<int64_t>());
+    }
     if (Choose(given["table"].as<std::string>(), "overload", "policies")) {
       CheckPattern(settings.pattern, AllPatterns(1, 1));
       PrintPolicies(settings);
--- a/packages/fleet/experiment/metrics.cc
+++ b/packages/fleet/experiment/metrics.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace limpetwood::fleet::experiment {
 
 namespace {
@@ -52,6 +54,7 @@
   stalled += aOther.stalled;
   preempted += aOther.preempted;
   repeatedlyTooSlow += aOther.repeatedlyTooSlow;
+  mostTooSlow = std::max(mostTooSlow, aOther.mostTooSlow);
   usedAcceleratorSeconds += aOther.usedAcceleratorSeconds;
   lostAcceleratorSeconds += aOther.lostAcceleratorSeconds;
   brokenGangs += aOther.brokenGangs;
@@ -187,8 +190,13 @@
   PriorityOutcome& outcome = PriorityOf(job);
   if (name == "run_lagging") {
     ++outcome.tooSlow;
-    size_t stops = ++mTooSlowStops[run.substr(0, run.find('#'))];
-    outcome.repeatedlyTooSlow += stops == 2 ? 1 : 0;
+    size_t hash = run.find('#');
+    std::string task =
+      run.substr(0, job.jobClass->gang ? run.rfind('.', hash) : hash);
+    std::set<std::string>& attempts = mTooSlowAttempts[task];
+    bool added = attempts.insert(run.substr(hash)).second;
+    outcome.repeatedlyTooSlow += added && attempts.size() == 2 ? 1 : 0;
+    outcome.mostTooSlow = std::max(outcome.mostTooSlow, attempts.size());
   } else if (name == "run_stalled") {
     ++outcome.stalled;
   } else {
--- a/packages/fleet/experiment/metrics.h
+++ b/packages/fleet/experiment/metrics.h
@@ -51,8 +51,11 @@
   size_t tooSlow = 0;
   size_t stalled = 0;
   size_t preempted = 0;
-  // Tasks that were stopped more than once for being too slow.
+  // Tasks that were stopped more than once for being too slow, and the highest
+  // number of such stops of one task. A gang counts as one task: each stop of a
+  // member restarts all of them, and each attempt counts once.
   size_t repeatedlyTooSlow = 0;
+  size_t mostTooSlow = 0;
   // Accelerator seconds in use, and of those the ones whose work was thrown
   // away. Work on jobs that their callers cancelled is not thrown away.
   double usedAcceleratorSeconds = 0;
@@ -149,9 +152,9 @@
   Workload& mWorkload;
   Outcomes mOutcomes;
   std::set<RunRef> mBrokenGangs;
-  // Number of times that each task was stopped for being too slow, by the task
-  // part of `RunName`.
-  std::map<std::string, size_t> mTooSlowStops;
+  // The attempts of each task that were stopped for being too slow, by the task
+  // part of `RunName`; for gangs without the index of the member.
+  std::map<std::string, std::set<std::string>> mTooSlowAttempts;
 };
 
 } // namespace limpetwood::fleet::experiment
--- a/packages/fleet/experiment/patterns.cc
+++ b/packages/fleet/experiment/patterns.cc
@@ -72,8 +72,13 @@
   out.classes =
     ClassesAt(aLoad * static_cast<double>(aWorkers) / kUsualWorkers);
   out.duration = Seconds(60);
-  out.drainTime = Seconds(120);
+  // Three times the objective of the longest jobs is about 540 s. With less,
+  // jobs that are restarted again and again would remain unrated. The run ends
+  // as soon as all jobs have ended.
+  out.drainTime = Seconds(600);
   out.workspaces = 4;
+  // With few queues the run times are learned within seconds, and wrong
+  // estimates have no effect.
   out.queuesPerClass = 12;
   out.admissionEnabled = true;
   return out;
--- a/packages/fleet/experiment/workers.cc
+++ b/packages/fleet/experiment/workers.cc
@@ -1,6 +1,7 @@
 #include "fleet/experiment/workers.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace limpetwood::fleet::experiment {
@@ -57,8 +58,8 @@
   }
   Random random(mOptions.seed + 4);
   double share = std::clamp(mOptions.slowWorkerShare, 0.0, 1.0);
-  auto count =
-    static_cast<size_t>(share * static_cast<double>(mOptions.workers) + 0.5);
+  auto count = static_cast<size_t>(
+    std::lround(share * static_cast<double>(mOptions.workers)));
   for (size_t n = 0; n < count; ++n) {
     std::swap(others[n], others[n + random.Below(others.size() - n)]);
     others[n]->speed = mOptions.slowWorkerSpeed;
