--- a/packages/model/validate.h
+++ b/packages/model/validate.h
@@ -16,7 +16,10 @@
 
 namespace limpetwood::model {
 
-// Result of parsing. `value` is meaningful only if `faults` is empty.
+// Result of parsing. `value` is to be used only if `faults` is empty. With
+// faults it serves for further diagnostics: items of arrays keep their indexes,
+// and a field is as in the text unless a fault has the path of the field or of
+// something around it.
 template<typename T>
 struct Parsed
 {
