Add limpetctl config check, and run the check before a submission

Cause: an operator learned of a mistake only when the document was in force, and config submit accepted a lowered guarantee or a lost workspace unnoticed.

Codes of other commands are unchanged.

--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -38,6 +38,20 @@
   kStillWaiting = 8,
 };
 
+// Exit codes of `config check`, which are its own, because scripts run it
+// before any call is made.
+enum CheckExitCode
+{
+  // No errors, and no warnings or no `--strict`.
+  kCheckPassed = 0,
+  // Warnings, with `--strict`.
+  kCheckWarnings = 1,
+  kCheckErrors = 2,
+  // Wrong usage, the file cannot be read, or the version in force cannot be
+  // read.
+  kNotChecked = 3,
+};
+
 // Input and output of one command.
 struct Context
 {
@@ -68,6 +82,10 @@
   const char* summary;
   void (*addOptions)(boost::program_options::options_description&);
   int (*run)(Context&);
+  // Exit code for an invalid command line.
+  int usageCode = kUsage;
+  // Exit code for a response or file that the command could not process.
+  int failureCode = kMayHaveRun;
 };
 
 // Commands of limpetctl, by the source file that implements them.
--- a/packages/ctl/config_commands.cc
+++ b/packages/ctl/config_commands.cc
@@ -1,6 +1,7 @@
 // Implements the commands of the group `limpetctl config`.
 
 #include "ctl/command.h"
+#include "ctl/config_check.h"
 #include "ctl/table.h"
 #include "model/changes.h"
 #include "model/settings.h"
@@ -26,6 +27,9 @@
                          po::value<uint64_t>()->required(),
                          "version that the document was derived from; 0 for "
                          "the first one");
+  aOptions.add_options()("force",
+                         po::bool_switch(),
+                         "submit the document although the check has warnings");
   AddKeyOption(aOptions);
 }
 
@@ -123,12 +127,15 @@
   if (!text) {
     return kUsage;
   }
+  auto baseVersion = aContext.options["base-version"].as<uint64_t>();
+  if (std::optional<int> refused =
+        CheckBeforeSubmit(aContext, *text, baseVersion)) {
+    return *refused;
+  }
   http::Request request;
   request.method = "PUT";
   request.target = "/v1/configuration";
-  request.headers.Set(
-    "Limpetwood-Base-Version",
-    std::to_string(aContext.options["base-version"].as<uint64_t>()));
+  request.headers.Set("Limpetwood-Base-Version", std::to_string(baseVersion));
   request.headers.Set("Limpetwood-Idempotency-Key",
                       GetOrCreateIdempotencyKey(aContext));
   request.body = *text;
@@ -223,12 +230,22 @@
       "check a document and show its guarantee plan",
       AddValidateOptions,
       Validate },
+    { "config",
+      "check",
+      "FILE",
+      1,
+      1,
+      "find errors, ineffective entries and suspicious changes",
+      AddCheckOptions,
+      CheckConfiguration,
+      kNotChecked,
+      kNotChecked },
     { "config",
       "submit",
       "FILE",
       1,
       1,
-      "put a document in force",
+      "check a document and put it in force",
       AddSubmitOptions,
       Submit },
     { "config",
--- a/packages/ctl/run.cc
+++ b/packages/ctl/run.cc
@@ -115,7 +115,7 @@
       !ParseInstances(values["instance"].as<std::string>(), instances, aErr)) {
     aErr << "usage: limpetctl " << aCommand.group << ' ' << aCommand.name << ' '
          << aCommand.arguments << " [OPTIONS]; see --help\n";
-    return kUsage;
+    return aCommand.usageCode;
   }
   Context context{ values,
                    std::move(arguments),
@@ -147,11 +147,11 @@
         it, { aArguments.begin() + 2, aArguments.end() }, aOut, aErr);
     } catch (const po::error& error) {
       aErr << error.what() << '\n';
-      return kUsage;
+      return it.usageCode;
     } catch (const std::exception& error) {
       // For example, a field of the response has an unexpected type.
       aErr << "unexpected answer: " << error.what() << '\n';
-      return kMayHaveRun;
+      return it.failureCode;
     }
   }
   PrintUsage(aErr);
