--- a/packages/ctl/config_check.cc
+++ b/packages/ctl/config_check.cc
@@ -153,25 +153,75 @@
   return { std::nullopt, kRejected };
 }
 
-// The services of the backend servers that an instance lists, or nothing.
-std::optional<std::set<ServiceId>>
-ReadAnnouncedServices(Context& aContext)
+// Adds the services of the backend servers that an instance lists. Returns
+// false and prints the cause to the error stream if they cannot be read.
+bool
+AddAnnouncedServices(Context& aContext,
+                     const std::string& aControlAddress,
+                     std::set<ServiceId>& aServices)
 {
+  Result<http::Endpoint> endpoint = http::ParseEndpoint(aControlAddress);
+  if (!endpoint) {
+    aContext.err << "not a numeric address with a port: " << aControlAddress
+                 << '\n';
+    return false;
+  }
   http::Request request;
   request.target = "/v1/backend-servers";
-  CallResult result = aContext.client.Call(request);
+  Millis timeout(aContext.options["timeout-ms"].as<int64_t>());
+  CallResult result = Client({ endpoint.Value() }, timeout).Call(request);
   if (ReportResult(aContext, request, result) != kSuccess) {
-    return std::nullopt;
+    return false;
   }
   Json body = BodyOf(result.response);
   if (!body.is_object() || !body.contains("servers") ||
       !body["servers"].is_array()) {
     aContext.err << "unexpected answer to GET " << request.target << '\n';
+    return false;
+  }
+  for (const Json& it : body["servers"]) {
+    aServices.insert(ServiceId(FieldText(it, "service")));
+  }
+  return true;
+}
+
+// The services that backend servers announce. Each instance lists only the
+// servers that announce themselves to it, so all instances are asked. Returns
+// nothing if the list is incomplete: some instance could not be asked, and the
+// others do not list every service in force.
+std::optional<std::set<ServiceId>>
+ReadAnnouncedServices(Context& aContext, const model::Document& aInForce)
+{
+  http::Request request;
+  request.target = "/v1/instances";
+  CallResult result = aContext.client.Call(request);
+  if (ReportResult(aContext, request, result) != kSuccess) {
+    return std::nullopt;
+  }
+  Json body = BodyOf(result.response);
+  if (!body.is_object() || !body.contains("instances") ||
+      !body["instances"].is_array()) {
+    aContext.err << "unexpected answer to GET " << request.target << '\n';
     return std::nullopt;
   }
   std::set<ServiceId> services;
-  for (const Json& it : body["servers"]) {
-    services.insert(ServiceId(FieldText(it, "service")));
+  bool complete = true;
+  for (const Json& it : body["instances"]) {
+    // An instance that is not alive is asked as well: it may only be cut off
+    // from the control group.
+    if (!AddAnnouncedServices(
+          aContext, FieldText(it, "controlAddress"), services)) {
+      aContext.err << "the backend servers of instance "
+                   << FieldText(it, "instance") << " could not be read\n";
+      complete = false;
+    }
+  }
+  bool allFound = std::all_of(
+    aInForce.services.begin(),
+    aInForce.services.end(),
+    [&](const model::Service& x) { return services.contains(x.id); });
+  if (!complete && !allFound) {
+    return std::nullopt;
   }
   return services;
 }
@@ -377,10 +427,11 @@
   } else if (!aReport.inForce->planned) {
     aReport.notChecked.push_back({ kChanges, "no version is in force" });
     aReport.notChecked.push_back({ kServices, "no version is in force" });
-  } else if (!(aAnnounced = ReadAnnouncedServices(aContext))) {
+  } else if (!(aAnnounced = ReadAnnouncedServices(
+                 aContext, aReport.inForce->planned->document))) {
     aReport.failed = true;
     aReport.notChecked.push_back(
-      { kServices, "the backend servers could not be read" });
+      { kServices, "the backend servers of some instance could not be read" });
   }
 }
 
--- a/packages/ctl/config_check_test.cc
+++ b/packages/ctl/config_check_test.cc
@@ -9,11 +9,15 @@
 
 #include <fstream>
 #include <iterator>
+#include <map>
+#include <sstream>
+#include <utility>
 
 namespace limpetwood::ctl {
 namespace {
 
 using Json = nlohmann::json;
+using nlohmann::literals::operator""_json_pointer;
 
 const char* const kDocument = R"({
   "zones": ["z"],
@@ -42,24 +46,41 @@
   return DocumentWith("\"count\": 2", "\"count\": 1");
 }
 
-// A system with `kDocument` in force as version 7 and, if `aService` is given,
-// one backend server of that service.
+// A system of two instances with `kDocument` in force as version 7. A backend
+// server of the service `aService` is announced to the second instance.
 class System
 {
 public:
-  explicit System(std::string aService = "mesh")
-    : control([service = std::move(aService)](const Request& aRequest) {
+  explicit System(const std::string& aService = "mesh")
+    : second([=](const Request& aRequest) {
+      return aRequest.target == "/v1/backend-servers"
+               ? MakeResponse(200,
+                              R"({"servers":[{"server":"b","service":")" +
+                                aService + "\"}]}")
+               : MakeResponse(404, "{}");
+    })
+    , control([this](const Request& aRequest) {
       if (aRequest.method == "PUT") {
         return MakeResponse(200, R"({"version":8,"hash":"x"})");
       }
       if (aRequest.target == "/v1/backend-servers") {
-        return MakeResponse(200,
-                            "{\"servers\":[{\"server\":\"b\",\"service\":\"" +
-                              service + "\"}]}");
+        return MakeResponse(200, R"({"servers":[]})");
+      }
+      if (aRequest.target == "/v1/instances") {
+        return MakeResponse(
+          200,
+          Json{ { "instances",
+                  { { { "instance", "i-1" },
+                      { "controlAddress", control.Address() } },
+                    { { "instance", "i-2" },
+                      { "controlAddress",
+                        secondAddress.empty() ? second.Address()
+                                              : secondAddress } } } } }
+            .dump());
       }
       return MakeResponse(
         200,
-        std::string("{\"version\":7,\"hash\":\"y\",\"plan\":[") +
+        std::string(R"({"version":7,"hash":"y","plan":[)") +
           R"({"workspace":"a","accelerators":4,"closeness":"worker","zone":"z"},
              {"workspace":"a","accelerators":4,"closeness":"worker","zone":"z"}
              ],"document":)" +
@@ -78,6 +99,9 @@
     return count;
   }
 
+  // Instead of the address of the second instance.
+  std::string secondAddress;
+  FakeControl second;
   FakeControl control;
 };
 
@@ -206,6 +230,21 @@
   EXPECT_TRUE(Contains(result.out, "[service_without_server]"));
 }
 
+// Each instance lists its own backend servers only. If one cannot be asked, a
+// service may have a server there, and a warning could be false.
+TEST(ConfigCheck, ServiceIsNotReportedIfAnInstanceCannotBeAsked)
+{
+  System system;
+  system.secondAddress = "127.0.0.1:1";
+  CommandResult result =
+    RunWith(system.control.Address(),
+            { "config", "check", TempFile("partial", kDocument) });
+  EXPECT_EQ(result.code, 3);
+  EXPECT_FALSE(Contains(result.out, "[service_without_server]"));
+  EXPECT_TRUE(Contains(result.out, "not checked: services"));
+  EXPECT_TRUE(Contains(result.err, "instance i-2"));
+}
+
 // Before the first version there is nothing to compare with, which is not a
 // failure of the check.
 TEST(ConfigCheck, SystemWithoutAVersionIsCheckedAsAFile)
@@ -319,6 +358,91 @@
   EXPECT_EQ(report["verdict"], "not_checked");
 }
 
+std::string
+ReadSource(const std::string& aName)
+{
+  std::ifstream file(LIMPETWOOD_SOURCE_DIR "/" + aName);
+  EXPECT_TRUE(file.is_open()) << aName;
+  return { std::istreambuf_iterator<char>(file),
+           std::istreambuf_iterator<char>() };
+}
+
+// The indented block of a page that starts with `aStart`.
+std::string
+BlockOf(const std::string& aPage, const std::string& aStart)
+{
+  std::string block;
+  std::istringstream lines(aPage.substr(aPage.find("    " + aStart)));
+  for (std::string line;
+       std::getline(lines, line) && line.starts_with("    ");) {
+    block += line.substr(4) + '\n';
+  }
+  return block;
+}
+
+// Guards against a kind of finding without an example, and against examples
+// that differ from what the check prints.
+TEST(ConfigCheck, PageHasACurrentExampleOfEachKind)
+{
+  std::string page = ReadSource("docs/limpetctl.md");
+  std::string site = BlockOf(page, "{\n      \"zones\"");
+  ASSERT_TRUE(Json::accept(site)) << site;
+  std::string servers;
+  FakeControl control([&](const Request& aRequest) {
+    if (aRequest.target == "/v1/instances") {
+      return MakeResponse(
+        200,
+        R"({"instances":[{"instance":"i","controlAddress":")" +
+          control.Address() + "\"}]}");
+    }
+    return MakeResponse(200,
+                        aRequest.target == "/v1/backend-servers"
+                          ? "{\"servers\":[" + servers + "]}"
+                          : "{\"version\":1,\"document\":" + site + "}");
+  });
+  // Each example by the text that it replaces in the file.
+  const std::map<std::string, std::pair<std::string, std::string>> examples{
+    { "rejected",
+      { "\"hardanger-r1\", \"zone\": \"hardanger\"",
+        "\"hardanger-r1\", \"zone\": \"hardangr\"" } },
+    { "zone_without_racks", { "\"hardanger\"]", "\"hardanger\", \"voss\"]" } },
+    { "zero_quota", { "16, \"jobs\"", "0, \"jobs\"" } },
+    { "workspace_cannot_submit",
+      { "\"jobs\": 20, \"requests\": 10", "\"jobs\": 0, \"requests\": 0" } },
+    { "service_without_server", { "mesh", "mesh" } },
+    { "guarantee_reduced", { "16, \"closeness\"", "8, \"closeness\"" } },
+    { "workspace_removed", { "research", "reserch" } },
+  };
+  Json schema = Json::parse(ReadSource("docs/config-check.schema.json"));
+  for (const Json& it : schema.at("/properties/findings/items/properties/kind"
+                                  "/enum"_json_pointer)) {
+    auto kind = it.get<std::string>();
+    ASSERT_TRUE(examples.contains(kind)) << kind;
+    const auto& [from, to] = examples.at(kind);
+    std::string text = site;
+    ASSERT_NE(text.find(from), std::string::npos) << kind;
+    text.replace(text.find(from), from.size(), to);
+    servers = kind == "service_without_server" ? "" : R"({"service":"mesh"})";
+    std::string file = TempFile("example", text);
+    CommandResult result =
+      RunWith(control.Address(), { "config", "check", file });
+    std::string line = result.out.substr(0, result.out.find('\n'));
+    ASSERT_TRUE(line.starts_with(file)) << kind << ": " << result.out;
+    EXPECT_TRUE(line.ends_with("[" + kind + "]")) << line;
+    EXPECT_TRUE(
+      Contains(page, "\n    site.json" + line.substr(file.size()) + "\n"))
+      << line;
+  }
+  // One example is shown with its whole output.
+  std::string text = site;
+  text.replace(text.find("16, \"closeness\""), 2, "8");
+  std::string file = TempFile("example", text);
+  CommandResult result =
+    RunWith(control.Address(), { "config", "check", file });
+  EXPECT_EQ("site.json" + result.out.substr(file.size()),
+            BlockOf(page, "site.json:13:21"));
+}
+
 // A guarantee that is reduced by mistake must not take effect unnoticed.
 TEST(ConfigSubmit, DocumentWithWarningsNeedsForce)
 {
--- a/packages/model/check.cc
+++ b/packages/model/check.cc
@@ -160,12 +160,13 @@
       std::string path = AppendToPointer("/services", n);
       if (!mFaulty.Touch(path) && inForce.contains(id) &&
           !aAnnounced.contains(id)) {
-        Add(FindingKind::kServiceWithoutServer,
-            path + "/id",
-            Quote(id.Value()),
-            "no backend server announces this service, so requests to it wait "
-            "in vain",
-            "a service that a backend server announces");
+        Add(
+          FindingKind::kServiceWithoutServer,
+          path + "/id",
+          Quote(id.Value()),
+          "no backend server announces this service, so its requests cannot be "
+          "answered",
+          "a service that a backend server announces");
       }
     }
   }
--- a/packages/model/check_test.cc
+++ b/packages/model/check_test.cc
@@ -201,7 +201,7 @@
                    "jobs 0, requests 0" });
 }
 
-// Guards against a misspelled service, whose requests would wait in vain. A
+// Guards against a misspelled service, whose requests cannot be answered. A
 // service that is not in force yet has no servers and is not reported.
 TEST(CheckDocument, ServiceThatNoServerAnnouncesIsAWarning)
 {
