Log the shape and the estimate of accepted jobs

The age of a job at its end says little without the time that its caller expected; with both, late jobs can be told from long ones in the leader's log.

--- a/packages/fleet/change_event.cc
+++ b/packages/fleet/change_event.cc
@@ -37,6 +37,9 @@
          std::any_of(aJob.spec.steps.begin(),
                      aJob.spec.steps.end(),
                      [](const StepSpec& it) { return it.savesCheckpoints; }))
+    .Add("tasks", aJob.spec.steps.front().tasks)
+    .Add("one_rack", aJob.spec.steps.front().prefersOneRack)
+    .Add("estimate_ms", aJob.spec.steps.front().estimate)
     .Add("configuration", aState.Version());
   return event;
 }
