Answer workers' reports in time while the leader changes

Causes, found by reading and by tests with simulated workers: - Reports were refused without a wait once the last contact with a leader was longer ago than `outageThreshold`, also those that had waited. A refused worker calls the next instance at once, so each calls all of them in turn. - While no leader was known, one instance was pinged at a time. One that does not answer blocked the discovery for the timeout of its ping. - Waiting requests were checked every 90 ms, so a report with a limit of 900 ms could be answered up to 990 ms after its arrival. - A leader that refused all reports in flight for a moment got only as many of them again as the budget of retries allowed. - Reports could take all connections to the leader.

Change: `LeaderFinder` is split off from the relay. It pings up to five candidates at a time while no leader is known, which is up to five times the pings per instance during that time, and pings an instance that is named as the leader every 20 ms until it confirms. Reports wait for a leader until a random time in the last 200 ms before their limit. An instance that hears no other one for `maxLeaderSilence` refuses them without a wait. Waiting requests end at their limit. The first retry after a refusal by an instance that does not lead takes no token. Reports use at most three quarters of the connections and wait behind other requests. What makes an outcome `kMayHaveRun` is unchanged.

Each new test in relay_test.cc fails with its mechanism switched off, except that ReportWaitsWhileOtherInstancesAnswer shares those of two others.

--- a/packages/fleetd/relay.cc
+++ b/packages/fleetd/relay.cc
@@ -2,7 +2,7 @@
 
 #include "base/random.h"
 #include "base/retry_budget.h"
-#include "fleetd/leader_evidence.h"
+#include "fleetd/leader_finder.h"
 
 #include <algorithm>
 #include <chrono>
@@ -17,22 +17,12 @@
 using fleet::RequestOutcome;
 namespace gen = fleet::gen;
 
-// Large enough for a reply that contains a configuration (16 MiB).
-constexpr uint64_t kMaxReplyBytes = 16U << 20U;
 // Interval at which waiting requests are checked while no leader is known.
 constexpr Millis kLeaderCheckInterval(90);
 // Interval at which waiting requests are sent while a leader is known, half of
 // it at random, and the number sent at once.
 constexpr Millis kResumeInterval(20);
 constexpr size_t kMaxResumedAtOnce = 16;
-// Connections for pings, apart from those of requests, so that requests in
-// flight cannot delay the pings.
-constexpr uint32_t kMaxPingConnections = 2;
-constexpr Millis kConnectTimeout(400);
-// Number of instances learned from replies above which the set is cleared
-// before the next reply's members are added, so that it does not grow without
-// bound.
-constexpr size_t kMemberCountBeforeReset = 32;
 
 gen::Reply
 MakeReply(RequestOutcome aOutcome)
@@ -65,59 +55,40 @@
   uint32_t attempts = 0;
   // The instance that the latest attempt was sent to.
   std::string target;
-  // In `waiting`. A result of an earlier attempt ends the request only if it is
-  // a success.
+  // Waits for an attempt. A result of an earlier attempt ends the request only
+  // if it is a success.
   bool waiting = false;
   bool finished = false;
   // An attempt that may have changed state got no answer.
   bool mayHaveRun = false;
   // The request changes no state, so an unanswered attempt counts as not run.
   bool readOnly = false;
+  // The latest attempt was answered by an instance that did not lead.
+  bool refusedByNonLeader = false;
+  // The request was resent to the same leader without a token.
+  bool usedFreeRetry = false;
+  // A report of a worker, which waits until `waitUntil` for an attempt.
+  bool isReport = false;
+  Millis waitUntil;
 };
 
 struct Relay::Impl : std::enable_shared_from_this<Relay::Impl>
 {
   Impl(asio::io_context& aContext, RelayOptions aOptions, LogFunction aLog)
-    : options(aOptions)
+    : options(std::move(aOptions))
+    , log(std::move(aLog))
     , client(aContext,
-             ClientPoolLimits(static_cast<uint32_t>(aOptions.maxInFlight)))
-    , pingClient(aContext, ClientPoolLimits(kMaxPingConnections))
-    , budget(aOptions.retryShare, aOptions.maxSavedRetries)
+             InstancePoolLimits(static_cast<uint32_t>(options.maxInFlight)))
+    , budget(options.retryShare, options.maxSavedRetries)
     , random(static_cast<uint64_t>(WallNow().Count()))
-    , pingTimer(aContext)
     , waitTimer(aContext)
-    , log(std::move(aLog))
-  {
-  }
-
-  static http::PoolLimits ClientPoolLimits(uint32_t aMaxConnections)
   {
-    http::PoolLimits limits;
-    limits.maxConnections = aMaxConnections;
-    limits.connectTimeout = kConnectTimeout;
-    return limits;
   }
 
-  void Ping();
-  void OnPing(const std::string& aTarget, const http::FetchResult& aResult);
-  std::string NextTarget();
-  void SetLeader(const std::string& aLeader);
-  void ClearLeader(std::string_view aReason);
-  // Gives up the leader if the failed attempt at it shows that it is lost.
-  void CheckLeader(const FailedLeaderAttempt& aAttempt);
-  void ApplyMembersAndLimits(const gen::Reply& aReply);
-  // Posts an encoded request to the request server of `aTarget`, an address
-  // without a port.
-  void Fetch(http::PooledClient& aClient,
-             const std::string& aTarget,
-             std::string aBytes,
-             Millis aTimeout,
-             http::FetchCallback aDone);
-
   // Sends the request if a leader, a connection and, for a retry at the same
   // leader, a token of the budget are available; otherwise lets it wait.
   void StartAttempt(const std::shared_ptr<PendingCall>& aCall);
-  bool MayStartAttempt(const PendingCall& aCall);
+  bool MayStartAttempt(PendingCall& aCall);
   void SendAttempt(const std::shared_ptr<PendingCall>& aCall);
   void Wait(const std::shared_ptr<PendingCall>& aCall);
   void OnAttemptResult(const std::shared_ptr<PendingCall>& aCall,
@@ -127,221 +98,68 @@
   // Lets the requests that are in flight to an earlier leader wait for an
   // attempt at the current one.
   void ResendToLeader();
+  // The time until which the request waits for an attempt.
+  Millis EndOfWait(const PendingCall& aCall) const;
   bool MayWait(const PendingCall& aCall) const;
+  void RemoveInFlight(const std::shared_ptr<PendingCall>& aCall);
   void Finish(const std::shared_ptr<PendingCall>& aCall, gen::Reply aReply);
   // Sends waiting requests, a few at a time, and ends those that may not wait
-  // any longer.
+  // any longer. Requests of callers and operators precede reports of workers.
   void ResumeWaiting();
+  void OnLeaderFound();
+  const std::string& Leader() const { return finder->Leader(); }
+  size_t MaxReportsInFlight() const;
   // Calls `ResumeWaiting` after `aDelay`, or earlier if already scheduled.
   void ScheduleResume(Millis aDelay);
 
   RelayOptions options;
+  LogFunction log;
+  std::shared_ptr<LeaderFinder> finder;
   http::PooledClient client;
-  http::PooledClient pingClient;
   RetryBudget budget;
   Random random;
-  asio::steady_timer pingTimer;
   asio::steady_timer waitTimer;
-  LogFunction log;
-  std::vector<std::string> seeds;
-  std::set<std::string> members;
-  // Empty while no leader is known.
-  std::string leader;
-  // Time of the last contact with a leader. Before the first contact, a time so
-  // long ago that `outageThreshold` is exceeded and requests are refused at
-  // once.
-  Millis lastLeaderContact{ -1'000'000 };
-  // Position in the list of seeds and members during leader discovery.
-  size_t nextCandidate = 0;
-  // The instance that a reply named as the leader; pinged next.
-  std::string leaderHint;
-  bool pingInFlight = false;
   bool stopped = false;
   // Calls are answered at once, without an attempt.
   bool ended = false;
   // Requests that wait for a leader, a connection or a token.
   std::deque<std::shared_ptr<PendingCall>> waiting;
+  std::deque<std::shared_ptr<PendingCall>> waitingReports;
   // When `waitTimer` fires; `Max` while it is not armed.
   Millis resumeDueAt = Millis::Max();
   // Requests with an attempt in flight.
   std::set<std::shared_ptr<PendingCall>> inFlight;
+  size_t reportsInFlight = 0;
   gen::Limits limits;
   std::function<void(const gen::Limits&)> onLimitsChanged;
   RelayCounters counters;
 };
 
-void
-Relay::Impl::Fetch(http::PooledClient& aClient,
-                   const std::string& aTarget,
-                   std::string aBytes,
-                   Millis aTimeout,
-                   http::FetchCallback aDone)
-{
-  http::Request request;
-  request.method = "POST";
-  request.target = "/fleet";
-  request.body = std::move(aBytes);
-  aClient.Fetch({ aTarget, options.port },
-                std::move(request),
-                { .timeout = aTimeout, .maxBodyBytes = kMaxReplyBytes },
-                std::move(aDone));
-}
-
-std::string
-Relay::Impl::NextTarget()
-{
-  if (!leaderHint.empty()) {
-    return std::exchange(leaderHint, {});
-  }
-  if (!leader.empty()) {
-    return leader;
-  }
-  std::vector<std::string> candidates(seeds);
-  for (const std::string& it : members) {
-    if (std::find(seeds.begin(), seeds.end(), it) == seeds.end()) {
-      candidates.push_back(it);
-    }
-  }
-  if (candidates.empty()) {
-    return {};
-  }
-  return candidates[nextCandidate++ % candidates.size()];
-}
-
-void
-Relay::Impl::Ping()
-{
-  if (stopped) {
-    return;
-  }
-  std::string target = pingInFlight ? std::string() : NextTarget();
-  if (!target.empty()) {
-    pingInFlight = true;
-    gen::Request request;
-    request.kind = static_cast<int32_t>(RequestKind::kPing);
-    Fetch(pingClient,
-          target,
-          fleet::Encode(request),
-          options.pingTimeout,
-          [self = shared_from_this(), target](http::FetchResult aResult) {
-            self->pingInFlight = false;
-            self->OnPing(target, aResult);
-          });
-  }
-  // Pings four times as often while no leader is known.
-  Millis delay =
-    leader.empty() ? options.pingInterval / 4 : options.pingInterval;
-  pingTimer.expires_after(ToChrono(delay));
-  pingTimer.async_wait([self = shared_from_this()](auto ec) {
-    if (!ec) {
-      self->Ping();
-    }
-  });
-}
-
-void
-Relay::Impl::OnPing(const std::string& aTarget,
-                    const http::FetchResult& aResult)
-{
-  if (stopped) {
-    return;
-  }
-  // Only the presence of an error matters here; its code is not used.
-  auto reply =
-    aResult.verdict == Verdict::kAnswered
-      ? fleet::Decode<gen::Reply>(aResult.response.body)
-      : Result<gen::Reply>(std::make_error_code(std::errc::connection_refused));
-  if (!reply) {
-    if (aTarget == leader) {
-      CheckLeader({ .verdict = aResult.verdict,
-                    .error = aResult.error,
-                    .lastHeardAt = lastLeaderContact });
-    }
-    return;
-  }
-  ApplyMembersAndLimits(reply.Value());
-  if (static_cast<RequestOutcome>(reply.Value().outcome) ==
-      RequestOutcome::kOk) {
-    SetLeader(aTarget);
-    return;
-  }
-  if (aTarget == leader) {
-    ClearLeader("not_leading");
-  }
-  if (!reply.Value().leader.empty() && reply.Value().leader != aTarget) {
-    leaderHint = reply.Value().leader;
-    Ping();
-  }
-}
-
-void
-Relay::Impl::ApplyMembersAndLimits(const gen::Reply& aReply)
-{
-  // A replica that does not know its group yet, or whose node is closed, names
-  // no members.
-  if (aReply.members.empty()) {
-    return;
-  }
-  if (members.size() > kMemberCountBeforeReset) {
-    members.clear();
-  }
-  members.insert(aReply.members.begin(), aReply.members.end());
-  if (aReply.__isset.limits && !(aReply.limits == limits)) {
-    limits = aReply.limits;
-    if (onLimitsChanged) {
-      onLimitsChanged(limits);
-    }
-  }
-}
-
-void
-Relay::Impl::SetLeader(const std::string& aLeader)
-{
-  lastLeaderContact = MonotonicNow();
-  if (leader == aLeader) {
-    return;
-  }
-  leader = aLeader;
-  ++counters.leaderChanges;
-  log(LogEvent("leader_found").Add("leader", aLeader));
-  ResendToLeader();
-}
-
-void
-Relay::Impl::ClearLeader(std::string_view aReason)
-{
-  if (leader.empty()) {
-    return;
-  }
-  log(LogEvent("leader_lost")
-        .Add("leader", leader)
-        .Add("reason", aReason)
-        .Add("heard_ms_ago", MonotonicNow() - lastLeaderContact));
-  leader.clear();
-  Ping();
-}
-
-void
-Relay::Impl::CheckLeader(const FailedLeaderAttempt& aAttempt)
+size_t
+Relay::Impl::MaxReportsInFlight() const
 {
-  LeaderLoss loss =
-    JudgeLeader(aAttempt, options.maxLeaderSilence, MonotonicNow());
-  if (loss != LeaderLoss::kNone) {
-    ClearLeader(LeaderLossName(loss));
-  }
+  return std::max(options.maxInFlight * 3 / 4, size_t{ 1 });
 }
 
 bool
-Relay::Impl::MayStartAttempt(const PendingCall& aCall)
+Relay::Impl::MayStartAttempt(PendingCall& aCall)
 {
-  if (leader.empty()) {
+  if (Leader().empty()) {
     return false;
   }
-  if (inFlight.size() >= options.maxInFlight) {
+  if (inFlight.size() >= options.maxInFlight ||
+      (aCall.isReport && reportsInFlight >= MaxReportsInFlight())) {
     ++counters.waitedForSlot;
     return false;
   }
-  bool sameLeader = aCall.attempts > 0 && aCall.target == leader;
+  bool sameLeader = aCall.attempts > 0 && aCall.target == Leader();
+  // An instance whose leader lease lapses for a moment refuses at once all that
+  // it has in flight, which costs it little and is more than the budget allows
+  // to resend when it leads again.
+  if (sameLeader && aCall.refusedByNonLeader && !aCall.usedFreeRetry) {
+    aCall.usedFreeRetry = true;
+    return true;
+  }
   if (sameLeader && !budget.TryTake()) {
     ++counters.waitedForBudget;
     return false;
@@ -370,17 +188,20 @@
     Finish(aCall, MakeReply(RequestOutcome::kUnavailable));
     return;
   }
-  aCall->target = leader;
+  aCall->target = Leader();
+  aCall->refusedByNonLeader = false;
   uint32_t attempt = ++aCall->attempts;
   inFlight.insert(aCall);
-  Fetch(client,
-        leader,
-        aCall->bytes,
-        std::min(remaining, options.attemptTimeout),
-        [self = shared_from_this(), aCall, attempt, target = leader](
-          http::FetchResult aResult) {
-          self->OnAttemptResult(aCall, attempt, target, aResult);
-        });
+  reportsInFlight += aCall->isReport ? 1 : 0;
+  PostToInstance(
+    client,
+    { aCall->target, options.port },
+    aCall->bytes,
+    std::min(remaining, options.attemptTimeout),
+    [self = shared_from_this(), aCall, attempt, target = aCall->target](
+      const http::FetchResult& aResult) {
+      self->OnAttemptResult(aCall, attempt, target, aResult);
+    });
 }
 
 void
@@ -388,35 +209,58 @@
 {
   std::vector<std::shared_ptr<PendingCall>> toResend;
   for (const auto& it : inFlight) {
-    if (it->target != leader) {
+    if (it->target != Leader()) {
       toResend.push_back(it);
     }
   }
   for (const auto& it : toResend) {
     ++counters.retriesLeaderChanged;
     it->mayHaveRun = !it->readOnly;
-    inFlight.erase(it);
+    RemoveInFlight(it);
     Wait(it);
   }
-  if (!waiting.empty()) {
+}
+
+void
+Relay::Impl::OnLeaderFound()
+{
+  ++counters.leaderChanges;
+  ResendToLeader();
+  if (!waiting.empty() || !waitingReports.empty()) {
     ResumeWaiting();
   }
 }
 
-bool
-Relay::Impl::MayWait(const PendingCall& aCall) const
+void
+Relay::Impl::RemoveInFlight(const std::shared_ptr<PendingCall>& aCall)
 {
-  Millis now = MonotonicNow();
-  if (stopped || now >= aCall.deadline) {
-    return false;
+  if (inFlight.erase(aCall) > 0 && aCall->isReport) {
+    --reportsInFlight;
+  }
+}
+
+Millis
+Relay::Impl::EndOfWait(const PendingCall& aCall) const
+{
+  if (aCall.isReport) {
+    return aCall.waitUntil;
   }
   // Only a later attempt can determine the outcome of a request that may have
   // run.
   if (aCall.mayHaveRun) {
-    return true;
+    return aCall.deadline;
   }
-  return now - lastLeaderContact <= options.outageThreshold &&
-         now - aCall.startTime < options.leaderWaitTimeout;
+  return std::min(
+    { aCall.deadline,
+      aCall.startTime + options.leaderWaitTimeout,
+      finder->LastLeaderContact() + options.outageThreshold + Millis(1) });
+}
+
+bool
+Relay::Impl::MayWait(const PendingCall& aCall) const
+{
+  return !stopped && MonotonicNow() < EndOfWait(aCall) &&
+         !(aCall.isReport && finder->IsCutOff());
 }
 
 void
@@ -428,10 +272,11 @@
     return;
   }
   aCall->waiting = true;
-  waiting.push_back(aCall);
-  ScheduleResume(leader.empty()
+  (aCall->isReport ? waitingReports : waiting).push_back(aCall);
+  Millis delay = Leader().empty()
                    ? kLeaderCheckInterval
-                   : random.Between(kResumeInterval / 2, kResumeInterval));
+                   : random.Between(kResumeInterval / 2, kResumeInterval);
+  ScheduleResume(std::min(delay, EndOfWait(*aCall) - MonotonicNow()));
 }
 
 void
@@ -455,6 +300,8 @@
 Relay::Impl::ResumeWaiting()
 {
   auto calls = std::exchange(waiting, {});
+  auto reports = std::exchange(waitingReports, {});
+  calls.insert(calls.end(), reports.begin(), reports.end());
   size_t resumed = 0;
   for (const auto& it : calls) {
     if (it->finished) {
@@ -480,7 +327,7 @@
   }
   bool isLatest = aAttempt == aCall->attempts && !aCall->waiting;
   if (isLatest) {
-    inFlight.erase(aCall);
+    RemoveInFlight(aCall);
   }
   bool notLeading = false;
   if (aResult.verdict == Verdict::kAnswered) {
@@ -493,8 +340,8 @@
     bool isFinal =
       isLatest || (reply && static_cast<RequestOutcome>(
                               reply.Value().outcome) == RequestOutcome::kOk);
-    if (fromLeader && aTarget == leader) {
-      lastLeaderContact = MonotonicNow();
+    if (fromLeader && aTarget == Leader()) {
+      finder->OnLeaderContact();
     }
     if (fromLeader && isFinal) {
       Finish(aCall, std::move(reply).Value());
@@ -503,10 +350,7 @@
     ++counters.retriesNotLeader;
     if (reply) {
       notLeading = !fromLeader;
-      ApplyMembersAndLimits(reply.Value());
-      if (reply.Value().leader != aTarget) {
-        leaderHint = reply.Value().leader;
-      }
+      finder->OnReply(aTarget, reply.Value());
     } else {
       // The answer may have reported a success.
       aCall->mayHaveRun = !aCall->readOnly;
@@ -520,6 +364,7 @@
   if (!isLatest) {
     return;
   }
+  aCall->refusedByNonLeader = notLeading;
   if (!aCall->path.empty()) {
     log(LogEvent("attempt_failed")
           .Add("path", aCall->path)
@@ -528,11 +373,10 @@
           .Add("verdict", VerdictName(aResult.verdict))
           .Add("took_ms", MonotonicNow() - aCall->startTime));
   }
-  if (aTarget == leader) {
-    CheckLeader({ .verdict = aResult.verdict,
-                  .error = aResult.error,
-                  .answeredNotLeading = notLeading,
-                  .lastHeardAt = lastLeaderContact });
+  if (aTarget == Leader()) {
+    finder->OnFailedAttempt({ .verdict = aResult.verdict,
+                              .error = aResult.error,
+                              .answeredNotLeading = notLeading });
   }
   StartAttempt(aCall);
 }
@@ -542,16 +386,17 @@
                     gen::Reply aReply)
 {
   aCall->finished = true;
-  inFlight.erase(aCall);
+  RemoveInFlight(aCall);
   auto outcome = static_cast<RequestOutcome>(aReply.outcome);
   if (aCall->mayHaveRun && fleet::IsKnownNotExecuted(outcome)) {
     aReply = MakeReply(RequestOutcome::kMayHaveRun);
   }
-  aCall->done({ .reply = std::move(aReply),
-                .attempts = aCall->attempts,
-                .leader = leader,
-                .timeSinceLeaderContact = MonotonicNow() - lastLeaderContact });
-  if (!waiting.empty() && !leader.empty()) {
+  aCall->done(
+    { .reply = std::move(aReply),
+      .attempts = aCall->attempts,
+      .leader = Leader(),
+      .timeSinceLeaderContact = MonotonicNow() - finder->LastLeaderContact() });
+  if (!Leader().empty() && !(waiting.empty() && waitingReports.empty())) {
     ScheduleResume(Millis(0));
   }
 }
@@ -559,8 +404,30 @@
 Relay::Relay(asio::io_context& aContext,
              RelayOptions aOptions,
              LogFunction aLog)
-  : mImpl(std::make_shared<Impl>(aContext, aOptions, std::move(aLog)))
-{
+  : mImpl(std::make_shared<Impl>(aContext, aOptions, aLog))
+{
+  std::weak_ptr<Impl> weak = mImpl;
+  mImpl->finder = std::make_shared<LeaderFinder>(
+    aContext,
+    std::move(aOptions),
+    std::move(aLog),
+    LeaderFinder::Callbacks{ .onLeaderFound =
+                               [weak] {
+                                 if (auto impl = weak.lock()) {
+                                   impl->OnLeaderFound();
+                                 }
+                               },
+                             .onLimitsChanged =
+                               [weak](const gen::Limits& aLimits) {
+                                 auto impl = weak.lock();
+                                 if (!impl) {
+                                   return;
+                                 }
+                                 impl->limits = aLimits;
+                                 if (impl->onLimitsChanged) {
+                                   impl->onLimitsChanged(aLimits);
+                                 }
+                               } });
 }
 
 Relay::~Relay()
@@ -571,21 +438,26 @@
 void
 Relay::Start(const std::vector<std::string>& aSeeds)
 {
-  mImpl->seeds = aSeeds;
-  mImpl->Ping();
+  mImpl->finder->Start(aSeeds);
 }
 
 void
 Relay::SetSeeds(const std::vector<std::string>& aSeeds)
 {
-  mImpl->seeds = aSeeds;
+  mImpl->finder->SetSeeds(aSeeds);
 }
 
 void
 Relay::Stop()
 {
   mImpl->stopped = true;
-  mImpl->pingTimer.cancel();
+  mImpl->finder->Stop();
+}
+
+void
+Relay::OnLeaderNamed(const std::string& aInstance)
+{
+  mImpl->finder->OnLeaderNamed(aInstance);
 }
 
 void
@@ -597,8 +469,10 @@
   for (const auto& it : calls) {
     it->mayHaveRun = !it->readOnly;
   }
-  auto waiting = std::exchange(mImpl->waiting, {});
-  calls.insert(calls.end(), waiting.begin(), waiting.end());
+  for (auto* queue : { &mImpl->waiting, &mImpl->waitingReports }) {
+    auto waiting = std::exchange(*queue, {});
+    calls.insert(calls.end(), waiting.begin(), waiting.end());
+  }
   for (const auto& it : calls) {
     if (!it->finished) {
       mImpl->Finish(it, MakeReply(RequestOutcome::kUnavailable));
@@ -617,8 +491,11 @@
   auto kind = static_cast<RequestKind>(aRequest.kind);
   call->readOnly =
     kind == RequestKind::kRead || kind == RequestKind::kGetConfiguration;
+  call->isReport = kind == RequestKind::kReport || kind == RequestKind::kLeave;
   call->startTime = MonotonicNow();
   call->deadline = aDeadline;
+  call->waitUntil =
+    aDeadline - mImpl->random.Between(Millis(0), mImpl->options.reportSpread);
   call->done = std::move(aDone);
   mImpl->StartAttempt(call);
 }
@@ -632,7 +509,7 @@
 bool
 Relay::HasLeader() const
 {
-  return !mImpl->leader.empty();
+  return !mImpl->Leader().empty();
 }
 
 const gen::Limits&
--- a/packages/fleetd/relay.h
+++ b/packages/fleetd/relay.h
@@ -4,8 +4,7 @@
 //   relay.Start(seeds);
 //   relay.Call(request, deadline, [](RelayResult aResult) {});
 //
-// The relay pings the seeds and the instances that replies name until one of
-// them reports that it leads. All requests are safe to retry: jobs are
+// `LeaderFinder` finds the leader. All requests are safe to retry: jobs are
 // identified by their id and configurations by their version. If the leader
 // changes while a request is in flight, the request is also sent to the new
 // leader. If an attempt of a request that changes state got no answer, the
@@ -16,6 +15,12 @@
 // for a leader are resent a few at a time, and the number of requests in flight
 // is bounded, so that a slow leader is not sent more than it already has.
 //
+// Load pattern: during an election all workers report to instances that do not
+// lead, and a worker that is refused calls the next instance at once. Reports
+// therefore wait for a leader for most of their time, unless this instance is
+// cut off from all others. They wait behind the requests of callers and
+// operators and leave connections to them.
+//
 // All calls and callbacks happen on the thread that runs the io_context.
 
 #pragma once
@@ -24,47 +29,17 @@
 #include "base/time.h"
 #include "fleet/codec.h"
 #include "fleet/request.h"
-#include "http/pooled_client.h"
+#include "fleetd/relay_options.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace limpetwood::fleetd {
 
-struct RelayOptions
-{
-  // Port of every instance's request server.
-  uint16_t port = 0;
-  // Interval between pings of the leader; a quarter of it while no leader is
-  // known.
-  Millis pingInterval = Millis(400);
-  Millis pingTimeout = Millis(400);
-  // A leader that has answered nothing for this long is given up at the next
-  // failed ping or attempt.
-  Millis maxLeaderSilence = Millis(700);
-  // Timeout of a single attempt of a request.
-  Millis attemptTimeout = Millis(1200);
-  // How long a request that is known not to have run waits for a new leader;
-  // about the duration of one election.
-  Millis leaderWaitTimeout = Millis(1200);
-  // If the last contact with a leader is longer ago than this, requests that
-  // are known not to have run are refused without waiting.
-  Millis outageThreshold = Millis(1500);
-  // Maximum number of requests in flight, each of which uses a connection to
-  // the leader. Further requests wait like those without a leader.
-  size_t maxInFlight = 64;
-  // Retries at the same leader that each fresh request allows, and the maximum
-  // number that can be saved up.
-  double retryShare = 0.2;
-  double maxSavedRetries = 20;
-};
-
 struct RelayCounters
 {
   uint64_t calls = 0;
@@ -122,15 +97,18 @@
   // leader end at the next retry if none is known.
   void Stop();
 
+  // Checks soon whether `aInstance` leads, which the caller learned otherwise,
+  // such as from this instance's replica.
+  void OnLeaderNamed(const std::string& aInstance);
+
   // Ends all calls as at their deadlines, and later calls at once, so that a
   // process that has to exit leaves none without an answer.
   void EndCalls();
 
   // Sends the request to the leader, with retries, and calls `aDone` once,
-  // possibly before returning: at `aDeadline`, a time of `MonotonicNow()`, at
-  // the latest or, while waiting for a leader, at the next retry. Without an
-  // answer of a leader, the outcome is `kUnavailable` or, if an attempt may
-  // have changed state, `kMayHaveRun`.
+  // possibly before returning, at `aDeadline`, a time of `MonotonicNow()`, at
+  // the latest. Without an answer of a leader, the outcome is `kUnavailable`
+  // or, if an attempt may have changed state, `kMayHaveRun`.
   void Call(const fleet::gen::Request& aRequest,
             Millis aDeadline,
             RelayCallback aDone);
--- a/packages/fleetd/relay_test.cc
+++ b/packages/fleetd/relay_test.cc
@@ -6,6 +6,7 @@
 
 #include "http/server.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -27,6 +28,8 @@
     kFollower,
     // Answers pings but no requests.
     kSilent,
+    // Answers nothing.
+    kSuspended,
   };
 
   FakeInstance(boost::asio::io_context& aContext, std::string aAddress)
@@ -84,6 +87,10 @@
     auto request = fleet::Decode<gen::Request>(aRequest.body).Value();
     bool ping = request.kind == static_cast<int32_t>(RequestKind::kPing);
     requestCount += ping ? 0 : 1;
+    if (role == Role::kSuspended) {
+      mUnansweredRequests.push_back(aRespond);
+      return;
+    }
     bool dropped = dropEvery > 0 && requestCount % dropEvery == 0;
     if ((role == Role::kSilent || dropped) && !ping) {
       mUnansweredRequests.push_back(aRespond);
@@ -182,6 +189,29 @@
     return result.value_or(RelayResult{});
   }
 
+  // Sends a request whose outcome is added to `mOutcomes`.
+  void StartCall(RequestKind aKind, Millis aTime)
+  {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(aKind);
+    mRelay->Call(
+      request, MonotonicNow() + aTime, [this](const RelayResult& aResult) {
+        mOutcomes.push_back(OutcomeOf(aResult));
+      });
+  }
+
+  // Calls `aAction` after `aDelay`, in the order of all timers of the context.
+  void After(Millis aDelay, std::function<void()> aAction)
+  {
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      mContext, std::chrono::milliseconds(aDelay.Count()));
+    timer->async_wait([timer, aAction = std::move(aAction)](auto ec) {
+      if (!ec) {
+        aAction();
+      }
+    });
+  }
+
   static RequestOutcome OutcomeOf(const RelayResult& aResult)
   {
     return static_cast<RequestOutcome>(aResult.reply.outcome);
@@ -194,6 +224,7 @@
   std::string mLog;
   RelayOptions mOptions;
   std::unique_ptr<Relay> mRelay;
+  std::vector<RequestOutcome> mOutcomes;
 };
 
 TEST_F(RelayTest, FindsALeaderThatIsNoSeed)
@@ -447,6 +478,226 @@
   EXPECT_EQ(outcomes.size(), 3U);
 }
 
+// Guards against an instance that answers nothing and delays the discovery of
+// the leader by the timeout of its ping.
+TEST_F(RelayTest, SuspendedInstanceDoesNotDelayDiscovery)
+{
+  mOptions.pingTimeout = Seconds(10);
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kSuspended;
+  mTwo.role = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(500));
+  EXPECT_TRUE(mRelay->HasLeader());
+}
+
+// Guards against a leader that the replica of this instance knows and the relay
+// finds only with its next round of pings.
+TEST_F(RelayTest, NamedLeaderIsPingedUntilItConfirms)
+{
+  mOptions.pingInterval = Seconds(10);
+  CreateRelay();
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  // The leader has not confirmed its state yet.
+  mRelay->OnLeaderNamed("127.0.0.2");
+  Run(Millis(60));
+  ASSERT_FALSE(mRelay->HasLeader());
+  mTwo.role = FakeInstance::Role::kLeader;
+  Run(Millis(1000));
+  EXPECT_TRUE(mRelay->HasLeader());
+}
+
+// Guards against requests that are sent to a suspended leader until its silence
+// is noticed, although another leader has been elected.
+TEST_F(RelayTest, NamedLeaderReplacesASuspendedOne)
+{
+  mOptions.pingTimeout = Seconds(10);
+  mOptions.attemptTimeout = Seconds(10);
+  mOptions.maxLeaderSilence = Seconds(10);
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2" });
+  Run(Millis(60));
+  mOne.role = FakeInstance::Role::kSuspended;
+  mTwo.role = FakeInstance::Role::kLeader;
+  StartCall(RequestKind::kReport, Seconds(10));
+  Run(Millis(100));
+  ASSERT_TRUE(mOutcomes.empty());
+  mRelay->OnLeaderNamed("127.0.0.2");
+  Run(Millis(500));
+  EXPECT_EQ(mOutcomes, std::vector{ RequestOutcome::kOk });
+}
+
+// Guards against refusals of reports without a wait during an outage, after
+// which each worker calls all instances at once, and against refusals at the
+// same time.
+TEST_F(RelayTest, ReportsWaitDuringAnOutageAndEndAtDifferentTimes)
+{
+  constexpr size_t kCalls = 40;
+  mOptions.reportSpread = Millis(300);
+  CreateRelay();
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(20));
+  for (size_t n = 0; n < kCalls; ++n) {
+    StartCall(RequestKind::kReport, Millis(600));
+  }
+  size_t endedEarly = 0;
+  size_t endedHalfway = 0;
+  size_t endedInTime = 0;
+  After(Millis(290), [&] { endedEarly = mOutcomes.size(); });
+  After(Millis(450), [&] { endedHalfway = mOutcomes.size(); });
+  After(Millis(620), [&] { endedInTime = mOutcomes.size(); });
+  Run(Millis(800));
+  EXPECT_EQ(endedEarly, 0U);
+  EXPECT_GT(endedHalfway, kCalls / 8);
+  EXPECT_LT(endedHalfway, kCalls * 7 / 8);
+  EXPECT_EQ(endedInTime, kCalls);
+  EXPECT_EQ(mOutcomes, std::vector(kCalls, RequestOutcome::kUnavailable));
+}
+
+// Guards against answers that come after the caller has given up because
+// waiting requests are checked only at an interval.
+TEST_F(RelayTest, WaitingRequestsEndAtTheirDeadline)
+{
+  mOptions.reportSpread = Millis(0);
+  mOptions.leaderWaitTimeout = Seconds(10);
+  mOptions.outageThreshold = Seconds(10);
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  mOne.role = FakeInstance::Role::kFollower;
+  Run(Millis(60));
+  ASSERT_FALSE(mRelay->HasLeader());
+  constexpr int kCalls = 30;
+  int late = 0;
+  for (int n = 0; n < kCalls; ++n) {
+    Millis time = Millis(100 + 7 * n);
+    RequestKind kind = n % 2 == 0 ? RequestKind::kReport : RequestKind::kSubmit;
+    auto ended = std::make_shared<bool>(false);
+    gen::Request request;
+    request.kind = static_cast<int32_t>(kind);
+    mRelay->Call(request, MonotonicNow() + time, [ended](const RelayResult&) {
+      *ended = true;
+    });
+    After(time + Millis(15), [&late, ended] { late += *ended ? 0 : 1; });
+  }
+  Run(Millis(600));
+  EXPECT_EQ(late, 0);
+}
+
+// Guards against an instance that is cut off from all others and holds the
+// reports of workers, which another instance could answer.
+TEST_F(RelayTest, CutOffInstanceRefusesReportsWithoutAWait)
+{
+  mOptions.self = "127.0.0.1";
+  CreateRelay();
+  mThree.role = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2", "127.0.0.3" });
+  Run(Millis(100));
+  ASSERT_TRUE(mRelay->HasLeader());
+  mTwo.role = FakeInstance::Role::kSuspended;
+  mThree.role = FakeInstance::Role::kSuspended;
+  Run(Millis(800));
+  StartCall(RequestKind::kReport, Seconds(5));
+  Run(Millis(20));
+  EXPECT_EQ(mOutcomes, std::vector{ RequestOutcome::kUnavailable });
+}
+
+// Guards against a report that is refused early during an election, in which
+// the other instances answer that they do not lead.
+TEST_F(RelayTest, ReportWaitsWhileOtherInstancesAnswer)
+{
+  mOptions.self = "127.0.0.1";
+  CreateRelay();
+  mThree.role = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1", "127.0.0.2", "127.0.0.3" });
+  Run(Millis(100));
+  mThree.role = FakeInstance::Role::kSuspended;
+  Run(Millis(800));
+  StartCall(RequestKind::kReport, Seconds(5));
+  Run(Millis(100));
+  ASSERT_TRUE(mOutcomes.empty());
+  mTwo.role = FakeInstance::Role::kLeader;
+  Run(Millis(300));
+  EXPECT_EQ(mOutcomes, std::vector{ RequestOutcome::kOk });
+}
+
+// Guards against requests of callers and operators that wait for the reports of
+// all workers after an election.
+TEST_F(RelayTest, OtherRequestsPrecedeReports)
+{
+  constexpr size_t kReports = 200;
+  constexpr int kOthers = 20;
+  mOptions.maxInFlight = 4;
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kLeader;
+  mOne.answerDelay = Millis(5);
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  for (size_t n = 0; n < kReports; ++n) {
+    StartCall(RequestKind::kReport, Seconds(5));
+  }
+  int succeeded = 0;
+  size_t reportsBefore = 0;
+  for (int n = 0; n < kOthers; ++n) {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(n % 2 == 0 ? RequestKind::kSubmit
+                                                   : RequestKind::kRead);
+    mRelay->Call(
+      request, MonotonicNow() + Seconds(5), [&](const RelayResult& aResult) {
+        succeeded += OutcomeOf(aResult) == RequestOutcome::kOk;
+        reportsBefore = mOutcomes.size();
+      });
+  }
+  Run(Millis(2500));
+  EXPECT_EQ(succeeded, kOthers);
+  EXPECT_LE(reportsBefore, kReports / 8);
+  EXPECT_EQ(mOutcomes, std::vector(kReports, RequestOutcome::kOk));
+}
+
+// Guards against reports that take all connections to a leader that is slow to
+// answer them.
+TEST_F(RelayTest, ReportsLeaveConnectionsToOtherRequests)
+{
+  mOptions.maxInFlight = 8;
+  mOptions.attemptTimeout = Seconds(5);
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kSilent;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  for (int n = 0; n < 20; ++n) {
+    StartCall(RequestKind::kReport, Seconds(2));
+  }
+  Run(Millis(100));
+  EXPECT_EQ(mOne.requestCount, 6);
+  StartCall(RequestKind::kSubmit, Seconds(2));
+  Run(Millis(100));
+  EXPECT_EQ(mOne.requestCount, 7);
+}
+
+// Guards against reports that wait for the budget of retries because their
+// leader refused all of them while its leader lease had lapsed.
+TEST_F(RelayTest, ReportsRefusedDuringALapseAreResent)
+{
+  constexpr size_t kReports = 200;
+  mOptions.retryShare = 0;
+  CreateRelay();
+  mOne.role = FakeInstance::Role::kLeader;
+  mRelay->Start({ "127.0.0.1" });
+  Run(Millis(60));
+  mOne.answerDelay = Millis(20);
+  for (size_t n = 0; n < kReports; ++n) {
+    StartCall(RequestKind::kReport, Seconds(2));
+  }
+  mOne.role = FakeInstance::Role::kFollower;
+  Run(Millis(100));
+  mOne.role = FakeInstance::Role::kLeader;
+  Run(Millis(1500));
+  EXPECT_EQ(mOutcomes, std::vector(kReports, RequestOutcome::kOk));
+}
+
 // Guards against a callback for each ping reply instead of for each change.
 TEST_F(RelayTest, ReportsChangedLimitsOnce)
 {
