Relay the reports that a former leader refuses, and name the new leader early

What workers saw: reports in progress at a leader that hands over were answered 503 at once, and reports at other instances went to the former leader first.

Cause: requests that the replica refuses because it no longer leads were not relayed.

Change: `ControlProcess` relays reports and leaves that its node answers with `kNotLeader`, which proves that they were not executed, and tells the relay which leader the replica follows.

--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -113,6 +113,7 @@
 {
   RelayOptions options;
   options.port = aSettings.firstPort + kRequestPortOffset;
+  options.self = aSettings.address;
   return options;
 }
 
@@ -132,6 +133,7 @@
              std::string aPayload) {
         if (mNode) {
           Guard([&] { mNode->OnReplication(aFrom, aPayload, MonotonicNow()); });
+          ReportLeaderToRelay();
           ScheduleTick();
         }
       })
@@ -339,9 +341,23 @@
                        RelayCallback aDone)
 {
   if (mNode && mNode->IsLeading()) {
-    auto done = [aDone = std::move(aDone)](gen::Reply aReply) {
+    fleet::ReplyCallback done = [aDone](gen::Reply aReply) {
       aDone({ .reply = std::move(aReply) });
     };
+    auto kind = static_cast<fleet::RequestKind>(aRequest.kind);
+    if (kind == fleet::RequestKind::kReport ||
+        kind == fleet::RequestKind::kLeave) {
+      done = [this, aRequest, aDeadline, aDone](gen::Reply aReply) {
+        // The report was not executed, because the leader lease has lapsed or
+        // leadership has ended. The next leader may be known soon.
+        if (static_cast<fleet::RequestOutcome>(aReply.outcome) ==
+            fleet::RequestOutcome::kNotLeader) {
+          mRelay.Call(aRequest, aDeadline, aDone);
+        } else {
+          aDone({ .reply = std::move(aReply) });
+        }
+      };
+    }
     Guard([&] { mNode->Handle(aRequest, MonotonicNow(), std::move(done)); });
     ScheduleTick();
     return;
@@ -404,8 +420,19 @@
   mTickDurations.Observe(duration);
   mNode->OnTickDuration(duration);
   mTicking = false;
+  ReportLeaderToRelay();
   CheckDisk(MonotonicNow());
   ScheduleTick();
 }
 
+void
+ControlProcess::ReportLeaderToRelay()
+{
+  std::string leader = LeaderAddress();
+  if (leader != mReportedLeader) {
+    mReportedLeader = leader;
+    mRelay.OnLeaderNamed(leader);
+  }
+}
+
 } // namespace limpetwood::fleetd
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -65,7 +65,9 @@
   // Executes the request locally if this replica leads and relays it otherwise.
   // Calls `aDone` at most once, possibly before returning. `aDeadline` is a
   // time of `MonotonicNow()` and limits only relayed requests. A local request
-  // that is pending when the node is closed after an error gets no answer.
+  // that is pending when the node is closed after an error gets no answer. A
+  // worker's report that this replica refuses because its leadership has ended
+  // is relayed.
   void Handle(const fleet::gen::Request& aRequest,
               Millis aDeadline,
               RelayCallback aDone);
@@ -93,6 +95,10 @@
   // Logs that the event loop is overloaded, and what took its time since the
   // last such report.
   void ReportLateLoop(Millis aDelay);
+  // Tells the relay which instance the replica follows, if it has changed. The
+  // replica learns a new leader from its first message, the relay otherwise
+  // only from its next ping.
+  void ReportLeaderToRelay();
   // Arms the timer for the node's next tick.
   void ScheduleTick();
   void Tick();
@@ -124,6 +130,7 @@
   Millis mNextDiskCheckAt;
   boost::asio::steady_timer mReopenTimer;
   std::vector<std::string> mSeeds;
+  std::string mReportedLeader;
   // Suppresses rescheduling from callbacks that run during a tick.
   bool mTicking = false;
   // The node failed with an exception and is being closed.
--- a/packages/fleetd/control_process_test.cc
+++ b/packages/fleetd/control_process_test.cc
@@ -1,5 +1,6 @@
 // Guards against a process that ends because the node of its replica failed
-// with an exception: the node is closed and opened again from its log.
+// with an exception, and against reports of workers that fail because
+// leadership changes: the next leader answers them.
 
 #include "fleetd/control_process.h"
 
@@ -99,6 +100,51 @@
     return false;
   }
 
+  // Starts a process of a group of three on 127.0.0.`aNumber`.
+  std::unique_ptr<ControlProcess> StartMember(int aNumber)
+  {
+    Settings settings = mSettings;
+    settings.address = "127.0.0." + std::to_string(aNumber);
+    settings.bindAddress = settings.address;
+    settings.seeds = { "127.0.0.1", "127.0.0.2", "127.0.0.3" };
+    settings.dataFolder = (mFolder / std::to_string(aNumber)).string();
+    settings.bounds.toleratedInstances = 1;
+    auto process = std::make_unique<ControlProcess>(
+      mContext,
+      settings,
+      [](const fleet::Order&, const OrderCallback&) {},
+      [](const LogEvent&) {});
+    EXPECT_FALSE(process->Start());
+    return process;
+  }
+
+  using Group = std::vector<std::unique_ptr<ControlProcess>>;
+
+  static ControlProcess* FindLeader(const Group& aGroup)
+  {
+    for (const auto& it : aGroup) {
+      if (it->Node() != nullptr && it->Node()->IsLeading()) {
+        return it.get();
+      }
+    }
+    return nullptr;
+  }
+
+  // Returns a group whose relays know the leader and whose followers have the
+  // whole log.
+  Group StartGroup()
+  {
+    Group group;
+    for (int n = 1; n <= 3; ++n) {
+      group.push_back(StartMember(n));
+    }
+    for (int n = 0; n < 200 && FindLeader(group) == nullptr; ++n) {
+      Run(Millis(50));
+    }
+    Run(Millis(1000));
+    return group;
+  }
+
   boost::asio::io_context mContext{ 1 };
   std::filesystem::path mFolder;
   Settings mSettings;
@@ -131,5 +177,72 @@
   EXPECT_EQ(process.Failures(), 1U);
 }
 
+// Guards against reports that a leader refuses when it hands leadership over,
+// and against a relay that learns of the new leader only from its next ping.
+TEST_F(ControlProcessTest, ReportsSurviveAHandOver)
+{
+  Group group = StartGroup();
+  ControlProcess* first = FindLeader(group);
+  ASSERT_NE(first, nullptr);
+  int succeeded = 0;
+  int ended = 0;
+  constexpr int kReports = 300;
+  for (int n = 0; n < kReports; ++n) {
+    if (n == kReports / 3) {
+      first->PrepareShutdown();
+    }
+    // Each report is that of a new worker, which a commit has to precede.
+    gen::Request request = ReportRequest();
+    request.worker.id = "w" + std::to_string(n);
+    first->Handle(
+      request, MonotonicNow() + Millis(900), [&](const RelayResult& aResult) {
+        ++ended;
+        succeeded += static_cast<RequestOutcome>(aResult.reply.outcome) ==
+                     RequestOutcome::kOk;
+      });
+    Run(Millis(2));
+  }
+  Run(Millis(1500));
+  ASSERT_NE(FindLeader(group), nullptr);
+  EXPECT_NE(FindLeader(group), first);
+  EXPECT_EQ(ended, kReports);
+  EXPECT_EQ(succeeded, kReports);
+}
+
+// Guards against relays that send requests to a former leader although their
+// replica follows the new one.
+TEST_F(ControlProcessTest, RelayLearnsTheLeaderFromTheReplica)
+{
+  Group group = StartGroup();
+  ControlProcess* former = FindLeader(group);
+  ASSERT_NE(former, nullptr);
+  former->PrepareShutdown();
+  ControlProcess* leader = former;
+  for (int n = 0; n < 500 && (leader == nullptr || leader == former); ++n) {
+    Run(Millis(10));
+    leader = FindLeader(group);
+  }
+  ASSERT_NE(leader, nullptr);
+  ASSERT_NE(leader, former);
+  // Much shorter than the interval of the relay's pings.
+  Run(Millis(80));
+  std::vector<RelayResult> results;
+  for (const auto& it : group) {
+    if (it.get() != leader) {
+      it->Handle(
+        ReportRequest(),
+        MonotonicNow() + Millis(900),
+        [&](RelayResult aResult) { results.push_back(std::move(aResult)); });
+    }
+  }
+  Run(Millis(950));
+  ASSERT_EQ(results.size(), 2U);
+  for (const RelayResult& it : results) {
+    EXPECT_EQ(static_cast<RequestOutcome>(it.reply.outcome),
+              RequestOutcome::kOk);
+    EXPECT_EQ(it.attempts, 1U);
+  }
+}
+
 } // namespace
 } // namespace limpetwood::fleetd
