Meet a guarantee before its job is late, and emulate the overload policy

A guaranteed urgent job waited up to 0.7 s for room that costs callers little, also if its objective was shorter. It is given room at any cost as soon as it would otherwise be late.

--- a/packages/fleet/experiment/emulator.cc
+++ b/packages/fleet/experiment/emulator.cc
@@ -14,6 +14,8 @@
   DispatcherOptions out;
   out.maxStopTime = aOptions.maxStopTime;
   out.planner = aOptions.planner;
+  out.callerCost = aOptions.callerCost;
+  out.planner.callerCost = aOptions.callerCost;
   out.planner.reclaimTimeout = aOptions.maxStopTime + Millis(600);
   return out;
 }
--- a/packages/fleet/experiment/fleet_experiment.cc
+++ b/packages/fleet/experiment/fleet_experiment.cc
@@ -2,6 +2,7 @@
 //
 //   fleet_experiment [--table overload|policies] [--seed N] [--seeds N]
 //     [--load X] [--workers N] [--pattern NAME] [--gang-pace slowest|own]
+//     [--overload-policy priority|caller_cost]
 //     [--latency-from accepted|first] [--drain SECONDS]
 //
 // The table `overload` has a row for each pattern of `OverloadPatterns` and
@@ -70,7 +71,8 @@
   size_t workers = 48;
   // Runs all patterns if empty.
   std::string pattern;
-  GangPace gangPace = GangPace::kSlowestMember;
+  GangPace gangPace = GangPace::kOwnSpeed;
+  bool callerCost = false;
   bool countsFromFirstSubmission = false;
   // Overrides `EmulatorOptions::drainTime` of the overload patterns.
   std::optional<Millis> drainTime{};
@@ -202,6 +204,7 @@
         continue;
       }
       it.options.gangPace = aSettings.gangPace;
+      it.options.callerCost = aSettings.callerCost;
       it.options.drainTime = aSettings.drainTime.value_or(it.options.drainTime);
       it.options.countsFromFirstSubmission =
         aSettings.countsFromFirstSubmission;
@@ -307,8 +310,11 @@
       options::value<std::string>()->default_value(""),
       "run only this pattern");
   add("gang-pace",
-      options::value<std::string>()->default_value("slowest"),
+      options::value<std::string>()->default_value("own"),
       "members of a gang progress at the speed of the slowest or their own");
+  add("overload-policy",
+      options::value<std::string>()->default_value("priority"),
+      "priority or caller_cost, for the table overload");
   add("latency-from",
       options::value<std::string>()->default_value("accepted"),
       "the latency of refused jobs counts from the accepted or the first "
@@ -334,6 +340,8 @@
       Choose(given["gang-pace"].as<std::string>(), "slowest", "own")
         ? GangPace::kOwnSpeed
         : GangPace::kSlowestMember;
+    settings.callerCost = Choose(
+      given["overload-policy"].as<std::string>(), "priority", "caller_cost");
     settings.countsFromFirstSubmission =
       Choose(given["latency-from"].as<std::string>(), "accepted", "first");
     if (given.contains("drain")) {
--- a/packages/fleet/experiment/options.h
+++ b/packages/fleet/experiment/options.h
@@ -116,7 +116,7 @@
   // others.
   double slowWorkerShare = 0;
   double slowWorkerSpeed = 0.45;
-  GangPace gangPace = GangPace::kSlowestMember;
+  GangPace gangPace = GangPace::kOwnSpeed;
   // A share of the jobs or tasks takes this many times as long as the others.
   double longShare = 0;
   double longFactor = 7;
@@ -144,6 +144,8 @@
   std::vector<JobClass> classes{};
   std::vector<Disturbance> disturbances{};
   PlannerOptions planner{};
+  // See `DispatcherOptions::callerCost`.
+  bool callerCost = false;
 };
 
 } // namespace limpetwood::fleet::experiment
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -575,6 +575,17 @@
   return needed <= workspace->guaranteedAccelerators;
 }
 
+bool
+Planner::MustMeetGuarantee(const Unit& aUnit, const FleetView& aView) const
+{
+  if (WaitingTime(aUnit, aView) >= mOptions.maxGuaranteeWait) {
+    return true;
+  }
+  Millis latest = LatestStart(aUnit, aView);
+  return aView.wallNow <= latest &&
+         aView.wallNow + mOptions.reclaimTimeout / 2 > latest;
+}
+
 void
 Planner::PreemptFor(const Unit& aUnit, FleetView& aView, Plan& aPlan)
 {
@@ -589,8 +600,7 @@
   }
   if (aView.callerCost != nullptr) {
     // Until a guarantee is due, it displaces only what costs callers less.
-    bool due =
-      guaranteed && WaitingTime(aUnit, aView) >= mOptions.maxGuaranteeWait;
+    bool due = guaranteed && MustMeetGuarantee(aUnit, aView);
     if (!due) {
       request.maxCost = aView.callerCost->GainInTime(*aUnit.job);
     }
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -233,6 +233,10 @@
   // guarantee.
   static bool IsGuaranteed(const Unit& aUnit, const FleetView& aView);
 
+  // With `callerCost`: whether a guaranteed unit gets room at any cost now,
+  // because it has waited for `maxGuaranteeWait` or would soon be late.
+  bool MustMeetGuarantee(const Unit& aUnit, const FleetView& aView) const;
+
   // Identifies a unit across planning passes.
   using UnitKey = std::tuple<JobId, uint32_t, uint32_t, bool>;
   static UnitKey KeyOf(const Unit& aUnit);
