Let the scheduler forbid the start of gangs

An evacuated zone must start nothing while its active gangs continue. The scheduler had no state for this: a job that is withdrawn may be started again by a retry, a reclaimed guarantee or a reservation.

The event StartsAllowed forbids or allows starts. While they are forbidden, passes start nothing, attempts that have not started are abandoned and reservations, which would preempt work, are dropped. Starts are allowed by default, so that other users are not affected. JobView names the earliest time of the next attempt, before which an earlier attempt may still run.

With the check in the pass or the abandonment of attempts switched off, StartsAllowed.* fail.

--- a/packages/scheduler/event.h
+++ b/packages/scheduler/event.h
@@ -139,6 +139,14 @@
   RecordId record;
 };
 
+// Allows or forbids the start of gangs. While it is forbidden, no gang is
+// prepared or started, attempts that have not started are abandoned, and no
+// work is preempted. Active gangs continue.
+struct StartsAllowed
+{
+  bool allowed = true;
+};
+
 // Reports only that time has passed; due at `Scheduler::NextDeadline`.
 struct Tick
 {};
@@ -153,6 +161,7 @@
                            PrepareRefused,
                            StartAcknowledged,
                            JournalCommitted,
+                           StartsAllowed,
                            Tick>;
 
 } // namespace limpetwood::scheduler
--- a/packages/scheduler/internal/core.cc
+++ b/packages/scheduler/internal/core.cc
@@ -18,6 +18,7 @@
 Core::Core(SchedulerOptions aOptions, Epoch aEpoch)
   : mOptions(aOptions)
   , mEpoch(aEpoch)
+  , mStartsAllowed(aOptions.startsAllowed)
   , mLeases(aOptions.workerLease, aOptions.leaseMargin)
   , mGuarantees(aOptions.guaranteeMode)
   , mFaultDetector({ aOptions.maxFailedWorkers,
@@ -61,6 +62,28 @@
   return std::max(next, mNow);
 }
 
+void
+Core::Handle(const StartsAllowed& aEvent)
+{
+  mStartsAllowed = aEvent.allowed;
+  if (mStartsAllowed) {
+    mPassNeeded = true;
+    return;
+  }
+  for (JobSlot slot = 0; slot < mJobs.size(); ++slot) {
+    const Job& job = mJobs[slot];
+    if (!job.occupied) {
+      continue;
+    }
+    if (job.phase == Phase::kClaiming) {
+      DropClaims(slot, "starts_forbidden");
+    } else if (job.phase == Phase::kPreparing ||
+               job.phase == Phase::kJournaling) {
+      Rollback(slot, CounterKind::kRetryStartsForbidden, "starts_forbidden");
+    }
+  }
+}
+
 void
 Core::Handle(const Tick& /*aEvent*/)
 {
@@ -208,6 +231,7 @@
   view.attempt = aJob.attempt;
   view.reason = aJob.reason;
   view.submittedAt = aJob.submittedAt;
+  view.notBefore = aJob.notBefore;
   view.startedAt = aJob.startedAt;
   view.guaranteed = aJob.guaranteed;
   view.failedAttempts = aJob.failedAttempts;
--- a/packages/scheduler/internal/core.h
+++ b/packages/scheduler/internal/core.h
@@ -112,6 +112,7 @@
   void Handle(const PrepareRefused& aEvent);
   void Handle(const StartAcknowledged& aEvent);
   void Handle(const JournalCommitted& aEvent);
+  void Handle(const StartsAllowed& aEvent);
   void Handle(const Tick& aEvent);
   void RunTimers();
   void RunTimer(const Timer& aTimer);
@@ -288,6 +289,7 @@
   // True after the first step, which begins the recovery phase.
   bool mStarted = false;
   bool mConfigured = false;
+  bool mStartsAllowed = true;
   // End of the recovery phase, in which announced tasks of earlier authorities
   // are adopted.
   Millis mRecoveryEnd;
--- a/packages/scheduler/internal/core_pass.cc
+++ b/packages/scheduler/internal/core_pass.cc
@@ -63,6 +63,12 @@
   if (mRepairNeeded) {
     RepairGuarantees();
   }
+  if (!mStartsAllowed) {
+    // The reservations would preempt work for jobs that cannot start.
+    mReservations.clear();
+    MarkReservedWorkers();
+    return;
+  }
   if (!mConfigured || mQueue.size() == 0) {
     UpdateReservations();
     return;
--- a/packages/scheduler/options.h
+++ b/packages/scheduler/options.h
@@ -88,6 +88,8 @@
   // Delay before a job whose start was rolled back is tried again.
   Millis retryDelay = Seconds(1);
   GuaranteeMode guaranteeMode = GuaranteeMode::kFloatingCells;
+  // Whether gangs may start before the first `StartsAllowed` event.
+  bool startsAllowed = true;
   TestSwitches testSwitches;
 };
 
--- a/packages/scheduler/scheduler_test.cc
+++ b/packages/scheduler/scheduler_test.cc
@@ -145,6 +145,107 @@
   EXPECT_EQ(scheduler.FindJob(JobId("j"))->state, model::JobState::kStarting);
 }
 
+// Guards against a gang that starts while starts are forbidden, although its
+// attempt had begun before: in each phase before the start, the attempt must be
+// abandoned and its resources released, and a record that becomes durable later
+// must not start it.
+TEST(StartsAllowed, AttemptThatHasNotStartedIsAbandoned)
+{
+  for (bool journaling : { false, true }) {
+    Scheduler scheduler({}, Epoch(1));
+    ConfigurationChanged config;
+    config.planned = SmallZone(1);
+    config.zones = config.planned.document.zones;
+    scheduler.Step(config, Millis(0));
+    scheduler.Step(WorkerAnnounced{ WorkerId("r0-0"),
+                                    ZoneId("z"),
+                                    RackId("r0"),
+                                    Incarnation(1),
+                                    32,
+                                    64'000,
+                                    Accelerators(4),
+                                    "",
+                                    {} },
+                   Millis(0));
+    JobAssigned job{ JobId("j"), Gang("b", 1, 4), Millis(0), {}, "", {} };
+    auto effects = scheduler.Step(job, Millis(100));
+    ASSERT_EQ(effects.size(), 1U);
+    TaskAddress task = std::get<SendPrepare>(effects[0]).task;
+    PrepareAcknowledged prepared{
+      task.worker, task.job, task.attempt, task.member, task.token
+    };
+    RecordId record;
+    if (journaling) {
+      effects = scheduler.Step(prepared, Millis(110));
+      record = std::get<WriteJournalRecord>(effects.at(0)).record;
+    }
+    effects = scheduler.Step(StartsAllowed{ false }, Millis(120));
+    EXPECT_TRUE(std::any_of(effects.begin(), effects.end(), [](const auto& it) {
+      return std::holds_alternative<SendRelease>(it);
+    }));
+    std::vector<Event> later{
+      prepared, JournalCommitted{ record }, Tick{}, StartsAllowed{ false }
+    };
+    Millis now(200);
+    for (int n = 0; n < 100; ++n) {
+      for (const Event& it : later) {
+        for (const Effect& effect : scheduler.Step(it, now)) {
+          EXPECT_FALSE(std::holds_alternative<SendStart>(effect));
+          EXPECT_FALSE(std::holds_alternative<SendPrepare>(effect));
+        }
+      }
+      now += Millis(100);
+    }
+    EXPECT_EQ(scheduler.FindJob(JobId("j"))->state, model::JobState::kQueued);
+    EXPECT_TRUE(scheduler.CheckInvariants().empty());
+    effects = scheduler.Step(StartsAllowed{ true }, now);
+    EXPECT_TRUE(std::any_of(effects.begin(), effects.end(), [](const auto& it) {
+      return std::holds_alternative<SendPrepare>(it);
+    }));
+  }
+}
+
+// Guards against starts by any path while they are forbidden: queued jobs,
+// retries after a lost worker, reclaimed guarantees and reservations. Active
+// gangs must continue, and all jobs must end once starts are allowed again.
+TEST(StartsAllowed, NothingStartsWhileForbidden)
+{
+  ClusterOptions options;
+  options.seed = 3;
+  Cluster cluster(options);
+  cluster.Configure(SmallZone(2));
+  cluster.AddWorkers();
+  for (int n = 0; n < 24; ++n) {
+    bool guaranteed = n % 4 == 0;
+    JobBehavior behavior;
+    behavior.runTime = Seconds(10 + n);
+    cluster.Submit(JobId("j" + std::to_string(n)),
+                   guaranteed ? Gang("a", 2, 4) : Gang("b", 1, 4),
+                   behavior);
+  }
+  cluster.RunUntil(Seconds(5));
+  cluster.RunAt(Seconds(5), [&] { cluster.SetStartsAllowed(false); });
+  cluster.RunAt(Seconds(6), [&] { cluster.Crash(0); });
+  cluster.RunUntil(Seconds(6));
+  uint64_t started = cluster.GetScheduler().Counts().Get(CounterKind::kStarted);
+  uint64_t tasks = cluster.StartedTasks();
+  ASSERT_GT(started, 0U);
+  cluster.RunUntil(Minutes(5));
+  EXPECT_EQ(cluster.GetScheduler().Counts().Get(CounterKind::kStarted),
+            started);
+  EXPECT_EQ(cluster.StartedTasks(), tasks);
+  EXPECT_GT(cluster.GetScheduler().Counts().Get(CounterKind::kSucceeded), 0U);
+  EXPECT_EQ(
+    cluster.GetScheduler().Counts().Get(CounterKind::kPreemptedForGuarantee),
+    0U);
+  cluster.SetStartsAllowed(true);
+  cluster.RunUntil(Minutes(30));
+  for (const auto& [id, record] : cluster.Jobs()) {
+    EXPECT_TRUE(record.succeeded) << id.Value();
+  }
+  EXPECT_EQ(cluster.Violations(), std::vector<std::string>());
+}
+
 // Guards against an urgent job that waits longer than 1.7 s for guaranteed
 // capacity that other workspaces use.
 TEST(Guarantee, IsReclaimedForUrgentWorkInTime)
--- a/packages/scheduler/testing/cluster.cc
+++ b/packages/scheduler/testing/cluster.cc
@@ -124,6 +124,12 @@
   Step(JobCancelled{ aJobs });
 }
 
+void
+Cluster::SetStartsAllowed(bool aAllowed)
+{
+  Step(StartsAllowed{ aAllowed });
+}
+
 void
 Cluster::Isolate(std::size_t aWorker, bool aIsolated)
 {
--- a/packages/scheduler/testing/cluster.h
+++ b/packages/scheduler/testing/cluster.h
@@ -120,6 +120,7 @@
               const model::JobSpec& aSpec,
               JobBehavior aBehavior);
   void Cancel(const std::vector<JobId>& aJobs);
+  void SetStartsAllowed(bool aAllowed);
   // While `aIsolated` is set, no message from or to the worker arrives. Its
   // reports are sent again later.
   void Isolate(std::size_t aWorker, bool aIsolated);
@@ -151,6 +152,8 @@
     mOptions.messageLoss = aMessageLoss;
   }
   uint64_t Steps() const { return mSteps; }
+  // Number of task runs that workers have started.
+  uint64_t StartedTasks() const { return mRunSerial; }
 
   // Called after each step, for example to collect metrics.
   std::function<void()> onStep;
--- a/packages/scheduler/views.cc
+++ b/packages/scheduler/views.cc
@@ -25,6 +25,7 @@
                "retry_worker_lost",
                "retry_member_failed",
                "retry_not_whole",
+               "retry_starts_forbidden",
                "started",
                "succeeded",
                "failed",
--- a/packages/scheduler/views.h
+++ b/packages/scheduler/views.h
@@ -23,6 +23,9 @@
   // Why the job waits, failed or can never run; empty while it runs.
   std::string reason;
   Millis submittedAt;
+  // Earliest time of the next attempt. Before it, tasks of an earlier attempt
+  // may still be running, also if the job is queued.
+  Millis notBefore;
   // Start of the current attempt.
   Millis startedAt;
   bool guaranteed = false;
@@ -76,6 +79,7 @@
   kRetryWorkerLost,
   kRetryMemberFailed,
   kRetryIncompleteGang,
+  kRetryStartsForbidden,
   kStarted,
   kSucceeded,
   kFailed,
