--- a/packages/control/assigner.cc
+++ b/packages/control/assigner.cc
@@ -118,10 +118,14 @@
 std::vector<Assignment>
 Assigner::Assign(const JobTable& aJobs,
                  const membership::InstanceTable& aInstances,
-                 Millis aNow) const
+                 Millis aNow,
+                 const std::set<ZoneId>& aEvacuated) const
 {
   std::vector<LiveZone> live;
   for (const Zone& it : mZones) {
+    if (aEvacuated.contains(it.id)) {
+      continue;
+    }
     if (auto authority = aInstances.AuthorityOf(it.id, aNow)) {
       live.push_back({ &it, authority->liveAccelerators });
     }
--- a/packages/control/assigner.h
+++ b/packages/control/assigner.h
@@ -14,6 +14,7 @@
 #include "model/validate.h"
 
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -40,11 +41,12 @@
   // from its plan.
   explicit Assigner(const model::PlannedDocument& aPlanned);
 
-  // Chooses among zones that have a live authority. Urgent jobs come first,
-  // then jobs in order of submission.
+  // Chooses among zones that have a live authority and are not in `aEvacuated`.
+  // Urgent jobs come first, then jobs in order of submission.
   std::vector<Assignment> Assign(const JobTable& aJobs,
                                  const membership::InstanceTable& aInstances,
-                                 Millis aNow) const;
+                                 Millis aNow,
+                                 const std::set<ZoneId>& aEvacuated = {}) const;
 
   // True if the declared workers of a zone can hold all members of a job
   // within the topology scope that it requires.
--- a/packages/control/assigner_test.cc
+++ b/packages/control/assigner_test.cc
@@ -98,6 +98,29 @@
   EXPECT_EQ(assigned[0].zone, ZoneId("b"));
 }
 
+// A job that is assigned to an evacuated zone would wait there until the zone
+// is restored. Its workspace's guarantee is pinned to zone b, which must not
+// count while the zone is evacuated. The large job fits only zone a and waits.
+TEST(Assigner, EvacuatedZoneGetsNothing)
+{
+  Assigner assigner(DocumentWithTwoZones());
+  membership::InstanceTable instances(2);
+  instances.OnHeartbeat(AuthorityStatus("a"), Millis(0));
+  instances.OnHeartbeat(AuthorityStatus("b"), Millis(0));
+  JobTable jobs;
+  jobs.Add(MakeJob("j", 1, "w"));
+  auto assigned = assigner.Assign(jobs, instances, Millis(0), { ZoneId("b") });
+  ASSERT_EQ(assigned.size(), 1U);
+  EXPECT_EQ(assigned[0].zone, ZoneId("a"));
+  jobs.Add(MakeJob("large", 8));
+  assigned = assigner.Assign(jobs, instances, Millis(0), { ZoneId("a") });
+  ASSERT_EQ(assigned.size(), 1U);
+  EXPECT_EQ(assigned[0].job, JobId("j"));
+  EXPECT_TRUE(
+    assigner.Assign(jobs, instances, Millis(0), { ZoneId("a"), ZoneId("b") })
+      .empty());
+}
+
 // A burst of jobs must not fill the queue of one zone while others are empty:
 // each zone receives work up to its backlog limit.
 TEST(Assigner, BacklogIsBounded)
--- a/packages/control/control.thrift
+++ b/packages/control/control.thrift
@@ -54,6 +54,9 @@
   6: i64 atMs
   // Set only for kWorkerCrashed.
   7: optional WorkerCrash crash
+  // True if the authority acted on the event before it was committed, because
+  // the zone was cut off. Set only if true.
+  8: optional bool executed
 }
 
 struct JobEvents {
@@ -66,6 +69,16 @@
   1: string zone
 }
 
+// An operator's order to evacuate a zone or to restore it.
+struct ZoneOrder {
+  1: string zone
+  // Who gave the order.
+  2: string by
+  // Idempotency key; empty if there is none.
+  3: string key
+  4: i64 orderedAtMs
+}
+
 union Command {
   1: SubmitConfiguration submitConfiguration
   2: SubmitJob submitJob
@@ -73,6 +86,8 @@
   4: list<AssignJob> assignJobs
   5: JobEvents jobEvents
   6: FenceZone fenceZone
+  7: ZoneOrder evacuateZone
+  8: ZoneOrder restoreZone
 }
 
 struct CommandResult {
@@ -83,7 +98,8 @@
   5: string job
   // SubmitConfiguration rejected with version_conflict: document paths that
   // changed since the base version. JobEvents: jobs whose events were not
-  // applied.
+  // applied; the reason is zone_evacuated if some of them were starts in an
+  // evacuated zone.
   6: list<string> changes
   // True if the result is that of an earlier command with the same key.
   7: bool repeated
@@ -118,6 +134,13 @@
   12: i32 liveAccelerators
 }
 
+// The zones that are evacuated as of a log index.
+struct EvacuatedZones {
+  // Log index of the last change.
+  1: i64 index
+  2: list<string> zones
+}
+
 struct HeartbeatReply {
   // Copied from the heartbeat; 0 if the message does not answer one.
   1: i64 sentAtMs
@@ -130,6 +153,11 @@
   6: bool moreOrders
   // The orders follow this index; set only with orders for an authority.
   7: optional i64 afterIndex
+  // Not set if no zone has ever been evacuated.
+  8: optional EvacuatedZones evacuated
+  // True if the leader may not have applied all commands of its predecessors
+  // yet, so that evacuated may be out of date. Set only if true.
+  9: optional bool stateIncomplete
 }
 
 struct ConfigurationUpdate {
@@ -264,6 +292,12 @@
   2: CommandResult result
 }
 
+struct ZoneEvacuation {
+  1: string zone
+  2: string by
+  3: i64 sinceMs
+}
+
 // A complete snapshot of the control state.
 struct StateSnapshot {
   1: string document
@@ -272,4 +306,7 @@
   4: list<JobSnapshot> jobs
   5: list<KeySnapshot> keys
   6: map<string, i64> zoneEpochs
+  7: list<ZoneEvacuation> evacuatedZones
+  // Log index of the last change of evacuatedZones; 0 before the first one.
+  8: i64 evacuationIndex
 }
--- a/packages/control/control_group.cc
+++ b/packages/control/control_group.cc
@@ -3,6 +3,7 @@
 #include "base/error.h"
 
 #include <algorithm>
+#include <set>
 
 namespace limpetwood::control {
 
@@ -94,8 +95,18 @@
 ControlGroup::Apply(uint64_t aIndex, std::string_view aCommand)
 {
   ConfigVersion before = mState.Version();
+  uint64_t evacuationBefore = mState.EvacuationIndex();
+  std::map<ZoneId, ZoneEvacuation> zonesBefore = mState.EvacuatedZones();
   std::string result = mState.Apply(aIndex, aCommand);
   mConfigurationChanged |= mState.Version() != before;
+  if (mState.EvacuationIndex() != evacuationBefore) {
+    mEvacuationChanged = true;
+    // Replicas that follow or replay their log do not repeat the leader's log
+    // lines and counts.
+    if (mLeading) {
+      LogZoneOrders(zonesBefore);
+    }
+  }
   mOrdersChanged = true;
   return result;
 }
@@ -104,10 +115,29 @@
 ControlGroup::Restore(std::string_view aSnapshot)
 {
   mConfigurationChanged = true;
+  mEvacuationChanged = true;
   mOrdersChanged = true;
   return mState.Restore(aSnapshot);
 }
 
+void
+ControlGroup::LogZoneOrders(const std::map<ZoneId, ZoneEvacuation>& aBefore)
+{
+  for (const auto& [zone, evacuation] : mState.EvacuatedZones()) {
+    if (!aBefore.contains(zone)) {
+      ++mCounters.zonesEvacuated;
+      mEnvironment.Log(
+        LogEvent("zone_evacuated").Add("zone", zone).Add("by", evacuation.by));
+    }
+  }
+  for (const auto& [zone, evacuation] : aBefore) {
+    if (!mState.EvacuatedZones().contains(zone)) {
+      ++mCounters.zonesRestored;
+      mEnvironment.Log(LogEvent("zone_restored").Add("zone", zone));
+    }
+  }
+}
+
 void
 ControlGroup::OnReplication(const InstanceId& aFrom,
                             std::string_view aBytes,
@@ -194,6 +224,17 @@
   reply.sentAtMs = aSentAtMs;
   reply.term = static_cast<int64_t>(mGroup->Term());
   reply.version = static_cast<int64_t>(mState.Version().Value());
+  if (mState.EvacuationIndex() > 0) {
+    gen::EvacuatedZones evacuated;
+    evacuated.index = static_cast<int64_t>(mState.EvacuationIndex());
+    for (const auto& [zone, evacuation] : mState.EvacuatedZones()) {
+      evacuated.zones.push_back(zone.Value());
+    }
+    reply.__set_evacuated(evacuated);
+  }
+  if (!mStateComplete) {
+    reply.__set_stateIncomplete(true);
+  }
   if (aAfter != kNotAuthority) {
     reply.ordersIndex = static_cast<int64_t>(aAfter);
     reply.__set_afterIndex(static_cast<int64_t>(aAfter));
@@ -334,9 +375,11 @@
   UpdateLeadership(aNow);
   if (!mLeading) {
     mConfigurationChanged = false;
+    mEvacuationChanged = false;
     mOrdersChanged = false;
     return;
   }
+  ConfirmState(aNow);
   PushUpdates(aNow);
   if (aNow >= mNextMaintenance || mOrdersChanged) {
     AssignJobs(aNow);
@@ -372,6 +415,8 @@
     return;
   }
   mLeadingSince = aNow;
+  mStateComplete = false;
+  mStateReadInFlight = false;
   mInstances.Clear();
   mTieBreakers.clear();
   mPushedOrdersIndex.clear();
@@ -381,9 +426,32 @@
   mNextMaintenance = aNow;
 }
 
+void
+ControlGroup::ConfirmState(Millis aNow)
+{
+  if (mStateComplete || mStateReadInFlight) {
+    return;
+  }
+  mStateReadInFlight = true;
+  mGroup->Read(aNow, [this, since = mLeadingSince](std::error_code aError) {
+    if (since == mLeadingSince) {
+      mStateReadInFlight = false;
+      mStateComplete = !aError;
+    }
+  });
+}
+
 void
 ControlGroup::PushUpdates(Millis aNow)
 {
+  if (mEvacuationChanged) {
+    mEvacuationChanged = false;
+    // Pushed to all instances at once, because the evacuation must take effect
+    // within 5 s and the heartbeats of large deployments are seconds apart.
+    for (const membership::InstanceStatus& it : mInstances.All()) {
+      SendHeartbeatReply(it.instance, it.zone, kNotAuthority, 0);
+    }
+  }
   if (mConfigurationChanged) {
     mConfigurationChanged = false;
     mConvergingVersion = std::pair(mState.Version(), aNow);
@@ -422,7 +490,11 @@
     mAssigner.emplace(mState.Configuration()->planned);
     mAssignerVersion = mState.Version();
   }
-  auto chosen = mAssigner->Assign(mState.Jobs(), mInstances, aNow);
+  std::set<ZoneId> evacuated;
+  for (const auto& [zone, evacuation] : mState.EvacuatedZones()) {
+    evacuated.insert(zone);
+  }
+  auto chosen = mAssigner->Assign(mState.Jobs(), mInstances, aNow, evacuated);
   if (chosen.empty()) {
     return;
   }
--- a/packages/control/control_group.h
+++ b/packages/control/control_group.h
@@ -73,6 +73,9 @@
   uint64_t assignments = 0;
   uint64_t zonesFenced = 0;
   uint64_t learnerPromotions = 0;
+  // Zone orders applied while leading that changed the set of evacuated zones.
+  uint64_t zonesEvacuated = 0;
+  uint64_t zonesRestored = 0;
   // Time from the start of the distribution of the last converged configuration
   // by this leader until the last live instance reported it.
   Millis lastConvergence;
@@ -139,14 +142,18 @@
   void SendConfiguration(const InstanceId& aTo,
                          ConfigVersion aKnown,
                          bool aLinearizable);
-  // Sends the term, the configuration version and, to a zone authority, the job
-  // orders that follow log index `aAfter`. `aAfter` is `kNotAuthority` for
-  // other instances. `aSentAtMs` is copied from the heartbeat; 0 if the message
-  // does not answer one.
+  // Sends the term, the configuration version, the evacuated zones and, to a
+  // zone authority, the job orders that follow log index `aAfter`. `aAfter` is
+  // `kNotAuthority` for other instances. `aSentAtMs` is copied from the
+  // heartbeat; 0 if the message does not answer one.
   void SendHeartbeatReply(const InstanceId& aInstance,
                           const ZoneId& aZone,
                           uint64_t aAfter,
                           int64_t aSentAtMs);
+  // Reads the state once after leadership is gained, to learn when all commands
+  // of earlier leaders have been applied.
+  void ConfirmState(Millis aNow);
+  void LogZoneOrders(const std::map<ZoneId, ZoneEvacuation>& aBefore);
   void AssignJobs(Millis aNow);
   void FenceUnreachableZones(Millis aNow);
   void MeasureConvergence(Millis aNow);
@@ -164,6 +171,9 @@
   // cached assigner.
   bool mLeading = false;
   Millis mLeadingSince;
+  // True if all commands of earlier leaders have been applied.
+  bool mStateComplete = false;
+  bool mStateReadInFlight = false;
   membership::InstanceTable mInstances;
   std::map<ZoneId, membership::LeaseVoter> mTieBreakers;
   std::optional<Assigner> mAssigner;
@@ -176,8 +186,9 @@
   Millis mNextMaintenance;
 
   // Set by `Apply` and `Restore`; the next `Tick` pushes the changes while
-  // leading and clears both flags.
+  // leading and clears the flags.
   bool mConfigurationChanged = false;
+  bool mEvacuationChanged = false;
   bool mOrdersChanged = false;
   // Log index up to which orders were sent to the authority of each zone.
   std::map<ZoneId, uint64_t> mPushedOrdersIndex;
--- a/packages/control/gen-cpp/control_types.cpp
+++ b/packages/control/gen-cpp/control_types.cpp
@@ -878,6 +878,11 @@
   this->crash = val;
 __isset.crash = true;
 }
+
+void JobEvent::__set_executed(const bool val) {
+  this->executed = val;
+__isset.executed = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobEvent& obj)
 {
   obj.printTo(out);
@@ -962,6 +967,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->executed);
+          this->__isset.executed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1008,6 +1021,11 @@
     xfer += this->crash.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.executed) {
+    xfer += oprot->writeFieldBegin("executed", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->executed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1022,6 +1040,7 @@
   swap(a.checkpoint, b.checkpoint);
   swap(a.atMs, b.atMs);
   swap(a.crash, b.crash);
+  swap(a.executed, b.executed);
   swap(a.__isset, b.__isset);
 }
 
@@ -1033,6 +1052,7 @@
   checkpoint = other24.checkpoint;
   atMs = other24.atMs;
   crash = other24.crash;
+  executed = other24.executed;
   __isset = other24.__isset;
 }
 JobEvent& JobEvent::operator=(const JobEvent& other25) {
@@ -1043,6 +1063,7 @@
   checkpoint = other25.checkpoint;
   atMs = other25.atMs;
   crash = other25.crash;
+  executed = other25.executed;
   __isset = other25.__isset;
   return *this;
 }
@@ -1056,6 +1077,7 @@
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "atMs=" << to_string(atMs);
   out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
+  out << ", " << "executed="; (__isset.executed ? (out << to_string(executed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1304,6 +1326,158 @@
 }
 
 
+ZoneOrder::~ZoneOrder() noexcept {
+}
+
+
+void ZoneOrder::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneOrder::__set_by(const std::string& val) {
+  this->by = val;
+}
+
+void ZoneOrder::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void ZoneOrder::__set_orderedAtMs(const int64_t val) {
+  this->orderedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->by);
+          this->__isset.by = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderedAtMs);
+          this->__isset.orderedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneOrder");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("by", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->by);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderedAtMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->orderedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneOrder &a, ZoneOrder &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.by, b.by);
+  swap(a.key, b.key);
+  swap(a.orderedAtMs, b.orderedAtMs);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneOrder::ZoneOrder(const ZoneOrder& other36) {
+  zone = other36.zone;
+  by = other36.by;
+  key = other36.key;
+  orderedAtMs = other36.orderedAtMs;
+  __isset = other36.__isset;
+}
+ZoneOrder& ZoneOrder::operator=(const ZoneOrder& other37) {
+  zone = other37.zone;
+  by = other37.by;
+  key = other37.key;
+  orderedAtMs = other37.orderedAtMs;
+  __isset = other37.__isset;
+  return *this;
+}
+void ZoneOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneOrder(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "by=" << to_string(by);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "orderedAtMs=" << to_string(orderedAtMs);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -1337,6 +1511,16 @@
   this->fenceZone = val;
 __isset.fenceZone = true;
 }
+
+void Command::__set_evacuateZone(const ZoneOrder& val) {
+  this->evacuateZone = val;
+__isset.evacuateZone = true;
+}
+
+void Command::__set_restoreZone(const ZoneOrder& val) {
+  this->restoreZone = val;
+__isset.restoreZone = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -1393,14 +1577,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->assignJobs.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->assignJobs.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->assignJobs.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->assignJobs[_i40].read(iprot);
+              xfer += this->assignJobs[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1425,6 +1609,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuateZone.read(iprot);
+          this->__isset.evacuateZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->restoreZone.read(iprot);
+          this->__isset.restoreZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1461,10 +1661,10 @@
     xfer += oprot->writeFieldBegin("assignJobs", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->assignJobs.size()));
-      std::vector<AssignJob> ::const_iterator _iter41;
-      for (_iter41 = this->assignJobs.begin(); _iter41 != this->assignJobs.end(); ++_iter41)
+      std::vector<AssignJob> ::const_iterator _iter43;
+      for (_iter43 = this->assignJobs.begin(); _iter43 != this->assignJobs.end(); ++_iter43)
       {
-        xfer += (*_iter41).write(oprot);
+        xfer += (*_iter43).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1480,6 +1680,16 @@
     xfer += this->fenceZone.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuateZone) {
+    xfer += oprot->writeFieldBegin("evacuateZone", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->evacuateZone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.restoreZone) {
+    xfer += oprot->writeFieldBegin("restoreZone", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->restoreZone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1493,26 +1703,32 @@
   swap(a.assignJobs, b.assignJobs);
   swap(a.jobEvents, b.jobEvents);
   swap(a.fenceZone, b.fenceZone);
+  swap(a.evacuateZone, b.evacuateZone);
+  swap(a.restoreZone, b.restoreZone);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other42) {
-  submitConfiguration = other42.submitConfiguration;
-  submitJob = other42.submitJob;
-  cancelJobs = other42.cancelJobs;
-  assignJobs = other42.assignJobs;
-  jobEvents = other42.jobEvents;
-  fenceZone = other42.fenceZone;
-  __isset = other42.__isset;
-}
-Command& Command::operator=(const Command& other43) {
-  submitConfiguration = other43.submitConfiguration;
-  submitJob = other43.submitJob;
-  cancelJobs = other43.cancelJobs;
-  assignJobs = other43.assignJobs;
-  jobEvents = other43.jobEvents;
-  fenceZone = other43.fenceZone;
-  __isset = other43.__isset;
+Command::Command(const Command& other44) {
+  submitConfiguration = other44.submitConfiguration;
+  submitJob = other44.submitJob;
+  cancelJobs = other44.cancelJobs;
+  assignJobs = other44.assignJobs;
+  jobEvents = other44.jobEvents;
+  fenceZone = other44.fenceZone;
+  evacuateZone = other44.evacuateZone;
+  restoreZone = other44.restoreZone;
+  __isset = other44.__isset;
+}
+Command& Command::operator=(const Command& other45) {
+  submitConfiguration = other45.submitConfiguration;
+  submitJob = other45.submitJob;
+  cancelJobs = other45.cancelJobs;
+  assignJobs = other45.assignJobs;
+  jobEvents = other45.jobEvents;
+  fenceZone = other45.fenceZone;
+  evacuateZone = other45.evacuateZone;
+  restoreZone = other45.restoreZone;
+  __isset = other45.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -1524,6 +1740,8 @@
   out << ", " << "assignJobs="; (__isset.assignJobs ? (out << to_string(assignJobs)) : (out << "<null>"));
   out << ", " << "jobEvents="; (__isset.jobEvents ? (out << to_string(jobEvents)) : (out << "<null>"));
   out << ", " << "fenceZone="; (__isset.fenceZone ? (out << to_string(fenceZone)) : (out << "<null>"));
+  out << ", " << "evacuateZone="; (__isset.evacuateZone ? (out << to_string(evacuateZone)) : (out << "<null>"));
+  out << ", " << "restoreZone="; (__isset.restoreZone ? (out << to_string(restoreZone)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1631,14 +1849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->changes.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->changes.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += iprot->readString(this->changes[_i48]);
+              xfer += iprot->readString(this->changes[_i50]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1695,10 +1913,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter49;
-    for (_iter49 = this->changes.begin(); _iter49 != this->changes.end(); ++_iter49)
+    std::vector<std::string> ::const_iterator _iter51;
+    for (_iter51 = this->changes.begin(); _iter51 != this->changes.end(); ++_iter51)
     {
-      xfer += oprot->writeString((*_iter49));
+      xfer += oprot->writeString((*_iter51));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1725,25 +1943,25 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other50) {
-  accepted = other50.accepted;
-  reason = other50.reason;
-  version = other50.version;
-  hash = other50.hash;
-  job = other50.job;
-  changes = other50.changes;
-  repeated = other50.repeated;
-  __isset = other50.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other51) {
-  accepted = other51.accepted;
-  reason = other51.reason;
-  version = other51.version;
-  hash = other51.hash;
-  job = other51.job;
-  changes = other51.changes;
-  repeated = other51.repeated;
-  __isset = other51.__isset;
+CommandResult::CommandResult(const CommandResult& other52) {
+  accepted = other52.accepted;
+  reason = other52.reason;
+  version = other52.version;
+  hash = other52.hash;
+  job = other52.job;
+  changes = other52.changes;
+  repeated = other52.repeated;
+  __isset = other52.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other53) {
+  accepted = other53.accepted;
+  reason = other53.reason;
+  version = other53.version;
+  hash = other53.hash;
+  job = other53.job;
+  changes = other53.changes;
+  repeated = other53.repeated;
+  __isset = other53.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -1939,25 +2157,25 @@
   swap(a.__isset, b.__isset);
 }
 
-JobOrder::JobOrder(const JobOrder& other52) {
-  job = other52.job;
-  spec = other52.spec;
-  attempts = other52.attempts;
-  checkpoint = other52.checkpoint;
-  submittedAtMs = other52.submittedAtMs;
-  cancelled = other52.cancelled;
-  crashes = other52.crashes;
-  __isset = other52.__isset;
+JobOrder::JobOrder(const JobOrder& other54) {
+  job = other54.job;
+  spec = other54.spec;
+  attempts = other54.attempts;
+  checkpoint = other54.checkpoint;
+  submittedAtMs = other54.submittedAtMs;
+  cancelled = other54.cancelled;
+  crashes = other54.crashes;
+  __isset = other54.__isset;
 }
-JobOrder& JobOrder::operator=(const JobOrder& other53) {
-  job = other53.job;
-  spec = other53.spec;
-  attempts = other53.attempts;
-  checkpoint = other53.checkpoint;
-  submittedAtMs = other53.submittedAtMs;
-  cancelled = other53.cancelled;
-  crashes = other53.crashes;
-  __isset = other53.__isset;
+JobOrder& JobOrder::operator=(const JobOrder& other55) {
+  job = other55.job;
+  spec = other55.spec;
+  attempts = other55.attempts;
+  checkpoint = other55.checkpoint;
+  submittedAtMs = other55.submittedAtMs;
+  cancelled = other55.cancelled;
+  crashes = other55.crashes;
+  __isset = other55.__isset;
   return *this;
 }
 void JobOrder::printTo(std::ostream& out) const {
@@ -2238,35 +2456,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other54) {
-  instance = other54.instance;
-  zone = other54.zone;
-  incarnation = other54.incarnation;
-  version = other54.version;
-  ready = other54.ready;
-  draining = other54.draining;
-  authorityEpoch = other54.authorityEpoch;
-  freeAccelerators = other54.freeAccelerators;
-  queuedAccelerators = other54.queuedAccelerators;
-  ordersIndex = other54.ordersIndex;
-  sentAtMs = other54.sentAtMs;
-  liveAccelerators = other54.liveAccelerators;
-  __isset = other54.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other55) {
-  instance = other55.instance;
-  zone = other55.zone;
-  incarnation = other55.incarnation;
-  version = other55.version;
-  ready = other55.ready;
-  draining = other55.draining;
-  authorityEpoch = other55.authorityEpoch;
-  freeAccelerators = other55.freeAccelerators;
-  queuedAccelerators = other55.queuedAccelerators;
-  ordersIndex = other55.ordersIndex;
-  sentAtMs = other55.sentAtMs;
-  liveAccelerators = other55.liveAccelerators;
-  __isset = other55.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other56) {
+  instance = other56.instance;
+  zone = other56.zone;
+  incarnation = other56.incarnation;
+  version = other56.version;
+  ready = other56.ready;
+  draining = other56.draining;
+  authorityEpoch = other56.authorityEpoch;
+  freeAccelerators = other56.freeAccelerators;
+  queuedAccelerators = other56.queuedAccelerators;
+  ordersIndex = other56.ordersIndex;
+  sentAtMs = other56.sentAtMs;
+  liveAccelerators = other56.liveAccelerators;
+  __isset = other56.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other57) {
+  instance = other57.instance;
+  zone = other57.zone;
+  incarnation = other57.incarnation;
+  version = other57.version;
+  ready = other57.ready;
+  draining = other57.draining;
+  authorityEpoch = other57.authorityEpoch;
+  freeAccelerators = other57.freeAccelerators;
+  queuedAccelerators = other57.queuedAccelerators;
+  ordersIndex = other57.ordersIndex;
+  sentAtMs = other57.sentAtMs;
+  liveAccelerators = other57.liveAccelerators;
+  __isset = other57.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -2288,6 +2506,138 @@
 }
 
 
+EvacuatedZones::~EvacuatedZones() noexcept {
+}
+
+
+void EvacuatedZones::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void EvacuatedZones::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuatedZones::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->zones.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += iprot->readString(this->zones[_i62]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuatedZones::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuatedZones");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->zones.begin(); _iter63 != this->zones.end(); ++_iter63)
+    {
+      xfer += oprot->writeString((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuatedZones &a, EvacuatedZones &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.zones, b.zones);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuatedZones::EvacuatedZones(const EvacuatedZones& other64) {
+  index = other64.index;
+  zones = other64.zones;
+  __isset = other64.__isset;
+}
+EvacuatedZones& EvacuatedZones::operator=(const EvacuatedZones& other65) {
+  index = other65.index;
+  zones = other65.zones;
+  __isset = other65.__isset;
+  return *this;
+}
+void EvacuatedZones::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuatedZones(";
+  out << "index=" << to_string(index);
+  out << ", " << "zones=" << to_string(zones);
+  out << ")";
+}
+
+
 HeartbeatReply::~HeartbeatReply() noexcept {
 }
 
@@ -2320,6 +2670,16 @@
   this->afterIndex = val;
 __isset.afterIndex = true;
 }
+
+void HeartbeatReply::__set_evacuated(const EvacuatedZones& val) {
+  this->evacuated = val;
+__isset.evacuated = true;
+}
+
+void HeartbeatReply::__set_stateIncomplete(const bool val) {
+  this->stateIncomplete = val;
+__isset.stateIncomplete = true;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -2376,14 +2736,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->orders.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->orders.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->orders[_i60].read(iprot);
+              xfer += this->orders[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2416,6 +2776,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuated.read(iprot);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stateIncomplete);
+          this->__isset.stateIncomplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2448,10 +2824,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<JobOrder> ::const_iterator _iter61;
-    for (_iter61 = this->orders.begin(); _iter61 != this->orders.end(); ++_iter61)
+    std::vector<JobOrder> ::const_iterator _iter71;
+    for (_iter71 = this->orders.begin(); _iter71 != this->orders.end(); ++_iter71)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2470,6 +2846,16 @@
     xfer += oprot->writeI64(this->afterIndex);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuated) {
+    xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->evacuated.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stateIncomplete) {
+    xfer += oprot->writeFieldBegin("stateIncomplete", ::apache::thrift::protocol::T_BOOL, 9);
+    xfer += oprot->writeBool(this->stateIncomplete);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2484,28 +2870,34 @@
   swap(a.ordersIndex, b.ordersIndex);
   swap(a.moreOrders, b.moreOrders);
   swap(a.afterIndex, b.afterIndex);
+  swap(a.evacuated, b.evacuated);
+  swap(a.stateIncomplete, b.stateIncomplete);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other62) {
-  sentAtMs = other62.sentAtMs;
-  term = other62.term;
-  version = other62.version;
-  orders = other62.orders;
-  ordersIndex = other62.ordersIndex;
-  moreOrders = other62.moreOrders;
-  afterIndex = other62.afterIndex;
-  __isset = other62.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other63) {
-  sentAtMs = other63.sentAtMs;
-  term = other63.term;
-  version = other63.version;
-  orders = other63.orders;
-  ordersIndex = other63.ordersIndex;
-  moreOrders = other63.moreOrders;
-  afterIndex = other63.afterIndex;
-  __isset = other63.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other72) {
+  sentAtMs = other72.sentAtMs;
+  term = other72.term;
+  version = other72.version;
+  orders = other72.orders;
+  ordersIndex = other72.ordersIndex;
+  moreOrders = other72.moreOrders;
+  afterIndex = other72.afterIndex;
+  evacuated = other72.evacuated;
+  stateIncomplete = other72.stateIncomplete;
+  __isset = other72.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other73) {
+  sentAtMs = other73.sentAtMs;
+  term = other73.term;
+  version = other73.version;
+  orders = other73.orders;
+  ordersIndex = other73.ordersIndex;
+  moreOrders = other73.moreOrders;
+  afterIndex = other73.afterIndex;
+  evacuated = other73.evacuated;
+  stateIncomplete = other73.stateIncomplete;
+  __isset = other73.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -2518,6 +2910,8 @@
   out << ", " << "ordersIndex=" << to_string(ordersIndex);
   out << ", " << "moreOrders=" << to_string(moreOrders);
   out << ", " << "afterIndex="; (__isset.afterIndex ? (out << to_string(afterIndex)) : (out << "<null>"));
+  out << ", " << "evacuated="; (__isset.evacuated ? (out << to_string(evacuated)) : (out << "<null>"));
+  out << ", " << "stateIncomplete="; (__isset.stateIncomplete ? (out << to_string(stateIncomplete)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2667,21 +3061,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other64) {
-  version = other64.version;
-  hash = other64.hash;
-  baseVersion = other64.baseVersion;
-  body = other64.body;
-  linearizable = other64.linearizable;
-  __isset = other64.__isset;
+ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other74) {
+  version = other74.version;
+  hash = other74.hash;
+  baseVersion = other74.baseVersion;
+  body = other74.body;
+  linearizable = other74.linearizable;
+  __isset = other74.__isset;
 }
-ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other65) {
-  version = other65.version;
-  hash = other65.hash;
-  baseVersion = other65.baseVersion;
-  body = other65.body;
-  linearizable = other65.linearizable;
-  __isset = other65.__isset;
+ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other75) {
+  version = other75.version;
+  hash = other75.hash;
+  baseVersion = other75.baseVersion;
+  body = other75.body;
+  linearizable = other75.linearizable;
+  __isset = other75.__isset;
   return *this;
 }
 void ConfigurationUpdate::printTo(std::ostream& out) const {
@@ -2788,15 +3182,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other66) noexcept {
-  knownVersion = other66.knownVersion;
-  linearizable = other66.linearizable;
-  __isset = other66.__isset;
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other76) noexcept {
+  knownVersion = other76.knownVersion;
+  linearizable = other76.linearizable;
+  __isset = other76.__isset;
 }
-ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other67) noexcept {
-  knownVersion = other67.knownVersion;
-  linearizable = other67.linearizable;
-  __isset = other67.__isset;
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other77) noexcept {
+  knownVersion = other77.knownVersion;
+  linearizable = other77.linearizable;
+  __isset = other77.__isset;
   return *this;
 }
 void ConfigurationRequest::printTo(std::ostream& out) const {
@@ -2900,15 +3294,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other68) {
-  id = other68.id;
-  command = other68.command;
-  __isset = other68.__isset;
+Propose::Propose(const Propose& other78) {
+  id = other78.id;
+  command = other78.command;
+  __isset = other78.__isset;
 }
-Propose& Propose::operator=(const Propose& other69) {
-  id = other69.id;
-  command = other69.command;
-  __isset = other69.__isset;
+Propose& Propose::operator=(const Propose& other79) {
+  id = other79.id;
+  command = other79.command;
+  __isset = other79.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -3048,19 +3442,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other70) {
-  id = other70.id;
-  verdict = other70.verdict;
-  reason = other70.reason;
-  result = other70.result;
-  __isset = other70.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other80) {
+  id = other80.id;
+  verdict = other80.verdict;
+  reason = other80.reason;
+  result = other80.result;
+  __isset = other80.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other71) {
-  id = other71.id;
-  verdict = other71.verdict;
-  reason = other71.reason;
-  result = other71.result;
-  __isset = other71.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other81) {
+  id = other81.id;
+  verdict = other81.verdict;
+  reason = other81.reason;
+  result = other81.result;
+  __isset = other81.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -3166,15 +3560,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Query::Query(const Query& other72) {
-  id = other72.id;
-  target = other72.target;
-  __isset = other72.__isset;
+Query::Query(const Query& other82) {
+  id = other82.id;
+  target = other82.target;
+  __isset = other82.__isset;
 }
-Query& Query::operator=(const Query& other73) {
-  id = other73.id;
-  target = other73.target;
-  __isset = other73.__isset;
+Query& Query::operator=(const Query& other83) {
+  id = other83.id;
+  target = other83.target;
+  __isset = other83.__isset;
   return *this;
 }
 void Query::printTo(std::ostream& out) const {
@@ -3295,17 +3689,17 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryReply::QueryReply(const QueryReply& other74) {
-  id = other74.id;
-  status = other74.status;
-  body = other74.body;
-  __isset = other74.__isset;
+QueryReply::QueryReply(const QueryReply& other84) {
+  id = other84.id;
+  status = other84.status;
+  body = other84.body;
+  __isset = other84.__isset;
 }
-QueryReply& QueryReply::operator=(const QueryReply& other75) {
-  id = other75.id;
-  status = other75.status;
-  body = other75.body;
-  __isset = other75.__isset;
+QueryReply& QueryReply::operator=(const QueryReply& other85) {
+  id = other85.id;
+  status = other85.status;
+  body = other85.body;
+  __isset = other85.__isset;
   return *this;
 }
 void QueryReply::printTo(std::ostream& out) const {
@@ -3461,21 +3855,21 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseRequest::LeaseRequest(const LeaseRequest& other76) {
-  zone = other76.zone;
-  candidate = other76.candidate;
-  epoch = other76.epoch;
-  round = other76.round;
-  contactAgeMs = other76.contactAgeMs;
-  __isset = other76.__isset;
+LeaseRequest::LeaseRequest(const LeaseRequest& other86) {
+  zone = other86.zone;
+  candidate = other86.candidate;
+  epoch = other86.epoch;
+  round = other86.round;
+  contactAgeMs = other86.contactAgeMs;
+  __isset = other86.__isset;
 }
-LeaseRequest& LeaseRequest::operator=(const LeaseRequest& other77) {
-  zone = other77.zone;
-  candidate = other77.candidate;
-  epoch = other77.epoch;
-  round = other77.round;
-  contactAgeMs = other77.contactAgeMs;
-  __isset = other77.__isset;
+LeaseRequest& LeaseRequest::operator=(const LeaseRequest& other87) {
+  zone = other87.zone;
+  candidate = other87.candidate;
+  epoch = other87.epoch;
+  round = other87.round;
+  contactAgeMs = other87.contactAgeMs;
+  __isset = other87.__isset;
   return *this;
 }
 void LeaseRequest::printTo(std::ostream& out) const {
@@ -3684,27 +4078,27 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseReply::LeaseReply(const LeaseReply& other78) {
-  zone = other78.zone;
-  voter = other78.voter;
-  epoch = other78.epoch;
-  round = other78.round;
-  granted = other78.granted;
-  highestEpoch = other78.highestEpoch;
-  knowsContact = other78.knowsContact;
-  contactAgeMs = other78.contactAgeMs;
-  __isset = other78.__isset;
+LeaseReply::LeaseReply(const LeaseReply& other88) {
+  zone = other88.zone;
+  voter = other88.voter;
+  epoch = other88.epoch;
+  round = other88.round;
+  granted = other88.granted;
+  highestEpoch = other88.highestEpoch;
+  knowsContact = other88.knowsContact;
+  contactAgeMs = other88.contactAgeMs;
+  __isset = other88.__isset;
 }
-LeaseReply& LeaseReply::operator=(const LeaseReply& other79) {
-  zone = other79.zone;
-  voter = other79.voter;
-  epoch = other79.epoch;
-  round = other79.round;
-  granted = other79.granted;
-  highestEpoch = other79.highestEpoch;
-  knowsContact = other79.knowsContact;
-  contactAgeMs = other79.contactAgeMs;
-  __isset = other79.__isset;
+LeaseReply& LeaseReply::operator=(const LeaseReply& other89) {
+  zone = other89.zone;
+  voter = other89.voter;
+  epoch = other89.epoch;
+  round = other89.round;
+  granted = other89.granted;
+  highestEpoch = other89.highestEpoch;
+  knowsContact = other89.knowsContact;
+  contactAgeMs = other89.contactAgeMs;
+  __isset = other89.__isset;
   return *this;
 }
 void LeaseReply::printTo(std::ostream& out) const {
@@ -3816,15 +4210,15 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other80) {
-  leader = other80.leader;
-  requestId = other80.requestId;
-  __isset = other80.__isset;
+NotLeader::NotLeader(const NotLeader& other90) {
+  leader = other90.leader;
+  requestId = other90.requestId;
+  __isset = other90.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other81) {
-  leader = other81.leader;
-  requestId = other81.requestId;
-  __isset = other81.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other91) {
+  leader = other91.leader;
+  requestId = other91.requestId;
+  __isset = other91.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -3962,19 +4356,19 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceCall::InstanceCall(const InstanceCall& other82) {
-  id = other82.id;
-  method = other82.method;
-  target = other82.target;
-  body = other82.body;
-  __isset = other82.__isset;
+InstanceCall::InstanceCall(const InstanceCall& other92) {
+  id = other92.id;
+  method = other92.method;
+  target = other92.target;
+  body = other92.body;
+  __isset = other92.__isset;
 }
-InstanceCall& InstanceCall::operator=(const InstanceCall& other83) {
-  id = other83.id;
-  method = other83.method;
-  target = other83.target;
-  body = other83.body;
-  __isset = other83.__isset;
+InstanceCall& InstanceCall::operator=(const InstanceCall& other93) {
+  id = other93.id;
+  method = other93.method;
+  target = other93.target;
+  body = other93.body;
+  __isset = other93.__isset;
   return *this;
 }
 void InstanceCall::printTo(std::ostream& out) const {
@@ -4097,17 +4491,17 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceCallReply::InstanceCallReply(const InstanceCallReply& other84) {
-  id = other84.id;
-  status = other84.status;
-  body = other84.body;
-  __isset = other84.__isset;
+InstanceCallReply::InstanceCallReply(const InstanceCallReply& other94) {
+  id = other94.id;
+  status = other94.status;
+  body = other94.body;
+  __isset = other94.__isset;
 }
-InstanceCallReply& InstanceCallReply::operator=(const InstanceCallReply& other85) {
-  id = other85.id;
-  status = other85.status;
-  body = other85.body;
-  __isset = other85.__isset;
+InstanceCallReply& InstanceCallReply::operator=(const InstanceCallReply& other95) {
+  id = other95.id;
+  status = other95.status;
+  body = other95.body;
+  __isset = other95.__isset;
   return *this;
 }
 void InstanceCallReply::printTo(std::ostream& out) const {
@@ -4425,37 +4819,37 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlMessage::ControlMessage(const ControlMessage& other86) {
-  heartbeat = other86.heartbeat;
-  heartbeatReply = other86.heartbeatReply;
-  configurationUpdate = other86.configurationUpdate;
-  configurationRequest = other86.configurationRequest;
-  propose = other86.propose;
-  proposeReply = other86.proposeReply;
-  query = other86.query;
-  queryReply = other86.queryReply;
-  leaseRequest = other86.leaseRequest;
-  leaseReply = other86.leaseReply;
-  notLeader = other86.notLeader;
-  instanceCall = other86.instanceCall;
-  instanceCallReply = other86.instanceCallReply;
-  __isset = other86.__isset;
+ControlMessage::ControlMessage(const ControlMessage& other96) {
+  heartbeat = other96.heartbeat;
+  heartbeatReply = other96.heartbeatReply;
+  configurationUpdate = other96.configurationUpdate;
+  configurationRequest = other96.configurationRequest;
+  propose = other96.propose;
+  proposeReply = other96.proposeReply;
+  query = other96.query;
+  queryReply = other96.queryReply;
+  leaseRequest = other96.leaseRequest;
+  leaseReply = other96.leaseReply;
+  notLeader = other96.notLeader;
+  instanceCall = other96.instanceCall;
+  instanceCallReply = other96.instanceCallReply;
+  __isset = other96.__isset;
 }
-ControlMessage& ControlMessage::operator=(const ControlMessage& other87) {
-  heartbeat = other87.heartbeat;
-  heartbeatReply = other87.heartbeatReply;
-  configurationUpdate = other87.configurationUpdate;
-  configurationRequest = other87.configurationRequest;
-  propose = other87.propose;
-  proposeReply = other87.proposeReply;
-  query = other87.query;
-  queryReply = other87.queryReply;
-  leaseRequest = other87.leaseRequest;
-  leaseReply = other87.leaseReply;
-  notLeader = other87.notLeader;
-  instanceCall = other87.instanceCall;
-  instanceCallReply = other87.instanceCallReply;
-  __isset = other87.__isset;
+ControlMessage& ControlMessage::operator=(const ControlMessage& other97) {
+  heartbeat = other97.heartbeat;
+  heartbeatReply = other97.heartbeatReply;
+  configurationUpdate = other97.configurationUpdate;
+  configurationRequest = other97.configurationRequest;
+  propose = other97.propose;
+  proposeReply = other97.proposeReply;
+  query = other97.query;
+  queryReply = other97.queryReply;
+  leaseRequest = other97.leaseRequest;
+  leaseReply = other97.leaseReply;
+  notLeader = other97.notLeader;
+  instanceCall = other97.instanceCall;
+  instanceCallReply = other97.instanceCallReply;
+  __isset = other97.__isset;
   return *this;
 }
 void ControlMessage::printTo(std::ostream& out) const {
@@ -4793,41 +5187,41 @@
   swap(a.__isset, b.__isset);
 }
 
-JobSnapshot::JobSnapshot(const JobSnapshot& other88) {
-  job = other88.job;
-  key = other88.key;
-  spec = other88.spec;
-  state = other88.state;
-  zone = other88.zone;
-  assignedIndex = other88.assignedIndex;
-  attempt = other88.attempt;
-  reason = other88.reason;
-  checkpoint = other88.checkpoint;
-  submittedAtMs = other88.submittedAtMs;
-  startedAtMs = other88.startedAtMs;
-  endedAtMs = other88.endedAtMs;
-  cancelRequested = other88.cancelRequested;
-  orderIndex = other88.orderIndex;
-  crashes = other88.crashes;
-  __isset = other88.__isset;
+JobSnapshot::JobSnapshot(const JobSnapshot& other98) {
+  job = other98.job;
+  key = other98.key;
+  spec = other98.spec;
+  state = other98.state;
+  zone = other98.zone;
+  assignedIndex = other98.assignedIndex;
+  attempt = other98.attempt;
+  reason = other98.reason;
+  checkpoint = other98.checkpoint;
+  submittedAtMs = other98.submittedAtMs;
+  startedAtMs = other98.startedAtMs;
+  endedAtMs = other98.endedAtMs;
+  cancelRequested = other98.cancelRequested;
+  orderIndex = other98.orderIndex;
+  crashes = other98.crashes;
+  __isset = other98.__isset;
 }
-JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other89) {
-  job = other89.job;
-  key = other89.key;
-  spec = other89.spec;
-  state = other89.state;
-  zone = other89.zone;
-  assignedIndex = other89.assignedIndex;
-  attempt = other89.attempt;
-  reason = other89.reason;
-  checkpoint = other89.checkpoint;
-  submittedAtMs = other89.submittedAtMs;
-  startedAtMs = other89.startedAtMs;
-  endedAtMs = other89.endedAtMs;
-  cancelRequested = other89.cancelRequested;
-  orderIndex = other89.orderIndex;
-  crashes = other89.crashes;
-  __isset = other89.__isset;
+JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other99) {
+  job = other99.job;
+  key = other99.key;
+  spec = other99.spec;
+  state = other99.state;
+  zone = other99.zone;
+  assignedIndex = other99.assignedIndex;
+  attempt = other99.attempt;
+  reason = other99.reason;
+  checkpoint = other99.checkpoint;
+  submittedAtMs = other99.submittedAtMs;
+  startedAtMs = other99.startedAtMs;
+  endedAtMs = other99.endedAtMs;
+  cancelRequested = other99.cancelRequested;
+  orderIndex = other99.orderIndex;
+  crashes = other99.crashes;
+  __isset = other99.__isset;
   return *this;
 }
 void JobSnapshot::printTo(std::ostream& out) const {
@@ -4931,14 +5325,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->changes.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->changes.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += iprot->readString(this->changes[_i94]);
+              xfer += iprot->readString(this->changes[_i104]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4987,10 +5381,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter95;
-    for (_iter95 = this->changes.begin(); _iter95 != this->changes.end(); ++_iter95)
+    std::vector<std::string> ::const_iterator _iter105;
+    for (_iter105 = this->changes.begin(); _iter105 != this->changes.end(); ++_iter105)
     {
-      xfer += oprot->writeString((*_iter95));
+      xfer += oprot->writeString((*_iter105));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5015,21 +5409,21 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionSnapshot::VersionSnapshot(const VersionSnapshot& other96) {
-  version = other96.version;
-  hash = other96.hash;
-  acceptedAtMs = other96.acceptedAtMs;
-  changes = other96.changes;
-  delta = other96.delta;
-  __isset = other96.__isset;
-}
-VersionSnapshot& VersionSnapshot::operator=(const VersionSnapshot& other97) {
-  version = other97.version;
-  hash = other97.hash;
-  acceptedAtMs = other97.acceptedAtMs;
-  changes = other97.changes;
-  delta = other97.delta;
-  __isset = other97.__isset;
+VersionSnapshot::VersionSnapshot(const VersionSnapshot& other106) {
+  version = other106.version;
+  hash = other106.hash;
+  acceptedAtMs = other106.acceptedAtMs;
+  changes = other106.changes;
+  delta = other106.delta;
+  __isset = other106.__isset;
+}
+VersionSnapshot& VersionSnapshot::operator=(const VersionSnapshot& other107) {
+  version = other107.version;
+  hash = other107.hash;
+  acceptedAtMs = other107.acceptedAtMs;
+  changes = other107.changes;
+  delta = other107.delta;
+  __isset = other107.__isset;
   return *this;
 }
 void VersionSnapshot::printTo(std::ostream& out) const {
@@ -5136,15 +5530,15 @@
   swap(a.__isset, b.__isset);
 }
 
-KeySnapshot::KeySnapshot(const KeySnapshot& other98) {
-  key = other98.key;
-  result = other98.result;
-  __isset = other98.__isset;
+KeySnapshot::KeySnapshot(const KeySnapshot& other108) {
+  key = other108.key;
+  result = other108.result;
+  __isset = other108.__isset;
 }
-KeySnapshot& KeySnapshot::operator=(const KeySnapshot& other99) {
-  key = other99.key;
-  result = other99.result;
-  __isset = other99.__isset;
+KeySnapshot& KeySnapshot::operator=(const KeySnapshot& other109) {
+  key = other109.key;
+  result = other109.result;
+  __isset = other109.__isset;
   return *this;
 }
 void KeySnapshot::printTo(std::ostream& out) const {
@@ -5156,6 +5550,138 @@
 }
 
 
+ZoneEvacuation::~ZoneEvacuation() noexcept {
+}
+
+
+void ZoneEvacuation::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneEvacuation::__set_by(const std::string& val) {
+  this->by = val;
+}
+
+void ZoneEvacuation::__set_sinceMs(const int64_t val) {
+  this->sinceMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneEvacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->by);
+          this->__isset.by = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceMs);
+          this->__isset.sinceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneEvacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneEvacuation");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("by", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->by);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sinceMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sinceMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneEvacuation &a, ZoneEvacuation &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.by, b.by);
+  swap(a.sinceMs, b.sinceMs);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneEvacuation::ZoneEvacuation(const ZoneEvacuation& other110) {
+  zone = other110.zone;
+  by = other110.by;
+  sinceMs = other110.sinceMs;
+  __isset = other110.__isset;
+}
+ZoneEvacuation& ZoneEvacuation::operator=(const ZoneEvacuation& other111) {
+  zone = other111.zone;
+  by = other111.by;
+  sinceMs = other111.sinceMs;
+  __isset = other111.__isset;
+  return *this;
+}
+void ZoneEvacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneEvacuation(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "by=" << to_string(by);
+  out << ", " << "sinceMs=" << to_string(sinceMs);
+  out << ")";
+}
+
+
 StateSnapshot::~StateSnapshot() noexcept {
 }
 
@@ -5183,6 +5709,14 @@
 void StateSnapshot::__set_zoneEpochs(const std::map<std::string, int64_t> & val) {
   this->zoneEpochs = val;
 }
+
+void StateSnapshot::__set_evacuatedZones(const std::vector<ZoneEvacuation> & val) {
+  this->evacuatedZones = val;
+}
+
+void StateSnapshot::__set_evacuationIndex(const int64_t val) {
+  this->evacuationIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -5231,14 +5765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->history.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->history.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->history[_i104].read(iprot);
+              xfer += this->history[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5251,14 +5785,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->jobs.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->jobs.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->jobs[_i109].read(iprot);
+              xfer += this->jobs[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5271,14 +5805,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->keys.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->keys.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->keys[_i114].read(iprot);
+              xfer += this->keys[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5291,17 +5825,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->zoneEpochs.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _ktype116;
-            ::apache::thrift::protocol::TType _vtype117;
-            xfer += iprot->readMapBegin(_ktype116, _vtype117, _size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _ktype128;
+            ::apache::thrift::protocol::TType _vtype129;
+            xfer += iprot->readMapBegin(_ktype128, _vtype129, _size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              std::string _key120;
-              xfer += iprot->readString(_key120);
-              int64_t& _val121 = this->zoneEpochs[_key120];
-              xfer += iprot->readI64(_val121);
+              std::string _key132;
+              xfer += iprot->readString(_key132);
+              int64_t& _val133 = this->zoneEpochs[_key132];
+              xfer += iprot->readI64(_val133);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5310,6 +5844,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuatedZones.clear();
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->evacuatedZones.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
+            {
+              xfer += this->evacuatedZones[_i138].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuatedZones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationIndex);
+          this->__isset.evacuationIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5338,10 +5900,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<VersionSnapshot> ::const_iterator _iter122;
-    for (_iter122 = this->history.begin(); _iter122 != this->history.end(); ++_iter122)
+    std::vector<VersionSnapshot> ::const_iterator _iter139;
+    for (_iter139 = this->history.begin(); _iter139 != this->history.end(); ++_iter139)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5350,10 +5912,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter123;
-    for (_iter123 = this->jobs.begin(); _iter123 != this->jobs.end(); ++_iter123)
+    std::vector<JobSnapshot> ::const_iterator _iter140;
+    for (_iter140 = this->jobs.begin(); _iter140 != this->jobs.end(); ++_iter140)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5362,10 +5924,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeySnapshot> ::const_iterator _iter124;
-    for (_iter124 = this->keys.begin(); _iter124 != this->keys.end(); ++_iter124)
+    std::vector<KeySnapshot> ::const_iterator _iter141;
+    for (_iter141 = this->keys.begin(); _iter141 != this->keys.end(); ++_iter141)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5374,16 +5936,32 @@
   xfer += oprot->writeFieldBegin("zoneEpochs", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->zoneEpochs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter125;
-    for (_iter125 = this->zoneEpochs.begin(); _iter125 != this->zoneEpochs.end(); ++_iter125)
+    std::map<std::string, int64_t> ::const_iterator _iter142;
+    for (_iter142 = this->zoneEpochs.begin(); _iter142 != this->zoneEpochs.end(); ++_iter142)
     {
-      xfer += oprot->writeString(_iter125->first);
-      xfer += oprot->writeI64(_iter125->second);
+      xfer += oprot->writeString(_iter142->first);
+      xfer += oprot->writeI64(_iter142->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuatedZones", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuatedZones.size()));
+    std::vector<ZoneEvacuation> ::const_iterator _iter143;
+    for (_iter143 = this->evacuatedZones.begin(); _iter143 != this->evacuatedZones.end(); ++_iter143)
+    {
+      xfer += (*_iter143).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuationIndex", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->evacuationIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5397,26 +5975,32 @@
   swap(a.jobs, b.jobs);
   swap(a.keys, b.keys);
   swap(a.zoneEpochs, b.zoneEpochs);
+  swap(a.evacuatedZones, b.evacuatedZones);
+  swap(a.evacuationIndex, b.evacuationIndex);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other126) {
-  document = other126.document;
-  version = other126.version;
-  history = other126.history;
-  jobs = other126.jobs;
-  keys = other126.keys;
-  zoneEpochs = other126.zoneEpochs;
-  __isset = other126.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other127) {
-  document = other127.document;
-  version = other127.version;
-  history = other127.history;
-  jobs = other127.jobs;
-  keys = other127.keys;
-  zoneEpochs = other127.zoneEpochs;
-  __isset = other127.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other144) {
+  document = other144.document;
+  version = other144.version;
+  history = other144.history;
+  jobs = other144.jobs;
+  keys = other144.keys;
+  zoneEpochs = other144.zoneEpochs;
+  evacuatedZones = other144.evacuatedZones;
+  evacuationIndex = other144.evacuationIndex;
+  __isset = other144.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other145) {
+  document = other145.document;
+  version = other145.version;
+  history = other145.history;
+  jobs = other145.jobs;
+  keys = other145.keys;
+  zoneEpochs = other145.zoneEpochs;
+  evacuatedZones = other145.evacuatedZones;
+  evacuationIndex = other145.evacuationIndex;
+  __isset = other145.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -5428,6 +6012,8 @@
   out << ", " << "jobs=" << to_string(jobs);
   out << ", " << "keys=" << to_string(keys);
   out << ", " << "zoneEpochs=" << to_string(zoneEpochs);
+  out << ", " << "evacuatedZones=" << to_string(evacuatedZones);
+  out << ", " << "evacuationIndex=" << to_string(evacuationIndex);
   out << ")";
 }
 
--- a/packages/control/gen-cpp/control_types.h
+++ b/packages/control/gen-cpp/control_types.h
@@ -39,6 +39,8 @@
 
 class FenceZone;
 
+class ZoneOrder;
+
 class Command;
 
 class CommandResult;
@@ -47,6 +49,8 @@
 
 class Heartbeat;
 
+class EvacuatedZones;
+
 class HeartbeatReply;
 
 class ConfigurationUpdate;
@@ -79,6 +83,8 @@
 
 class KeySnapshot;
 
+class ZoneEvacuation;
+
 class StateSnapshot;
 
 typedef struct _SubmitConfiguration__isset {
@@ -422,7 +428,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashHistory& obj);
 
 typedef struct _JobEvent__isset {
-  _JobEvent__isset() : job(false), attempt(false), kind(false), reason(false), checkpoint(false), atMs(false), crash(false) {}
+  _JobEvent__isset() : job(false), attempt(false), kind(false), reason(false), checkpoint(false), atMs(false), crash(false), executed(false) {}
   bool job :1;
   bool attempt :1;
   bool kind :1;
@@ -430,6 +436,7 @@
   bool checkpoint :1;
   bool atMs :1;
   bool crash :1;
+  bool executed :1;
 } _JobEvent__isset;
 
 class JobEvent : public virtual ::apache::thrift::TBase {
@@ -443,7 +450,8 @@
              kind(0),
              reason(),
              checkpoint(),
-             atMs(0) {
+             atMs(0),
+             executed(0) {
   }
 
   virtual ~JobEvent() noexcept;
@@ -454,6 +462,7 @@
   std::string checkpoint;
   int64_t atMs;
   WorkerCrash crash;
+  bool executed;
 
   _JobEvent__isset __isset;
 
@@ -471,6 +480,8 @@
 
   void __set_crash(const WorkerCrash& val);
 
+  void __set_executed(const bool val);
+
   bool operator == (const JobEvent & rhs) const
   {
     if (!(job == rhs.job))
@@ -489,6 +500,10 @@
       return false;
     else if (__isset.crash && !(crash == rhs.crash))
       return false;
+    if (__isset.executed != rhs.__isset.executed)
+      return false;
+    else if (__isset.executed && !(executed == rhs.executed))
+      return false;
     return true;
   }
   bool operator != (const JobEvent &rhs) const {
@@ -606,14 +621,80 @@
 
 std::ostream& operator<<(std::ostream& out, const FenceZone& obj);
 
+typedef struct _ZoneOrder__isset {
+  _ZoneOrder__isset() : zone(false), by(false), key(false), orderedAtMs(false) {}
+  bool zone :1;
+  bool by :1;
+  bool key :1;
+  bool orderedAtMs :1;
+} _ZoneOrder__isset;
+
+class ZoneOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneOrder(const ZoneOrder&);
+  ZoneOrder& operator=(const ZoneOrder&);
+  ZoneOrder() noexcept
+            : zone(),
+              by(),
+              key(),
+              orderedAtMs(0) {
+  }
+
+  virtual ~ZoneOrder() noexcept;
+  std::string zone;
+  std::string by;
+  std::string key;
+  int64_t orderedAtMs;
+
+  _ZoneOrder__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_by(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_orderedAtMs(const int64_t val);
+
+  bool operator == (const ZoneOrder & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(by == rhs.by))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(orderedAtMs == rhs.orderedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneOrder &a, ZoneOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneOrder& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : submitConfiguration(false), submitJob(false), cancelJobs(false), assignJobs(false), jobEvents(false), fenceZone(false) {}
+  _Command__isset() : submitConfiguration(false), submitJob(false), cancelJobs(false), assignJobs(false), jobEvents(false), fenceZone(false), evacuateZone(false), restoreZone(false) {}
   bool submitConfiguration :1;
   bool submitJob :1;
   bool cancelJobs :1;
   bool assignJobs :1;
   bool jobEvents :1;
   bool fenceZone :1;
+  bool evacuateZone :1;
+  bool restoreZone :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -631,6 +712,8 @@
   std::vector<AssignJob>  assignJobs;
   JobEvents jobEvents;
   FenceZone fenceZone;
+  ZoneOrder evacuateZone;
+  ZoneOrder restoreZone;
 
   _Command__isset __isset;
 
@@ -646,6 +729,10 @@
 
   void __set_fenceZone(const FenceZone& val);
 
+  void __set_evacuateZone(const ZoneOrder& val);
+
+  void __set_restoreZone(const ZoneOrder& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.submitConfiguration != rhs.__isset.submitConfiguration)
@@ -672,6 +759,14 @@
       return false;
     else if (__isset.fenceZone && !(fenceZone == rhs.fenceZone))
       return false;
+    if (__isset.evacuateZone != rhs.__isset.evacuateZone)
+      return false;
+    else if (__isset.evacuateZone && !(evacuateZone == rhs.evacuateZone))
+      return false;
+    if (__isset.restoreZone != rhs.__isset.restoreZone)
+      return false;
+    else if (__isset.restoreZone && !(restoreZone == rhs.restoreZone))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -982,8 +1077,57 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _EvacuatedZones__isset {
+  _EvacuatedZones__isset() : index(false), zones(false) {}
+  bool index :1;
+  bool zones :1;
+} _EvacuatedZones__isset;
+
+class EvacuatedZones : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuatedZones(const EvacuatedZones&);
+  EvacuatedZones& operator=(const EvacuatedZones&);
+  EvacuatedZones() noexcept
+                 : index(0) {
+  }
+
+  virtual ~EvacuatedZones() noexcept;
+  int64_t index;
+  std::vector<std::string>  zones;
+
+  _EvacuatedZones__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  void __set_zones(const std::vector<std::string> & val);
+
+  bool operator == (const EvacuatedZones & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuatedZones &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuatedZones & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuatedZones &a, EvacuatedZones &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj);
+
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : sentAtMs(false), term(false), version(false), orders(false), ordersIndex(false), moreOrders(false), afterIndex(false) {}
+  _HeartbeatReply__isset() : sentAtMs(false), term(false), version(false), orders(false), ordersIndex(false), moreOrders(false), afterIndex(false), evacuated(false), stateIncomplete(false) {}
   bool sentAtMs :1;
   bool term :1;
   bool version :1;
@@ -991,6 +1135,8 @@
   bool ordersIndex :1;
   bool moreOrders :1;
   bool afterIndex :1;
+  bool evacuated :1;
+  bool stateIncomplete :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -1004,7 +1150,8 @@
                    version(0),
                    ordersIndex(0),
                    moreOrders(0),
-                   afterIndex(0) {
+                   afterIndex(0),
+                   stateIncomplete(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -1015,6 +1162,8 @@
   int64_t ordersIndex;
   bool moreOrders;
   int64_t afterIndex;
+  EvacuatedZones evacuated;
+  bool stateIncomplete;
 
   _HeartbeatReply__isset __isset;
 
@@ -1032,6 +1181,10 @@
 
   void __set_afterIndex(const int64_t val);
 
+  void __set_evacuated(const EvacuatedZones& val);
+
+  void __set_stateIncomplete(const bool val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(sentAtMs == rhs.sentAtMs))
@@ -1050,6 +1203,14 @@
       return false;
     else if (__isset.afterIndex && !(afterIndex == rhs.afterIndex))
       return false;
+    if (__isset.evacuated != rhs.__isset.evacuated)
+      return false;
+    else if (__isset.evacuated && !(evacuated == rhs.evacuated))
+      return false;
+    if (__isset.stateIncomplete != rhs.__isset.stateIncomplete)
+      return false;
+    else if (__isset.stateIncomplete && !(stateIncomplete == rhs.stateIncomplete))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -2150,14 +2311,73 @@
 
 std::ostream& operator<<(std::ostream& out, const KeySnapshot& obj);
 
+typedef struct _ZoneEvacuation__isset {
+  _ZoneEvacuation__isset() : zone(false), by(false), sinceMs(false) {}
+  bool zone :1;
+  bool by :1;
+  bool sinceMs :1;
+} _ZoneEvacuation__isset;
+
+class ZoneEvacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneEvacuation(const ZoneEvacuation&);
+  ZoneEvacuation& operator=(const ZoneEvacuation&);
+  ZoneEvacuation() noexcept
+                 : zone(),
+                   by(),
+                   sinceMs(0) {
+  }
+
+  virtual ~ZoneEvacuation() noexcept;
+  std::string zone;
+  std::string by;
+  int64_t sinceMs;
+
+  _ZoneEvacuation__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_by(const std::string& val);
+
+  void __set_sinceMs(const int64_t val);
+
+  bool operator == (const ZoneEvacuation & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(by == rhs.by))
+      return false;
+    if (!(sinceMs == rhs.sinceMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneEvacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneEvacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneEvacuation &a, ZoneEvacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj);
+
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : document(false), version(false), history(false), jobs(false), keys(false), zoneEpochs(false) {}
+  _StateSnapshot__isset() : document(false), version(false), history(false), jobs(false), keys(false), zoneEpochs(false), evacuatedZones(false), evacuationIndex(false) {}
   bool document :1;
   bool version :1;
   bool history :1;
   bool jobs :1;
   bool keys :1;
   bool zoneEpochs :1;
+  bool evacuatedZones :1;
+  bool evacuationIndex :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -2167,7 +2387,8 @@
   StateSnapshot& operator=(const StateSnapshot&);
   StateSnapshot() noexcept
                 : document(),
-                  version(0) {
+                  version(0),
+                  evacuationIndex(0) {
   }
 
   virtual ~StateSnapshot() noexcept;
@@ -2177,6 +2398,8 @@
   std::vector<JobSnapshot>  jobs;
   std::vector<KeySnapshot>  keys;
   std::map<std::string, int64_t>  zoneEpochs;
+  std::vector<ZoneEvacuation>  evacuatedZones;
+  int64_t evacuationIndex;
 
   _StateSnapshot__isset __isset;
 
@@ -2192,6 +2415,10 @@
 
   void __set_zoneEpochs(const std::map<std::string, int64_t> & val);
 
+  void __set_evacuatedZones(const std::vector<ZoneEvacuation> & val);
+
+  void __set_evacuationIndex(const int64_t val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (!(document == rhs.document))
@@ -2206,6 +2433,10 @@
       return false;
     if (!(zoneEpochs == rhs.zoneEpochs))
       return false;
+    if (!(evacuatedZones == rhs.evacuatedZones))
+      return false;
+    if (!(evacuationIndex == rhs.evacuationIndex))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/packages/control/query.cc
+++ b/packages/control/query.cc
@@ -218,6 +218,41 @@
   return Answer({ { "instances", instances } });
 }
 
+// Lists the zones of the configuration, and zones that are evacuated although
+// the configuration no longer names them.
+QueryAnswer
+Zones(const ControlState& aState)
+{
+  std::vector<ZoneId> names;
+  if (aState.Configuration()) {
+    names = aState.Configuration()->planned.document.zones;
+  }
+  for (const auto& [zone, evacuation] : aState.EvacuatedZones()) {
+    if (std::find(names.begin(), names.end(), zone) == names.end()) {
+      names.push_back(zone);
+    }
+  }
+  json zones = json::array();
+  for (const ZoneId& it : names) {
+    auto orders = aState.Jobs().OrdersFor(it, 0, SIZE_MAX);
+    auto active =
+      std::count_if(orders.begin(), orders.end(), [](const JobRecord* aJob) {
+        return aJob->state != model::JobState::kQueued;
+      });
+    json zone = { { "zone", it.Value() },
+                  { "state", "in_service" },
+                  { "remainingRuns", active } };
+    auto evacuation = aState.EvacuatedZones().find(it);
+    if (evacuation != aState.EvacuatedZones().end()) {
+      zone["state"] = "evacuated";
+      zone["sinceMs"] = evacuation->second.since.Count();
+      zone["by"] = evacuation->second.by;
+    }
+    zones.push_back(std::move(zone));
+  }
+  return Answer({ { "zones", zones } });
+}
+
 QueryAnswer
 Alarms(const QuerySources& aSources)
 {
@@ -258,6 +293,9 @@
   if (path == "/v1/instances") {
     return Instances(aSources, aNow);
   }
+  if (path == "/v1/zones") {
+    return Zones(aSources.state);
+  }
   if (path == "/v1/alarms") {
     return Alarms(aSources);
   }
--- a/packages/control/query.h
+++ b/packages/control/query.h
@@ -40,9 +40,9 @@
 };
 
 // Answers GET /v1/jobs, /v1/jobs/{id}, /v1/configuration,
-// /v1/configuration/history, /v1/workspaces, /v1/instances and /v1/alarms.
-// Any other target and an unknown job get status 404, as does /v1/configuration
-// before the first configuration was accepted.
+// /v1/configuration/history, /v1/workspaces, /v1/instances, /v1/zones and
+// /v1/alarms. Any other target and an unknown job get status 404, as does
+// /v1/configuration before the first configuration was accepted.
 QueryAnswer
 AnswerQuery(std::string_view aTarget,
             const QuerySources& aSources,
--- a/packages/control/state.cc
+++ b/packages/control/state.cc
@@ -57,6 +57,10 @@
     result = ApplyEvents(command.jobEvents, aIndex);
   } else if (command.__isset.fenceZone) {
     result = FenceZone(command.fenceZone);
+  } else if (command.__isset.evacuateZone) {
+    result = ApplyZoneOrder(command.evacuateZone, true, aIndex);
+  } else if (command.__isset.restoreZone) {
+    result = ApplyZoneOrder(command.restoreZone, false, aIndex);
   } else {
     result = Rejected("unknown_command");
   }
@@ -224,7 +228,10 @@
   gen::CommandResult result;
   result.accepted = true;
   for (const gen::AssignJob& it : aJobs) {
-    mJobs.Assign(JobId(it.job), ZoneId(it.zone), aIndex);
+    // The leader may have chosen the zone before the evacuation was committed.
+    if (!mEvacuatedZones.contains(ZoneId(it.zone))) {
+      mJobs.Assign(JobId(it.job), ZoneId(it.zone), aIndex);
+    }
   }
   return result;
 }
@@ -253,6 +260,15 @@
       result.changes.push_back(it.job);
       continue;
     }
+    // An executed start is recorded also in an evacuated zone, because the gang
+    // runs. The job stays assigned until the authority returns it, so that it
+    // is not started elsewhere while a cut-off authority may start it here.
+    if (event.kind == JobEventKind::kStarting && !it.executed &&
+        mEvacuatedZones.contains(zone)) {
+      result.changes.push_back(it.job);
+      result.reason = "zone_evacuated";
+      continue;
+    }
     mJobs.ApplyEvent(zone, event, aIndex);
   }
   return result;
@@ -267,6 +283,54 @@
   return result;
 }
 
+gen::CommandResult
+ControlState::ApplyZoneOrder(const gen::ZoneOrder& aOrder,
+                             bool aEvacuate,
+                             uint64_t aIndex)
+{
+  ZoneId zone(aOrder.zone);
+  // Includes the order and the zone, so that a key used for another order does
+  // not get this one's result.
+  std::string key;
+  if (!aOrder.key.empty()) {
+    key =
+      (aEvacuate ? "evacuate/" : "restore/") + aOrder.zone + "/" + aOrder.key;
+  }
+  // A copy of an order that arrives after the opposite order must not take
+  // effect again.
+  if (auto it = mResultsByKey.find(key);
+      !key.empty() && it != mResultsByKey.end()) {
+    gen::CommandResult repeated = it->second;
+    repeated.repeated = true;
+    return repeated;
+  }
+  auto known = mEvacuatedZones.find(zone);
+  bool evacuated = known != mEvacuatedZones.end();
+  // An evacuated zone can be restored also if the configuration no longer names
+  // it.
+  bool isKnown = evacuated;
+  if (mConfiguration) {
+    const auto& zones = mConfiguration->planned.document.zones;
+    isKnown =
+      isKnown || std::find(zones.begin(), zones.end(), zone) != zones.end();
+  }
+  if (!isKnown) {
+    return Rejected("unknown_zone");
+  }
+  if (evacuated != aEvacuate) {
+    if (aEvacuate) {
+      mEvacuatedZones[zone] = { Millis(aOrder.orderedAtMs), aOrder.by };
+    } else {
+      mEvacuatedZones.erase(known);
+    }
+    mEvacuationIndex = aIndex;
+  }
+  gen::CommandResult result;
+  result.accepted = true;
+  StoreResult(key, result);
+  return result;
+}
+
 void
 ControlState::StoreResult(const std::string& aKey,
                           const gen::CommandResult& aResult)
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -1,6 +1,6 @@
-// The replicated control state: accepted configurations, jobs, and the results
-// of configuration submissions. Deterministic: replicas that apply the same
-// commands in the same order have the same state.
+// The replicated control state: accepted configurations, jobs, evacuated zones,
+// and the results of configuration submissions and zone orders. Deterministic:
+// replicas that apply the same commands in the same order have the same state.
 
 #pragma once
 
@@ -43,6 +43,16 @@
   model::PlannedDocument planned;
 };
 
+// An evacuated zone starts no tasks and is assigned no jobs until it is
+// restored.
+struct ZoneEvacuation
+{
+  // Wall-clock time since the Unix epoch.
+  Millis since;
+  // Who ordered the evacuation.
+  std::string by;
+};
+
 class ControlState
 {
 public:
@@ -52,8 +62,8 @@
   // Newest versions whose deltas are retained; older deltas take no space in
   // memory and snapshots.
   static constexpr size_t kMaxDeltas = 256;
-  // Results of accepted configuration submissions that are retained to answer
-  // resent ones.
+  // Results of accepted configuration submissions and zone orders that are
+  // retained to answer resent ones.
   static constexpr size_t kMaxStoredResults = 20'000;
 
   // Applies the committed command at log index `aIndex` and returns an encoded
@@ -76,6 +86,12 @@
   }
   const std::deque<AcceptedVersion>& History() const { return mHistory; }
   const JobTable& Jobs() const { return mJobs; }
+  const std::map<ZoneId, ZoneEvacuation>& EvacuatedZones() const
+  {
+    return mEvacuatedZones;
+  }
+  // Log index of the last change of `EvacuatedZones()`; 0 before the first one.
+  uint64_t EvacuationIndex() const { return mEvacuationIndex; }
 
   // Returns the deltas from `aFrom` to the current version, oldest first, or
   // nullopt if one of them is no longer retained.
@@ -93,6 +109,9 @@
   gen::CommandResult ApplyEvents(const gen::JobEvents& aCommand,
                                  uint64_t aIndex);
   gen::CommandResult FenceZone(const gen::FenceZone& aCommand);
+  gen::CommandResult ApplyZoneOrder(const gen::ZoneOrder& aOrder,
+                                    bool aEvacuate,
+                                    uint64_t aIndex);
   std::vector<std::string> ChangesSince(ConfigVersion aBase) const;
   void StoreResult(const std::string& aKey, const gen::CommandResult& aResult);
 
@@ -100,13 +119,18 @@
   std::optional<AcceptedConfiguration> mConfiguration;
   std::deque<AcceptedVersion> mHistory;
   JobTable mJobs;
-  // Results of accepted configuration submissions by idempotency key, and the
-  // keys from oldest to newest. Resent jobs are found in `mJobs`.
+  // Results of accepted configuration submissions and zone orders by
+  // idempotency key, and the keys from oldest to newest. Resent jobs are found
+  // in `mJobs`.
   std::unordered_map<std::string, gen::CommandResult> mResultsByKey;
   std::deque<std::string> mResultKeysByAge;
   // Highest authority epoch seen for each zone. From an authority with a lower
   // epoch, only the outcomes of jobs (success or failure) are applied.
   std::map<ZoneId, Epoch> mZoneEpochs;
+  // Kept apart from the configuration, because each submitted configuration
+  // replaces the previous one as a whole.
+  std::map<ZoneId, ZoneEvacuation> mEvacuatedZones;
+  uint64_t mEvacuationIndex = 0;
 };
 
 } // namespace limpetwood::control
--- a/packages/control/state_snapshot.cc
+++ b/packages/control/state_snapshot.cc
@@ -106,6 +106,14 @@
   for (const auto& [zone, epoch] : mZoneEpochs) {
     snapshot.zoneEpochs[zone.Value()] = static_cast<int64_t>(epoch.Value());
   }
+  for (const auto& [zone, evacuation] : mEvacuatedZones) {
+    gen::ZoneEvacuation entry;
+    entry.zone = zone.Value();
+    entry.by = evacuation.by;
+    entry.sinceMs = evacuation.since.Count();
+    snapshot.evacuatedZones.push_back(std::move(entry));
+  }
+  snapshot.evacuationIndex = static_cast<int64_t>(mEvacuationIndex);
   return Encode(snapshot);
 }
 
@@ -149,6 +157,10 @@
   for (const auto& [zone, epoch] : snapshot.zoneEpochs) {
     next.mZoneEpochs[ZoneId(zone)] = Epoch(static_cast<uint64_t>(epoch));
   }
+  for (const gen::ZoneEvacuation& it : snapshot.evacuatedZones) {
+    next.mEvacuatedZones[ZoneId(it.zone)] = { Millis(it.sinceMs), it.by };
+  }
+  next.mEvacuationIndex = static_cast<uint64_t>(snapshot.evacuationIndex);
   *this = std::move(next);
   return true;
 }
--- a/packages/control/state_test.cc
+++ b/packages/control/state_test.cc
@@ -1,10 +1,13 @@
 // Tests the replicated control state: concurrent configuration changes, resent
-// commands, superseded authorities, snapshots and malformed commands.
+// commands, superseded authorities, evacuated zones, snapshots and malformed
+// commands.
 
+#include "control/query.h"
 #include "control/state.h"
 #include "model/delta.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace limpetwood::control {
 namespace {
@@ -89,6 +92,57 @@
     return Apply(command);
   }
 
+  gen::CommandResult ReportExecutedStart(const char* aId, int32_t aAttempt)
+  {
+    gen::JobEvent event;
+    event.job = aId;
+    event.attempt = aAttempt;
+    event.kind = static_cast<int32_t>(JobEventKind::kStarting);
+    event.__set_executed(true);
+    gen::JobEvents events;
+    events.zone = "sogn";
+    events.epoch = 7;
+    events.events = { event };
+    gen::Command command;
+    command.__set_jobEvents(events);
+    return Apply(command);
+  }
+
+  gen::CommandResult Evacuate(const char* aKey,
+                              const char* aZone = "sogn",
+                              const char* aBy = "ada",
+                              int64_t aAtMs = 1000)
+  {
+    gen::Command command;
+    command.__set_evacuateZone(MakeOrder(aKey, aZone, aBy, aAtMs));
+    return Apply(command);
+  }
+
+  gen::CommandResult RestoreZone(const char* aKey, const char* aZone = "sogn")
+  {
+    gen::Command command;
+    command.__set_restoreZone(MakeOrder(aKey, aZone, "ada", 2000));
+    return Apply(command);
+  }
+
+  static gen::ZoneOrder MakeOrder(const char* aKey,
+                                  const char* aZone,
+                                  const char* aBy,
+                                  int64_t aAtMs)
+  {
+    gen::ZoneOrder order;
+    order.zone = aZone;
+    order.by = aBy;
+    order.key = aKey;
+    order.orderedAtMs = aAtMs;
+    return order;
+  }
+
+  bool IsEvacuated(const char* aZone = "sogn") const
+  {
+    return mState.EvacuatedZones().contains(ZoneId(aZone));
+  }
+
   gen::CommandResult ReportCrash(const char* aId,
                                  int32_t aAttempt,
                                  const char* aWorker)
@@ -272,6 +326,183 @@
   EXPECT_FALSE(replica.mState.DeltasSince(ConfigVersion(1)));
 }
 
+// The operator's client resends an order until it is acknowledged. A copy that
+// arrives after the opposite order must not undo that one, and it must get the
+// result of the first copy.
+TEST(ZoneEvacuation, LateCopyOfAnOrderDoesNotUndoTheNextOne)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  EXPECT_FALSE(replica.Evacuate("k1").repeated);
+  EXPECT_TRUE(replica.RestoreZone("k2").accepted);
+  gen::CommandResult late = replica.Evacuate("k1");
+  EXPECT_TRUE(late.accepted);
+  EXPECT_TRUE(late.repeated);
+  EXPECT_FALSE(replica.IsEvacuated());
+  EXPECT_TRUE(replica.Evacuate("k3").accepted);
+  EXPECT_TRUE(replica.RestoreZone("k2").repeated);
+  EXPECT_TRUE(replica.IsEvacuated());
+}
+
+// A key that was used for one order must not make another order, or the same
+// order for another zone, look like a copy that needs no effect.
+TEST(ZoneEvacuation, KeyOfAnotherOrderIsNoCopy)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  EXPECT_FALSE(replica.Evacuate("k").repeated);
+  EXPECT_FALSE(replica.RestoreZone("k").repeated);
+  EXPECT_FALSE(replica.IsEvacuated());
+}
+
+// An order with another key for a zone that is already evacuated succeeds, and
+// the operators still see when and by whom the zone was first evacuated.
+TEST(ZoneEvacuation, SecondOrderKeepsTheFirstTimeAndName)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.Evacuate("k1", "sogn", "ada", 1000);
+  uint64_t index = replica.mState.EvacuationIndex();
+  EXPECT_TRUE(replica.Evacuate("k2", "sogn", "ben", 5000).accepted);
+  const ZoneEvacuation& zone =
+    replica.mState.EvacuatedZones().at(ZoneId("sogn"));
+  EXPECT_EQ(zone.by, "ada");
+  EXPECT_EQ(zone.since, Millis(1000));
+  EXPECT_EQ(replica.mState.EvacuationIndex(), index);
+}
+
+// A mistyped zone must be refused and not be acknowledged without effect.
+TEST(ZoneEvacuation, UnknownZoneIsRefused)
+{
+  Replica replica;
+  EXPECT_EQ(replica.Evacuate("k0").reason, "unknown_zone");
+  replica.SubmitConfiguration(10, 0);
+  EXPECT_EQ(replica.Evacuate("k1", "sogm").reason, "unknown_zone");
+  EXPECT_EQ(replica.RestoreZone("k2", "sogm").reason, "unknown_zone");
+  // A refused order is not stored, so that it succeeds once the zone is known.
+  EXPECT_TRUE(replica.Evacuate("k0").accepted);
+}
+
+// A configuration replaces the previous one as a whole and does not mention
+// evacuations, so that it must not end one.
+TEST(ZoneEvacuation, SurvivesANewConfiguration)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.Evacuate("k1");
+  ASSERT_TRUE(replica.SubmitConfiguration(20, 1).accepted);
+  EXPECT_TRUE(replica.IsEvacuated());
+}
+
+// A replica that is restored from a snapshot, for example after it lost its
+// disk, must know the evacuation, its index and the stored results; otherwise a
+// change of leader would revert an acknowledged order.
+TEST(ZoneEvacuation, SurvivesASnapshot)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.Evacuate("k1");
+  Replica restored;
+  ASSERT_TRUE(restored.mState.Restore(replica.mState.TakeSnapshot()));
+  ASSERT_TRUE(restored.IsEvacuated());
+  const ZoneEvacuation& zone =
+    restored.mState.EvacuatedZones().at(ZoneId("sogn"));
+  EXPECT_EQ(zone.by, "ada");
+  EXPECT_EQ(zone.since, Millis(1000));
+  EXPECT_EQ(restored.mState.EvacuationIndex(),
+            replica.mState.EvacuationIndex());
+  restored.mIndex = replica.mIndex;
+  EXPECT_TRUE(restored.Evacuate("k1").repeated);
+  EXPECT_TRUE(restored.RestoreZone("k2").accepted);
+  EXPECT_GT(restored.mState.EvacuationIndex(),
+            replica.mState.EvacuationIndex());
+}
+
+// A leader may choose a zone just before the evacuation of the zone is
+// committed. The assignment that is committed afterwards must have no effect.
+TEST(ZoneEvacuation, LateAssignmentHasNoEffect)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.SubmitJob("a", "");
+  replica.Evacuate("k1");
+  replica.AssignJob("a");
+  EXPECT_TRUE(replica.mState.Jobs().Find(JobId("a"))->zone.empty());
+  replica.RestoreZone("k2");
+  replica.AssignJob("a");
+  EXPECT_EQ(replica.mState.Jobs().Find(JobId("a"))->zone, ZoneId("sogn"));
+}
+
+// An authority that has not heard of the evacuation must not start a gang. The
+// job stays assigned until the authority returns it. If it were unassigned at
+// once, a cut-off authority that executes the start could run it a second time.
+TEST(ZoneEvacuation, StartIsRefusedUntilTheZoneIsRestored)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.SubmitJob("a", "");
+  replica.AssignJob("a");
+  replica.Evacuate("k1");
+  gen::CommandResult refused =
+    replica.ReportEvent("a", 1, JobEventKind::kStarting, 7);
+  EXPECT_EQ(refused.reason, "zone_evacuated");
+  EXPECT_EQ(refused.changes, std::vector<std::string>{ "a" });
+  EXPECT_EQ(replica.StateOf("a"), model::JobState::kQueued);
+  EXPECT_EQ(replica.mState.Jobs().Find(JobId("a"))->zone, ZoneId("sogn"));
+  replica.RestoreZone("k2");
+  EXPECT_TRUE(
+    replica.ReportEvent("a", 1, JobEventKind::kStarting, 7).changes.empty());
+}
+
+// A job that was started while the zone was cut off runs, so that its start and
+// success must be recorded. A job that ran before the order continues as well.
+TEST(ZoneEvacuation, ActiveRunsContinue)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.SubmitJob("a", "");
+  replica.SubmitJob("b", "");
+  replica.AssignJob("a");
+  replica.AssignJob("b");
+  replica.ReportEvent("a", 1, JobEventKind::kStarting, 7);
+  replica.Evacuate("k1");
+  EXPECT_TRUE(
+    replica.ReportEvent("a", 1, JobEventKind::kRunning, 7).changes.empty());
+  EXPECT_TRUE(replica.ReportExecutedStart("b", 1).changes.empty());
+  EXPECT_EQ(replica.StateOf("b"), model::JobState::kStarting);
+  replica.ReportEvent("a", 1, JobEventKind::kSucceeded, 7);
+  EXPECT_EQ(replica.StateOf("a"), model::JobState::kSucceeded);
+}
+
+// Operators need to see who evacuated a zone, since when, and how many runs
+// remain in it.
+TEST(ZoneEvacuation, ZonesAreListed)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  replica.SubmitJob("a", "");
+  replica.SubmitJob("b", "");
+  replica.AssignJob("a");
+  replica.AssignJob("b");
+  replica.ReportEvent("a", 1, JobEventKind::kStarting, 7);
+  membership::InstanceTable instances(1);
+  std::vector<model::DeclaredInstance> declared;
+  auto list = [&] {
+    QuerySources sources{
+      replica.mState, instances, declared, InstanceId(), 0, {}, {}
+    };
+    QueryAnswer answer = AnswerQuery("/v1/zones", sources, Millis(0));
+    EXPECT_EQ(answer.status, 200);
+    return nlohmann::json::parse(answer.body);
+  };
+  EXPECT_EQ(list(), nlohmann::json::parse(R"({"zones":[
+    {"zone":"sogn","state":"in_service","remainingRuns":1}]})"));
+  replica.Evacuate("k1");
+  EXPECT_EQ(list(), nlohmann::json::parse(R"({"zones":[
+    {"zone":"sogn","state":"evacuated","remainingRuns":1,"sinceMs":1000,
+     "by":"ada"}]})"));
+}
+
 // Malformed commands, as after corruption on disk or in transit, must neither
 // crash a replica nor put a configuration in force.
 TEST(ControlState, ArbitraryBytesPutNoConfigurationInForce)
--- a/packages/ctl/ctl_test.cc
+++ b/packages/ctl/ctl_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <fstream>
 #include <mutex>
@@ -246,6 +247,53 @@
   EXPECT_EQ(control.Requests().at(0).target, "/v1/zones/fence");
 }
 
+// The orders must reach the documented targets with the zone and the name of
+// who gave them, and with a key, so that a resent order has no second effect.
+TEST(Limpetctl, ZoneOrdersNameTheZoneAndTheOperator)
+{
+  FakeControl control([](const Request&) { return MakeResponse(200, "{}"); });
+  for (const char* order : { "evacuate", "restore" }) {
+    EXPECT_EQ(RunWith(control.Address(),
+                      { "zone", order, "z", "--by", "ada", "--key", "k" })
+                .code,
+              0);
+    Request sent = control.Requests().back();
+    EXPECT_EQ(sent.method, "POST");
+    EXPECT_EQ(sent.target, std::string("/v1/zones/") + order);
+    EXPECT_EQ(nlohmann::json::parse(sent.body),
+              nlohmann::json::parse(R"({"zone":"z","by":"ada"})"));
+    EXPECT_EQ(sent.headers.Get("Limpetwood-Idempotency-Key"), "k");
+  }
+}
+
+// An order for a zone that does not exist must not look like a success.
+TEST(Limpetctl, EvacuationOfUnknownZoneExitsWithSix)
+{
+  FakeControl control([](const Request&) {
+    return MakeResponse(404, R"({"reason":"unknown_zone"})", "not_run");
+  });
+  EXPECT_EQ(
+    RunWith(control.Address(), { "zone", "evacuate", "z", "--by", "ada" }).code,
+    6);
+}
+
+// Operators decide by this table whether work remains in an evacuated zone.
+TEST(Limpetctl, ZoneListShowsEvacuations)
+{
+  FakeControl control([](const Request&) {
+    return MakeResponse(200, R"({"zones":[
+      {"zone":"a","state":"evacuated","sinceMs":1000,"by":"ada",
+       "remainingRuns":2},
+      {"zone":"b","state":"in_service","remainingRuns":0}]})");
+  });
+  CommandResult result = RunWith(control.Address(), { "zone", "list" });
+  EXPECT_EQ(result.code, 0);
+  EXPECT_EQ(control.Requests().at(0).target, "/v1/zones");
+  for (const char* text : { "evacuated", "ada", "in_service", "1970-01-01" }) {
+    EXPECT_NE(result.out.find(text), std::string::npos) << text;
+  }
+}
+
 // The job id is percent-encoded, so that a slash in it does not address another
 // resource.
 TEST(Limpetctl, UnknownJobExitsWithSix)
--- a/packages/ctl/system_commands.cc
+++ b/packages/ctl/system_commands.cc
@@ -4,6 +4,8 @@
 #include "ctl/command.h"
 #include "ctl/table.h"
 
+#include <cstdlib>
+
 namespace limpetwood::ctl {
 
 namespace {
@@ -175,6 +177,64 @@
   return SendChange(aContext, request);
 }
 
+void
+AddZoneOrderOptions(po::options_description& aOptions)
+{
+  aOptions.add_options()(
+    "by",
+    po::value<std::string>(),
+    "who orders it, shown by zone list; the login name if not given");
+  AddKeyOption(aOptions);
+}
+
+int
+OrderZone(Context& aContext, const char* aTarget)
+{
+  std::string by = "unknown";
+  if (aContext.options.count("by") > 0) {
+    by = aContext.Option("by");
+  } else if (const char* user = std::getenv("USER");
+             user != nullptr && *user != '\0') {
+    by = user;
+  }
+  http::Request request;
+  request.method = "POST";
+  request.target = aTarget;
+  request.body = Json{ { "zone", aContext.arguments[0] }, { "by", by } }.dump();
+  return SendChange(aContext, request);
+}
+
+int
+Evacuate(Context& aContext)
+{
+  return OrderZone(aContext, "/v1/zones/evacuate");
+}
+
+int
+Restore(Context& aContext)
+{
+  return OrderZone(aContext, "/v1/zones/restore");
+}
+
+int
+Zones(Context& aContext)
+{
+  return GetAndPrint(
+    aContext, "/v1/zones", [](Context& aPrintContext, const Json& aBody) {
+      std::vector<std::vector<std::string>> rows;
+      for (const Json& it : aBody.value("zones", Json::array())) {
+        rows.push_back({ FieldText(it, "zone"),
+                         FieldText(it, "state"),
+                         TimeText(it, "sinceMs"),
+                         FieldText(it, "remainingRuns"),
+                         FieldText(it, "by") });
+      }
+      PrintTable(aPrintContext.out,
+                 { "ZONE", "STATE", "SINCE", "REMAINING RUNS", "BY" },
+                 rows);
+    });
+}
+
 } // namespace
 
 const std::vector<Command>&
@@ -201,6 +261,23 @@
       "declare a zone down and reassign its jobs",
       AddFenceOptions,
       Fence },
+    { "zone",
+      "evacuate",
+      "ZONE",
+      1,
+      1,
+      "take a zone out of service for new work",
+      AddZoneOrderOptions,
+      Evacuate },
+    { "zone",
+      "restore",
+      "ZONE",
+      1,
+      1,
+      "return an evacuated zone to service",
+      AddZoneOrderOptions,
+      Restore },
+    { "zone", "list", "", 0, 0, "list zones", NoOptions, Zones },
     { "alarm", "list", "", 0, 0, "list alarms", NoOptions, Alarms },
   };
   return sCommands;
--- a/packages/daemon/families.cc
+++ b/packages/daemon/families.cc
@@ -142,6 +142,20 @@
              "limpetwood_zones_fenced_total",
              "Zones fenced after the end of their autonomy.",
              ToDouble(counts.zonesFenced));
+  AddGauge(families,
+           "limpetwood_zones_evacuated",
+           "Zones that are evacuated.",
+           ToDouble(aGroup.State().EvacuatedZones().size()));
+  AddCounter(families,
+             "limpetwood_zone_orders_total",
+             "Orders that evacuated or restored a zone.",
+             ToDouble(counts.zonesEvacuated),
+             { { "order", "evacuate" } });
+  AddCounter(families,
+             "limpetwood_zone_orders_total",
+             "Orders that evacuated or restored a zone.",
+             ToDouble(counts.zonesRestored),
+             { { "order", "restore" } });
   AddCounter(families,
              "limpetwood_control_repairs_total",
              "Learners promoted to voters.",
--- a/packages/daemon/instance_api.cc
+++ b/packages/daemon/instance_api.cc
@@ -19,6 +19,14 @@
 namespace gen = control::gen;
 
 constexpr std::string_view kJobPrefix = "/v1/jobs/";
+constexpr std::string_view kEvacuatePath = "/v1/zones/evacuate";
+constexpr std::string_view kRestorePath = "/v1/zones/restore";
+// Limits of the text fields of a zone order and of its idempotency key, in
+// bytes. The control state keeps them, so they must be bounded.
+constexpr size_t kMaxZoneBytes = 63;
+constexpr size_t kMaxOrderTextBytes = 256;
+// Longest part of an invalid value that a fault repeats, in bytes.
+constexpr size_t kMaxFaultValueBytes = 64;
 // Deadline of calls forwarded to other instances, except for those of workers.
 constexpr Millis kForwardedCallDeadline = Seconds(2);
 // Deadline of worker calls forwarded to the zone's authority. Shorter than the
@@ -51,12 +59,14 @@
 }
 
 ApiAnswer
-InvalidInput(std::string_view aReason, const model::Faults& aFaults)
+InvalidInput(std::string_view aReason,
+             const model::Faults& aFaults,
+             int aStatus = 422)
 {
   json body = { { "verdict", "not_run" },
                 { "reason", aReason },
                 { "faults", FaultsToJson(aFaults) } };
-  return { 422, body.dump() + "\n" };
+  return { aStatus, body.dump() + "\n" };
 }
 
 ApiAnswer
@@ -90,6 +100,56 @@
   return body[aName].get<std::string>();
 }
 
+// The value as JSON, shortened. Invalid UTF-8 is replaced.
+std::string
+FaultValue(const json& aValue)
+{
+  std::string text =
+    aValue.dump(-1, ' ', false, json::error_handler_t::replace);
+  return text.size() <= kMaxFaultValueBytes
+           ? text
+           : text.substr(0, kMaxFaultValueBytes) + "...";
+}
+
+// Parses the body of a zone order and appends every fault to `aFaults`.
+gen::ZoneOrder
+ParseZoneOrder(const std::string& aBody, model::Faults& aFaults)
+{
+  gen::ZoneOrder order;
+  json body = ParseJson(aBody);
+  if (!body.is_object()) {
+    aFaults.push_back(
+      { "", "", "a JSON object with the texts \"zone\" and \"by\"" });
+    return order;
+  }
+  auto read = [&](const char* aName, size_t aMaxBytes, std::string& aText) {
+    std::string path = std::string("/") + aName;
+    std::string expected =
+      "a text of 1 to " + std::to_string(aMaxBytes) + " bytes";
+    auto it = body.find(aName);
+    if (it == body.end()) {
+      aFaults.push_back({ path, "", expected });
+      return;
+    }
+    const auto* text = it->get_ptr<const std::string*>();
+    if (!text || text->empty() || text->size() > aMaxBytes) {
+      aFaults.push_back({ path, FaultValue(*it), expected });
+      return;
+    }
+    aText = *text;
+  };
+  read("zone", kMaxZoneBytes, order.zone);
+  read("by", kMaxOrderTextBytes, order.by);
+  for (const auto& [name, value] : body.items()) {
+    if (name != "zone" && name != "by") {
+      aFaults.push_back({ "/" + name.substr(0, kMaxFaultValueBytes),
+                          FaultValue(value),
+                          "no other keys than \"zone\" and \"by\"" });
+    }
+  }
+  return order;
+}
+
 } // namespace
 
 ApiAnswer
@@ -120,6 +180,8 @@
     CancelJob(aCall, aNow, std::move(aDone));
   } else if (path == "/v1/zones/fence" && method == "POST") {
     FenceZone(aCall, aNow, std::move(aDone));
+  } else if (path == kEvacuatePath || path == kRestorePath) {
+    OrderZone(aCall, aNow, std::move(aDone));
   } else if (path == "/v1/instances/drain" && method == "POST") {
     DrainInstance(aCall, aNow, std::move(aDone));
   } else if (method == "GET") {
@@ -320,6 +382,57 @@
                   });
 }
 
+void
+InstanceCore::OrderZone(const ApiCall& aCall, Millis aNow, ApiCallback aDone)
+{
+  if (aCall.method != "POST") {
+    aDone(Refuse(405, "wrong_method"));
+    return;
+  }
+  model::Faults faults;
+  gen::ZoneOrder order = ParseZoneOrder(aCall.body, faults);
+  // Without a key, a copy of the order that arrives late could undo the
+  // opposite order, which may have been acknowledged meanwhile.
+  if (aCall.key.empty() || aCall.key.size() > kMaxOrderTextBytes) {
+    faults.push_back({ "/headers/Limpetwood-Idempotency-Key",
+                       aCall.key.substr(0, kMaxFaultValueBytes),
+                       "a key of 1 to " + std::to_string(kMaxOrderTextBytes) +
+                         " bytes that is the same when the order is sent "
+                         "again" });
+  }
+  if (!faults.empty()) {
+    ++mCounters.refusals["invalid_zone_order"];
+    aDone(InvalidInput("invalid_zone_order", faults, 400));
+    return;
+  }
+  order.key = aCall.key;
+  order.orderedAtMs = WallNow().Count();
+  bool evacuate = PathOf(aCall.target) == kEvacuatePath;
+  gen::Command command;
+  if (evacuate) {
+    command.__set_evacuateZone(order);
+  } else {
+    command.__set_restoreZone(order);
+  }
+  // The control state decides whether the zone is known, because the
+  // configuration in force on this instance may be older.
+  mLeader.Propose(control::Encode(command),
+                  aNow,
+                  [this, evacuate, zone = order.zone, done = std::move(aDone)](
+                    const ProposeAnswer& aAnswer) {
+                    if (aAnswer.verdict != Verdict::kAnswered) {
+                      ++mCounters.refusals[aAnswer.reason];
+                      done(ProposeFailed(aAnswer));
+                    } else if (aAnswer.result.accepted) {
+                      done(Ok({ { "zone", zone },
+                                { "evacuated", evacuate },
+                                { "repeated", aAnswer.result.repeated } }));
+                    } else {
+                      done(Refuse(404, aAnswer.result.reason));
+                    }
+                  });
+}
+
 void
 InstanceCore::DrainInstance(const ApiCall& aCall,
                             Millis aNow,
--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -211,9 +211,18 @@
   if (aReply.sentAtMs > 0) {
     mCandidate.OnLeaderContact(Millis(aReply.sentAtMs));
   }
+  if (aReply.__isset.evacuated) {
+    OnEvacuatedZones(aReply.evacuated, aNow);
+  }
   if (!mAuthority || !mCandidate.IsAuthority(aNow)) {
     return;
   }
+  // A pushed message or an answer to an earlier heartbeat may have been sent
+  // before the election, with an evacuation state that is out of date.
+  if (aReply.sentAtMs > 0 && Millis(aReply.sentAtMs) >= mAuthoritySince &&
+      !aReply.stateIncomplete) {
+    mAuthority->OnLeaderContact(aNow);
+  }
   // Ignore a reply whose orders begin after the last known index, because the
   // orders in between would be missing. The next heartbeat requests them.
   if (!aReply.__isset.afterIndex ||
@@ -227,6 +236,33 @@
   }
 }
 
+void
+InstanceCore::OnEvacuatedZones(const gen::EvacuatedZones& aEvacuated,
+                               Millis aNow)
+{
+  auto index = static_cast<uint64_t>(aEvacuated.index);
+  if (index <= mEvacuationIndex) {
+    return;
+  }
+  std::set<ZoneId> zones;
+  for (const std::string& it : aEvacuated.zones) {
+    zones.emplace(it);
+  }
+  mEvacuationIndex = index;
+  bool wasEvacuated = mEvacuatedZones.contains(mSettings.zone);
+  mEvacuatedZones = std::move(zones);
+  bool evacuated = mEvacuatedZones.contains(mSettings.zone);
+  if (evacuated != wasEvacuated) {
+    mEnvironment.Log(
+      LogEvent(evacuated ? "own_zone_evacuated" : "own_zone_restored")
+        .Add("zone", mSettings.zone));
+  }
+  if (mAuthority && evacuated != mAuthority->Evacuated()) {
+    mAuthority->SetEvacuated(evacuated, aNow);
+    mNextTick = aNow;
+  }
+}
+
 void
 InstanceCore::RequestConfiguration(Millis aNow)
 {
@@ -369,6 +405,8 @@
                                                mSettings.timings.workerLease,
                                                mEnvironment,
                                                mLeader);
+  mAuthoritySince = aNow;
+  mAuthority->SetEvacuated(mEvacuatedZones.contains(mSettings.zone), aNow);
   mEnvironment.Log(LogEvent("zone_authority")
                      .Add("zone", mSettings.zone)
                      .Add("epoch", mCandidate.CurrentEpoch()));
--- a/packages/daemon/instance_core.h
+++ b/packages/daemon/instance_core.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,10 @@
   void OnOfferedConfiguration(membership::VersionedConfiguration aOffered,
                               bool aLinearizable);
   void ActivateConfiguration();
+  // Takes the evacuated zones from a message of the control leader, unless they
+  // are older than the known ones.
+  void OnEvacuatedZones(const control::gen::EvacuatedZones& aEvacuated,
+                        Millis aNow);
   void OnHeartbeatReply(const control::gen::HeartbeatReply& aReply,
                         const InstanceId& aFrom,
                         Millis aNow);
@@ -124,6 +129,8 @@
   void SubmitJob(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void CancelJob(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void FenceZone(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
+  // Handles the calls that evacuate and restore a zone.
+  void OrderZone(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void DrainInstance(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void CallAuthority(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void ListWorkers(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
@@ -150,6 +157,13 @@
   // Exists from this instance's election until `LoseAuthority`. May briefly
   // outlast the authority lease, so check `IsAuthority` before use.
   std::unique_ptr<ZoneAuthority> mAuthority;
+  // Time of the election that created `mAuthority`.
+  Millis mAuthoritySince;
+  // The evacuated zones as of the log index of their last known change. The
+  // index never decreases, so that a late message of an earlier leader has no
+  // effect.
+  std::set<ZoneId> mEvacuatedZones;
+  uint64_t mEvacuationIndex = 0;
   // Events that this instance executed as an authority while cut off and that
   // were not committed when it lost authority.
   std::vector<control::gen::JobEvent> mUncommittedEvents;
--- a/packages/daemon/zone_authority.cc
+++ b/packages/daemon/zone_authority.cc
@@ -39,6 +39,8 @@
 {
   scheduler::SchedulerOptions options;
   options.workerLease = aWorkerLease;
+  // The zone may be evacuated; see `ZoneAuthority::OnLeaderContact`.
+  options.startsAllowed = false;
   return options;
 }
 
@@ -223,6 +225,34 @@
   mOrdersIndex = std::max(mOrdersIndex, aIndex);
 }
 
+void
+ZoneAuthority::SetEvacuated(bool aEvacuated, Millis aNow)
+{
+  mEvacuated = aEvacuated;
+  UpdateStartsAllowed(aNow);
+  if (mEvacuated) {
+    // Return the queued jobs with the next tick.
+    mNextReturnCheck = aNow;
+  }
+}
+
+void
+ZoneAuthority::OnLeaderContact(Millis aNow)
+{
+  mHasLeaderContact = true;
+  UpdateStartsAllowed(aNow);
+}
+
+void
+ZoneAuthority::UpdateStartsAllowed(Millis aNow)
+{
+  bool allowed = mHasLeaderContact && !mEvacuated;
+  if (allowed != mStartsAllowed) {
+    mStartsAllowed = allowed;
+    Step(StartsAllowed{ allowed }, aNow);
+  }
+}
+
 ApiAnswer
 ZoneAuthority::OnAnnounce(std::string_view aBody, Millis aNow)
 {
@@ -367,12 +397,14 @@
                   if (it.event.crash) {
                     mEnvironment.Log(CrashLogEvent(it.event));
                   }
+                  auto returned = mJobsBeingReturned.find(it.event.job);
                   if (it.event.kind == JobEventKind::kCancelled &&
-                      mJobsBeingReturned.erase(it.event.job) > 0) {
+                      returned != mJobsBeingReturned.end()) {
                     gen::JobEvent& event = mJournal.back().event;
                     event.kind =
                       static_cast<int32_t>(control::JobEventKind::kReturned);
-                    event.reason = "zone_lacks_workers";
+                    event.reason = returned->second;
+                    mJobsBeingReturned.erase(returned);
                   }
                 },
                 [this](const Alarm& it) {
@@ -406,7 +438,11 @@
   }
   if (!mSuspended && !mCutOff && aNow >= mNextReturnCheck) {
     mNextReturnCheck = aNow + kReturnCheckInterval;
-    ReturnUnplaceableJobs(aNow);
+    if (mEvacuated) {
+      ReturnQueuedJobs(aNow);
+    } else {
+      ReturnUnplaceableJobs(aNow);
+    }
   }
   FlushJournal(aNow);
 }
@@ -423,7 +459,25 @@
     if (overdue && order != mOrders.end() &&
         !mJobsBeingReturned.contains(it.job) &&
         order->second.spec.TotalAccelerators().Value() > live) {
-      mJobsBeingReturned.insert(it.job);
+      mJobsBeingReturned.emplace(it.job, "zone_lacks_workers");
+      withdrawn.jobs.push_back(it.job);
+    }
+  }
+  if (!withdrawn.jobs.empty()) {
+    Step(withdrawn, aNow);
+  }
+}
+
+void
+ZoneAuthority::ReturnQueuedJobs(Millis aNow)
+{
+  JobCancelled withdrawn;
+  for (const JobView& it : mScheduler.Jobs()) {
+    // Before `notBefore`, an earlier attempt may still run here, so that the
+    // job could run twice if it were assigned to another zone.
+    if (it.state == model::JobState::kQueued && it.notBefore <= aNow &&
+        mOrders.contains(it.job) &&
+        mJobsBeingReturned.emplace(it.job, "zone_evacuated").second) {
       withdrawn.jobs.push_back(it.job);
     }
   }
@@ -441,6 +495,7 @@
     for (size_t n = mInFlight; n < mJournal.size(); ++n) {
       if (!mJournal[n].executed) {
         mJournal[n].executed = true;
+        mJournal[n].event.__set_executed(true);
         ++mCounters.recordsExecutedWhileCutOff;
         ConfirmRecord(mJournal[n].id, aNow);
       }
@@ -488,8 +543,9 @@
     mJournal.pop_front();
   }
   // Jobs whose events were not applied, because the jobs are no longer assigned
-  // to this zone or this authority is superseded.
+  // to this zone, this authority is superseded or the zone is evacuated.
   const std::vector<std::string>& notAppliedJobs = aAnswer.result.changes;
+  bool evacuated = aAnswer.result.reason == "zone_evacuated";
   JobCancelled cancelled;
   for (const Record& it : committed) {
     ++mCounters.recordsCommitted;
@@ -500,7 +556,13 @@
     // returned.
     bool final = EndsAssignment(it.event);
     if (notApplied && !final) {
-      cancelled.jobs.emplace_back(it.event.job);
+      JobId job(it.event.job);
+      // A job whose start was refused is still assigned to this zone and must
+      // not end as cancelled. The return has no effect for other jobs.
+      if (evacuated && mScheduler.FindJob(job)) {
+        mJobsBeingReturned.emplace(job, "zone_evacuated");
+      }
+      cancelled.jobs.push_back(std::move(job));
     }
     if (final) {
       // Forget the order, since the job may be assigned to this zone again.
--- a/packages/daemon/zone_authority.h
+++ b/packages/daemon/zone_authority.h
@@ -21,7 +21,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -67,6 +66,16 @@
                 Millis aNow);
   uint64_t OrdersIndex() const { return mOrdersIndex; }
 
+  // No gang starts while the zone is evacuated, nor before `OnLeaderContact`.
+  // Queued jobs of an evacuated zone are returned to the control leader; active
+  // gangs continue.
+  void SetEvacuated(bool aEvacuated, Millis aNow);
+  bool Evacuated() const { return mEvacuated; }
+  // The control leader has answered a heartbeat that was sent since the
+  // election, so that the evacuation state passed to `SetEvacuated` is not
+  // older than this authority.
+  void OnLeaderContact(Millis aNow);
+
   // Handles a worker's announcement (JSON). Answers with status 400 if it is
   // malformed, and with 503 if the zone is suspended or is not the worker's, so
   // that the worker tries another instance.
@@ -139,6 +148,9 @@
   // Returns queued jobs that need more accelerators than the zone's live
   // workers have to the control leader.
   void ReturnUnplaceableJobs(Millis aNow);
+  // Returns the jobs of an evacuated zone that no task is running for.
+  void ReturnQueuedJobs(Millis aNow);
+  void UpdateStartsAllowed(Millis aNow);
   // Proposes the next batch of records. While cut off, executes the records
   // instead if the zone has received orders since the election.
   void FlushJournal(Millis aNow);
@@ -158,6 +170,10 @@
   // A message with job orders, possibly none, has arrived from the control
   // leader since the election.
   bool mHasReceivedOrders = false;
+  bool mEvacuated = false;
+  bool mHasLeaderContact = false;
+  // Last value passed to the scheduler.
+  bool mStartsAllowed = false;
   bool mCutOff = false;
   bool mSuspended = false;
 
@@ -173,8 +189,8 @@
   std::deque<Record> mJournal;
   size_t mInFlight = 0;
   // Jobs that are being cancelled in the scheduler to return them to the
-  // control leader.
-  std::set<JobId> mJobsBeingReturned;
+  // control leader, with the reason of the return.
+  std::map<JobId, const char*> mJobsBeingReturned;
   Millis mNextReturnCheck;
   // Latest time passed in; used by callbacks, which get no time.
   Millis mNow;
