--- a/packages/daemon/actors.cc
+++ b/packages/daemon/actors.cc
@@ -224,6 +224,12 @@
   mHost->ConfigurationInForce(aConfiguration.version, aPlanned);
 }
 
+void
+InstanceActor::OnEvacuatedZones(uint64_t aIndex, const std::set<ZoneId>& aZones)
+{
+  mHost->EvacuatedZonesChanged(aIndex, aZones);
+}
+
 void
 InstanceActor::RequestDrain()
 {
--- a/packages/daemon/actors.h
+++ b/packages/daemon/actors.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace limpetwood::daemon {
@@ -64,6 +65,9 @@
   // Called when a configuration comes into force on this instance.
   virtual void ConfigurationInForce(ConfigVersion aVersion,
                                     const model::PlannedDocument& aPlanned) = 0;
+  // Called when the set of evacuated zones changes.
+  virtual void EvacuatedZonesChanged(uint64_t aIndex,
+                                     const std::set<ZoneId>& aZones) = 0;
   // Starts the drain of the process.
   virtual void RequestDrain() = 0;
   // Sets the answer of the readiness check.
@@ -136,6 +140,8 @@
   void OnConfigurationInForce(
     const membership::VersionedConfiguration& aConfiguration,
     const model::PlannedDocument& aPlanned) override;
+  void OnEvacuatedZones(uint64_t aIndex,
+                        const std::set<ZoneId>& aZones) override;
   void RequestDrain() override;
   void Log(const LogEvent& aEvent) override;
 
--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -261,6 +261,7 @@
     mAuthority->SetEvacuated(evacuated, aNow);
     mNextTick = aNow;
   }
+  mEnvironment.OnEvacuatedZones(mEvacuationIndex, mEvacuatedZones);
 }
 
 void
--- a/packages/daemon/instance_environment.h
+++ b/packages/daemon/instance_environment.h
@@ -11,6 +11,7 @@
 #include "model/validate.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <system_error>
 
@@ -51,6 +52,11 @@
     const membership::VersionedConfiguration& aConfiguration,
     const model::PlannedDocument& aPlanned) = 0;
 
+  // Called when the set of evacuated zones changes. `aIndex` is the log index
+  // of the change.
+  virtual void OnEvacuatedZones(uint64_t aIndex,
+                                const std::set<ZoneId>& aZones) = 0;
+
   // Starts the drain of the process that an operator has requested. Calls
   // `InstanceCore::StartDrain` in turn.
   virtual void RequestDrain() = 0;
--- a/packages/daemon/process.cc
+++ b/packages/daemon/process.cc
@@ -131,6 +131,8 @@
                   std::function<void(WorkerAnswer)> aDone) override;
   void ConfigurationInForce(ConfigVersion aVersion,
                             const model::PlannedDocument& aPlanned) override;
+  void EvacuatedZonesChanged(uint64_t aIndex,
+                             const std::set<ZoneId>& aZones) override;
   void RequestDrain() override;
   void SetReady(bool aReady) override;
   void PublishControlGroup(const control::ControlGroup& aGroup) override;
@@ -396,6 +398,14 @@
   });
 }
 
+void
+Process::EvacuatedZonesChanged(uint64_t aIndex, const std::set<ZoneId>& aZones)
+{
+  asio::post(mContext, [this, aIndex, aZones] {
+    mRequestPath.OnEvacuatedZones(aIndex, aZones);
+  });
+}
+
 void
 Process::RequestDrain()
 {
--- a/packages/daemon/request_path.h
+++ b/packages/daemon/request_path.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -41,6 +42,11 @@
   void OnConfiguration(ConfigVersion aVersion,
                        const model::Document& aDocument);
 
+  void OnEvacuatedZones(uint64_t aIndex, const std::set<ZoneId>& aZones)
+  {
+    mProxy.SetEvacuatedZones({ aIndex, aZones });
+  }
+
   // Returns true for calls of the control API that `OnApiCall` answers.
   bool Handles(const ApiCall& aCall) const;
   // GET lists the backend servers; any other method announces one.
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -254,6 +254,7 @@
                               const model::PlannedDocument&) override
   {
   }
+  void OnEvacuatedZones(uint64_t, const std::set<ZoneId>&) override {}
   void RequestDrain() override {}
   void Log(const LogEvent&) override {}
 
--- a/packages/proxy/proxy.cc
+++ b/packages/proxy/proxy.cc
@@ -362,6 +362,13 @@
     mImpl->router.ConfigurationChanged(aConfig, MonotonicNow()));
 }
 
+void
+Proxy::SetEvacuatedZones(const routing::EvacuatedZones& aEvacuated)
+{
+  mImpl->EnqueueEffects(
+    mImpl->router.SetEvacuatedZones(aEvacuated, MonotonicNow()));
+}
+
 routing::AnnounceResult
 Proxy::Announce(const routing::ServerAnnouncement& aAnnouncement)
 {
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -58,6 +58,9 @@
   // be bound.
   Result<http::Endpoint> Listen(const http::Endpoint& aEndpoint);
 
+  // See `routing::Router::SetEvacuatedZones`.
+  void SetEvacuatedZones(const routing::EvacuatedZones& aEvacuated);
+
   // Services without an entry in `aLimits` get the default limits.
   void Configure(const routing::RoutingConfig& aConfig,
                  std::map<ServiceId, BodyLimits> aLimits);
--- a/packages/routing/codec.cc
+++ b/packages/routing/codec.cc
@@ -65,6 +65,10 @@
       service.serviceId = it.service.Value();
       service.servers = static_cast<int32_t>(it.servers);
       service.freeSlots = static_cast<int32_t>(it.freeSlots);
+      if (it.evacuatedServers > 0) {
+        service.__set_evacuatedServers(
+          static_cast<int32_t>(it.evacuatedServers));
+      }
       to.services.push_back(service);
     }
     for (const WorkspaceUse& it : aFrom.workspaces) {
@@ -73,6 +77,14 @@
       use.requests = static_cast<int32_t>(it.requests);
       to.workspaces.push_back(use);
     }
+    if (aFrom.evacuated.index > 0) {
+      wire::EvacuatedZones evacuated;
+      evacuated.index = Signed(aFrom.evacuated.index);
+      for (const ZoneId& it : aFrom.evacuated.zones) {
+        evacuated.zones.push_back(it.Value());
+      }
+      to.__set_evacuated(evacuated);
+    }
     out.__set_digest(to);
   }
 
@@ -181,12 +193,21 @@
     to.delta = aFrom.delta;
     for (const wire::ServiceDigest& it : aFrom.services) {
       to.services.push_back(ServiceDigest{
-        ServiceId(it.serviceId), Count(it.servers), Count(it.freeSlots) });
+        ServiceId(it.serviceId),
+        Count(it.servers),
+        Count(it.freeSlots),
+        it.__isset.evacuatedServers ? Count(it.evacuatedServers) : 0 });
     }
     for (const wire::WorkspaceUse& it : aFrom.workspaces) {
       to.workspaces.push_back(WorkspaceUse{
         static_cast<uint32_t>(it.workspaceHash), Count(it.requests) });
     }
+    if (aFrom.__isset.evacuated) {
+      to.evacuated.index = static_cast<uint64_t>(aFrom.evacuated.index);
+      for (const std::string& it : aFrom.evacuated.zones) {
+        to.evacuated.zones.emplace(it);
+      }
+    }
     return to;
   }
 
--- a/packages/routing/codec_test.cc
+++ b/packages/routing/codec_test.cc
@@ -19,7 +19,11 @@
                          Incarnation(7) };
   KeyHolder holder{ InstanceId("e1"), 0xfedcba9876543210ULL };
   return {
-    Digest{ 9, true, { { ServiceId("render"), 3, 24 } }, { { ~0U, 5 } } },
+    Digest{ 9,
+            true,
+            { { ServiceId("render"), 3, 24, 2 } },
+            { { ~0U, 5 } },
+            { 12, { ZoneId("sogn"), ZoneId("voss") } } },
     HomeClaim{ ServerId("b1"), Incarnation(3) },
     BorrowRequest{ LeaseId(~0ULL), 4, ServiceId("x"), { ServerId("b2") } },
     BorrowReply{ LeaseId(5), { { LeaseId(5), server, Millis(1500), 2 } } },
--- a/packages/routing/gen-cpp/routing_types.cpp
+++ b/packages/routing/gen-cpp/routing_types.cpp
@@ -29,6 +29,11 @@
 void ServiceDigest::__set_freeSlots(const int32_t val) {
   this->freeSlots = val;
 }
+
+void ServiceDigest::__set_evacuatedServers(const int32_t val) {
+  this->evacuatedServers = val;
+__isset.evacuatedServers = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceDigest& obj)
 {
   obj.printTo(out);
@@ -81,6 +86,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->evacuatedServers);
+          this->__isset.evacuatedServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -110,6 +123,11 @@
   xfer += oprot->writeI32(this->freeSlots);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuatedServers) {
+    xfer += oprot->writeFieldBegin("evacuatedServers", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->evacuatedServers);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -120,6 +138,7 @@
   swap(a.serviceId, b.serviceId);
   swap(a.servers, b.servers);
   swap(a.freeSlots, b.freeSlots);
+  swap(a.evacuatedServers, b.evacuatedServers);
   swap(a.__isset, b.__isset);
 }
 
@@ -127,18 +146,21 @@
   serviceId = other0.serviceId;
   servers = other0.servers;
   freeSlots = other0.freeSlots;
+  evacuatedServers = other0.evacuatedServers;
   __isset = other0.__isset;
 }
 ServiceDigest::ServiceDigest(ServiceDigest&& other1) noexcept {
   serviceId = std::move(other1.serviceId);
   servers = other1.servers;
   freeSlots = other1.freeSlots;
+  evacuatedServers = other1.evacuatedServers;
   __isset = other1.__isset;
 }
 ServiceDigest& ServiceDigest::operator=(const ServiceDigest& other2) {
   serviceId = other2.serviceId;
   servers = other2.servers;
   freeSlots = other2.freeSlots;
+  evacuatedServers = other2.evacuatedServers;
   __isset = other2.__isset;
   return *this;
 }
@@ -146,6 +168,7 @@
   serviceId = std::move(other3.serviceId);
   servers = other3.servers;
   freeSlots = other3.freeSlots;
+  evacuatedServers = other3.evacuatedServers;
   __isset = other3.__isset;
   return *this;
 }
@@ -155,6 +178,7 @@
   out << "serviceId=" << to_string(serviceId);
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "freeSlots=" << to_string(freeSlots);
+  out << ", " << "evacuatedServers="; (__isset.evacuatedServers ? (out << to_string(evacuatedServers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -282,6 +306,149 @@
 }
 
 
+EvacuatedZones::~EvacuatedZones() noexcept {
+}
+
+
+void EvacuatedZones::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void EvacuatedZones::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuatedZones::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->zones.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
+              xfer += iprot->readString(this->zones[_i12]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuatedZones::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuatedZones");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter13;
+    for (_iter13 = this->zones.begin(); _iter13 != this->zones.end(); ++_iter13)
+    {
+      xfer += oprot->writeString((*_iter13));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuatedZones &a, EvacuatedZones &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.zones, b.zones);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuatedZones::EvacuatedZones(const EvacuatedZones& other14) {
+  index = other14.index;
+  zones = other14.zones;
+  __isset = other14.__isset;
+}
+EvacuatedZones::EvacuatedZones(EvacuatedZones&& other15) noexcept {
+  index = other15.index;
+  zones = std::move(other15.zones);
+  __isset = other15.__isset;
+}
+EvacuatedZones& EvacuatedZones::operator=(const EvacuatedZones& other16) {
+  index = other16.index;
+  zones = other16.zones;
+  __isset = other16.__isset;
+  return *this;
+}
+EvacuatedZones& EvacuatedZones::operator=(EvacuatedZones&& other17) noexcept {
+  index = other17.index;
+  zones = std::move(other17.zones);
+  __isset = other17.__isset;
+  return *this;
+}
+void EvacuatedZones::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuatedZones(";
+  out << "index=" << to_string(index);
+  out << ", " << "zones=" << to_string(zones);
+  out << ")";
+}
+
+
 Digest::~Digest() noexcept {
 }
 
@@ -301,6 +468,11 @@
 void Digest::__set_workspaces(const std::vector<WorkspaceUse> & val) {
   this->workspaces = val;
 }
+
+void Digest::__set_evacuated(const EvacuatedZones& val) {
+  this->evacuated = val;
+__isset.evacuated = true;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -349,14 +521,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->services.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->services.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->services[_i12].read(iprot);
+              xfer += this->services[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -369,14 +541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workspaces.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->workspaces.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->workspaces.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->workspaces[_i17].read(iprot);
+              xfer += this->workspaces[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -385,6 +557,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuated.read(iprot);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -413,10 +593,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceDigest> ::const_iterator _iter18;
-    for (_iter18 = this->services.begin(); _iter18 != this->services.end(); ++_iter18)
+    std::vector<ServiceDigest> ::const_iterator _iter28;
+    for (_iter28 = this->services.begin(); _iter28 != this->services.end(); ++_iter28)
     {
-      xfer += (*_iter18).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -425,15 +605,20 @@
   xfer += oprot->writeFieldBegin("workspaces", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workspaces.size()));
-    std::vector<WorkspaceUse> ::const_iterator _iter19;
-    for (_iter19 = this->workspaces.begin(); _iter19 != this->workspaces.end(); ++_iter19)
+    std::vector<WorkspaceUse> ::const_iterator _iter29;
+    for (_iter29 = this->workspaces.begin(); _iter29 != this->workspaces.end(); ++_iter29)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuated) {
+    xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->evacuated.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -445,37 +630,42 @@
   swap(a.delta, b.delta);
   swap(a.services, b.services);
   swap(a.workspaces, b.workspaces);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other20) {
-  version = other20.version;
-  delta = other20.delta;
-  services = other20.services;
-  workspaces = other20.workspaces;
-  __isset = other20.__isset;
-}
-Digest::Digest(Digest&& other21) noexcept {
-  version = other21.version;
-  delta = other21.delta;
-  services = std::move(other21.services);
-  workspaces = std::move(other21.workspaces);
-  __isset = other21.__isset;
-}
-Digest& Digest::operator=(const Digest& other22) {
-  version = other22.version;
-  delta = other22.delta;
-  services = other22.services;
-  workspaces = other22.workspaces;
-  __isset = other22.__isset;
+Digest::Digest(const Digest& other30) {
+  version = other30.version;
+  delta = other30.delta;
+  services = other30.services;
+  workspaces = other30.workspaces;
+  evacuated = other30.evacuated;
+  __isset = other30.__isset;
+}
+Digest::Digest(Digest&& other31) noexcept {
+  version = other31.version;
+  delta = other31.delta;
+  services = std::move(other31.services);
+  workspaces = std::move(other31.workspaces);
+  evacuated = std::move(other31.evacuated);
+  __isset = other31.__isset;
+}
+Digest& Digest::operator=(const Digest& other32) {
+  version = other32.version;
+  delta = other32.delta;
+  services = other32.services;
+  workspaces = other32.workspaces;
+  evacuated = other32.evacuated;
+  __isset = other32.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other23) noexcept {
-  version = other23.version;
-  delta = other23.delta;
-  services = std::move(other23.services);
-  workspaces = std::move(other23.workspaces);
-  __isset = other23.__isset;
+Digest& Digest::operator=(Digest&& other33) noexcept {
+  version = other33.version;
+  delta = other33.delta;
+  services = std::move(other33.services);
+  workspaces = std::move(other33.workspaces);
+  evacuated = std::move(other33.evacuated);
+  __isset = other33.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -485,6 +675,7 @@
   out << ", " << "delta=" << to_string(delta);
   out << ", " << "services=" << to_string(services);
   out << ", " << "workspaces=" << to_string(workspaces);
+  out << ", " << "evacuated="; (__isset.evacuated ? (out << to_string(evacuated)) : (out << "<null>"));
   out << ")";
 }
 
@@ -581,26 +772,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HomeClaim::HomeClaim(const HomeClaim& other24) {
-  server = other24.server;
-  incarnation = other24.incarnation;
-  __isset = other24.__isset;
+HomeClaim::HomeClaim(const HomeClaim& other34) {
+  server = other34.server;
+  incarnation = other34.incarnation;
+  __isset = other34.__isset;
 }
-HomeClaim::HomeClaim(HomeClaim&& other25) noexcept {
-  server = std::move(other25.server);
-  incarnation = other25.incarnation;
-  __isset = other25.__isset;
+HomeClaim::HomeClaim(HomeClaim&& other35) noexcept {
+  server = std::move(other35.server);
+  incarnation = other35.incarnation;
+  __isset = other35.__isset;
 }
-HomeClaim& HomeClaim::operator=(const HomeClaim& other26) {
-  server = other26.server;
-  incarnation = other26.incarnation;
-  __isset = other26.__isset;
+HomeClaim& HomeClaim::operator=(const HomeClaim& other36) {
+  server = other36.server;
+  incarnation = other36.incarnation;
+  __isset = other36.__isset;
   return *this;
 }
-HomeClaim& HomeClaim::operator=(HomeClaim&& other27) noexcept {
-  server = std::move(other27.server);
-  incarnation = other27.incarnation;
-  __isset = other27.__isset;
+HomeClaim& HomeClaim::operator=(HomeClaim&& other37) noexcept {
+  server = std::move(other37.server);
+  incarnation = other37.incarnation;
+  __isset = other37.__isset;
   return *this;
 }
 void HomeClaim::printTo(std::ostream& out) const {
@@ -687,14 +878,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->exclude.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->exclude.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->exclude.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += iprot->readString(this->exclude[_i32]);
+              xfer += iprot->readString(this->exclude[_i42]);
             }
             xfer += iprot->readListEnd();
           }
@@ -735,10 +926,10 @@
   xfer += oprot->writeFieldBegin("exclude", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->exclude.size()));
-    std::vector<std::string> ::const_iterator _iter33;
-    for (_iter33 = this->exclude.begin(); _iter33 != this->exclude.end(); ++_iter33)
+    std::vector<std::string> ::const_iterator _iter43;
+    for (_iter43 = this->exclude.begin(); _iter43 != this->exclude.end(); ++_iter43)
     {
-      xfer += oprot->writeString((*_iter33));
+      xfer += oprot->writeString((*_iter43));
     }
     xfer += oprot->writeListEnd();
   }
@@ -758,34 +949,34 @@
   swap(a.__isset, b.__isset);
 }
 
-BorrowRequest::BorrowRequest(const BorrowRequest& other34) {
-  first = other34.first;
-  count = other34.count;
-  serviceId = other34.serviceId;
-  exclude = other34.exclude;
-  __isset = other34.__isset;
+BorrowRequest::BorrowRequest(const BorrowRequest& other44) {
+  first = other44.first;
+  count = other44.count;
+  serviceId = other44.serviceId;
+  exclude = other44.exclude;
+  __isset = other44.__isset;
 }
-BorrowRequest::BorrowRequest(BorrowRequest&& other35) noexcept {
-  first = other35.first;
-  count = other35.count;
-  serviceId = std::move(other35.serviceId);
-  exclude = std::move(other35.exclude);
-  __isset = other35.__isset;
+BorrowRequest::BorrowRequest(BorrowRequest&& other45) noexcept {
+  first = other45.first;
+  count = other45.count;
+  serviceId = std::move(other45.serviceId);
+  exclude = std::move(other45.exclude);
+  __isset = other45.__isset;
 }
-BorrowRequest& BorrowRequest::operator=(const BorrowRequest& other36) {
-  first = other36.first;
-  count = other36.count;
-  serviceId = other36.serviceId;
-  exclude = other36.exclude;
-  __isset = other36.__isset;
+BorrowRequest& BorrowRequest::operator=(const BorrowRequest& other46) {
+  first = other46.first;
+  count = other46.count;
+  serviceId = other46.serviceId;
+  exclude = other46.exclude;
+  __isset = other46.__isset;
   return *this;
 }
-BorrowRequest& BorrowRequest::operator=(BorrowRequest&& other37) noexcept {
-  first = other37.first;
-  count = other37.count;
-  serviceId = std::move(other37.serviceId);
-  exclude = std::move(other37.exclude);
-  __isset = other37.__isset;
+BorrowRequest& BorrowRequest::operator=(BorrowRequest&& other47) noexcept {
+  first = other47.first;
+  count = other47.count;
+  serviceId = std::move(other47.serviceId);
+  exclude = std::move(other47.exclude);
+  __isset = other47.__isset;
   return *this;
 }
 void BorrowRequest::printTo(std::ostream& out) const {
@@ -942,38 +1133,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other38) {
-  id = other38.id;
-  serviceId = other38.serviceId;
-  zone = other38.zone;
-  address = other38.address;
-  incarnation = other38.incarnation;
-  __isset = other38.__isset;
-}
-Server::Server(Server&& other39) noexcept {
-  id = std::move(other39.id);
-  serviceId = std::move(other39.serviceId);
-  zone = std::move(other39.zone);
-  address = std::move(other39.address);
-  incarnation = other39.incarnation;
-  __isset = other39.__isset;
-}
-Server& Server::operator=(const Server& other40) {
-  id = other40.id;
-  serviceId = other40.serviceId;
-  zone = other40.zone;
-  address = other40.address;
-  incarnation = other40.incarnation;
-  __isset = other40.__isset;
+Server::Server(const Server& other48) {
+  id = other48.id;
+  serviceId = other48.serviceId;
+  zone = other48.zone;
+  address = other48.address;
+  incarnation = other48.incarnation;
+  __isset = other48.__isset;
+}
+Server::Server(Server&& other49) noexcept {
+  id = std::move(other49.id);
+  serviceId = std::move(other49.serviceId);
+  zone = std::move(other49.zone);
+  address = std::move(other49.address);
+  incarnation = other49.incarnation;
+  __isset = other49.__isset;
+}
+Server& Server::operator=(const Server& other50) {
+  id = other50.id;
+  serviceId = other50.serviceId;
+  zone = other50.zone;
+  address = other50.address;
+  incarnation = other50.incarnation;
+  __isset = other50.__isset;
   return *this;
 }
-Server& Server::operator=(Server&& other41) noexcept {
-  id = std::move(other41.id);
-  serviceId = std::move(other41.serviceId);
-  zone = std::move(other41.zone);
-  address = std::move(other41.address);
-  incarnation = other41.incarnation;
-  __isset = other41.__isset;
+Server& Server::operator=(Server&& other51) noexcept {
+  id = std::move(other51.id);
+  serviceId = std::move(other51.serviceId);
+  zone = std::move(other51.zone);
+  address = std::move(other51.address);
+  incarnation = other51.incarnation;
+  __isset = other51.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -1114,34 +1305,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other42) {
-  lease = other42.lease;
-  server = other42.server;
-  startWithinMs = other42.startWithinMs;
-  connections = other42.connections;
-  __isset = other42.__isset;
-}
-LeaseGrant::LeaseGrant(LeaseGrant&& other43) noexcept {
-  lease = other43.lease;
-  server = std::move(other43.server);
-  startWithinMs = other43.startWithinMs;
-  connections = other43.connections;
-  __isset = other43.__isset;
-}
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other44) {
-  lease = other44.lease;
-  server = other44.server;
-  startWithinMs = other44.startWithinMs;
-  connections = other44.connections;
-  __isset = other44.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other52) {
+  lease = other52.lease;
+  server = other52.server;
+  startWithinMs = other52.startWithinMs;
+  connections = other52.connections;
+  __isset = other52.__isset;
+}
+LeaseGrant::LeaseGrant(LeaseGrant&& other53) noexcept {
+  lease = other53.lease;
+  server = std::move(other53.server);
+  startWithinMs = other53.startWithinMs;
+  connections = other53.connections;
+  __isset = other53.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other54) {
+  lease = other54.lease;
+  server = other54.server;
+  startWithinMs = other54.startWithinMs;
+  connections = other54.connections;
+  __isset = other54.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other45) noexcept {
-  lease = other45.lease;
-  server = std::move(other45.server);
-  startWithinMs = other45.startWithinMs;
-  connections = other45.connections;
-  __isset = other45.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other55) noexcept {
+  lease = other55.lease;
+  server = std::move(other55.server);
+  startWithinMs = other55.startWithinMs;
+  connections = other55.connections;
+  __isset = other55.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -1206,14 +1397,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->leases.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->leases.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->leases[_i50].read(iprot);
+              xfer += this->leases[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1246,10 +1437,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter51;
-    for (_iter51 = this->leases.begin(); _iter51 != this->leases.end(); ++_iter51)
+    std::vector<LeaseGrant> ::const_iterator _iter61;
+    for (_iter61 = this->leases.begin(); _iter61 != this->leases.end(); ++_iter61)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1267,26 +1458,26 @@
   swap(a.__isset, b.__isset);
 }
 
-BorrowReply::BorrowReply(const BorrowReply& other52) {
-  first = other52.first;
-  leases = other52.leases;
-  __isset = other52.__isset;
+BorrowReply::BorrowReply(const BorrowReply& other62) {
+  first = other62.first;
+  leases = other62.leases;
+  __isset = other62.__isset;
 }
-BorrowReply::BorrowReply(BorrowReply&& other53) noexcept {
-  first = other53.first;
-  leases = std::move(other53.leases);
-  __isset = other53.__isset;
+BorrowReply::BorrowReply(BorrowReply&& other63) noexcept {
+  first = other63.first;
+  leases = std::move(other63.leases);
+  __isset = other63.__isset;
 }
-BorrowReply& BorrowReply::operator=(const BorrowReply& other54) {
-  first = other54.first;
-  leases = other54.leases;
-  __isset = other54.__isset;
+BorrowReply& BorrowReply::operator=(const BorrowReply& other64) {
+  first = other64.first;
+  leases = other64.leases;
+  __isset = other64.__isset;
   return *this;
 }
-BorrowReply& BorrowReply::operator=(BorrowReply&& other55) noexcept {
-  first = other55.first;
-  leases = std::move(other55.leases);
-  __isset = other55.__isset;
+BorrowReply& BorrowReply::operator=(BorrowReply&& other65) noexcept {
+  first = other65.first;
+  leases = std::move(other65.leases);
+  __isset = other65.__isset;
   return *this;
 }
 void BorrowReply::printTo(std::ostream& out) const {
@@ -1441,38 +1632,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ReturnedLease::ReturnedLease(const ReturnedLease& other56) noexcept {
-  lease = other56.lease;
-  used = other56.used;
-  result = other56.result;
-  serverError = other56.serverError;
-  latencyMs = other56.latencyMs;
-  __isset = other56.__isset;
-}
-ReturnedLease::ReturnedLease(ReturnedLease&& other57) noexcept {
-  lease = other57.lease;
-  used = other57.used;
-  result = other57.result;
-  serverError = other57.serverError;
-  latencyMs = other57.latencyMs;
-  __isset = other57.__isset;
-}
-ReturnedLease& ReturnedLease::operator=(const ReturnedLease& other58) noexcept {
-  lease = other58.lease;
-  used = other58.used;
-  result = other58.result;
-  serverError = other58.serverError;
-  latencyMs = other58.latencyMs;
-  __isset = other58.__isset;
+ReturnedLease::ReturnedLease(const ReturnedLease& other66) noexcept {
+  lease = other66.lease;
+  used = other66.used;
+  result = other66.result;
+  serverError = other66.serverError;
+  latencyMs = other66.latencyMs;
+  __isset = other66.__isset;
+}
+ReturnedLease::ReturnedLease(ReturnedLease&& other67) noexcept {
+  lease = other67.lease;
+  used = other67.used;
+  result = other67.result;
+  serverError = other67.serverError;
+  latencyMs = other67.latencyMs;
+  __isset = other67.__isset;
+}
+ReturnedLease& ReturnedLease::operator=(const ReturnedLease& other68) noexcept {
+  lease = other68.lease;
+  used = other68.used;
+  result = other68.result;
+  serverError = other68.serverError;
+  latencyMs = other68.latencyMs;
+  __isset = other68.__isset;
   return *this;
 }
-ReturnedLease& ReturnedLease::operator=(ReturnedLease&& other59) noexcept {
-  lease = other59.lease;
-  used = other59.used;
-  result = other59.result;
-  serverError = other59.serverError;
-  latencyMs = other59.latencyMs;
-  __isset = other59.__isset;
+ReturnedLease& ReturnedLease::operator=(ReturnedLease&& other69) noexcept {
+  lease = other69.lease;
+  used = other69.used;
+  result = other69.result;
+  serverError = other69.serverError;
+  latencyMs = other69.latencyMs;
+  __isset = other69.__isset;
   return *this;
 }
 void ReturnedLease::printTo(std::ostream& out) const {
@@ -1526,14 +1717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->leases.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->leases.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->leases[_i64].read(iprot);
+              xfer += this->leases[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1562,10 +1753,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<ReturnedLease> ::const_iterator _iter65;
-    for (_iter65 = this->leases.begin(); _iter65 != this->leases.end(); ++_iter65)
+    std::vector<ReturnedLease> ::const_iterator _iter75;
+    for (_iter75 = this->leases.begin(); _iter75 != this->leases.end(); ++_iter75)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1582,22 +1773,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ReturnLeases::ReturnLeases(const ReturnLeases& other66) {
-  leases = other66.leases;
-  __isset = other66.__isset;
+ReturnLeases::ReturnLeases(const ReturnLeases& other76) {
+  leases = other76.leases;
+  __isset = other76.__isset;
 }
-ReturnLeases::ReturnLeases(ReturnLeases&& other67) noexcept {
-  leases = std::move(other67.leases);
-  __isset = other67.__isset;
+ReturnLeases::ReturnLeases(ReturnLeases&& other77) noexcept {
+  leases = std::move(other77.leases);
+  __isset = other77.__isset;
 }
-ReturnLeases& ReturnLeases::operator=(const ReturnLeases& other68) {
-  leases = other68.leases;
-  __isset = other68.__isset;
+ReturnLeases& ReturnLeases::operator=(const ReturnLeases& other78) {
+  leases = other78.leases;
+  __isset = other78.__isset;
   return *this;
 }
-ReturnLeases& ReturnLeases::operator=(ReturnLeases&& other69) noexcept {
-  leases = std::move(other69.leases);
-  __isset = other69.__isset;
+ReturnLeases& ReturnLeases::operator=(ReturnLeases&& other79) noexcept {
+  leases = std::move(other79.leases);
+  __isset = other79.__isset;
   return *this;
 }
 void ReturnLeases::printTo(std::ostream& out) const {
@@ -1647,14 +1838,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->leases.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->leases.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += iprot->readI64(this->leases[_i74]);
+              xfer += iprot->readI64(this->leases[_i84]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1683,10 +1874,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leases.size()));
-    std::vector<int64_t> ::const_iterator _iter75;
-    for (_iter75 = this->leases.begin(); _iter75 != this->leases.end(); ++_iter75)
+    std::vector<int64_t> ::const_iterator _iter85;
+    for (_iter85 = this->leases.begin(); _iter85 != this->leases.end(); ++_iter85)
     {
-      xfer += oprot->writeI64((*_iter75));
+      xfer += oprot->writeI64((*_iter85));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1703,22 +1894,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseList::LeaseList(const LeaseList& other76) {
-  leases = other76.leases;
-  __isset = other76.__isset;
+LeaseList::LeaseList(const LeaseList& other86) {
+  leases = other86.leases;
+  __isset = other86.__isset;
 }
-LeaseList::LeaseList(LeaseList&& other77) noexcept {
-  leases = std::move(other77.leases);
-  __isset = other77.__isset;
+LeaseList::LeaseList(LeaseList&& other87) noexcept {
+  leases = std::move(other87.leases);
+  __isset = other87.__isset;
 }
-LeaseList& LeaseList::operator=(const LeaseList& other78) {
-  leases = other78.leases;
-  __isset = other78.__isset;
+LeaseList& LeaseList::operator=(const LeaseList& other88) {
+  leases = other88.leases;
+  __isset = other88.__isset;
   return *this;
 }
-LeaseList& LeaseList::operator=(LeaseList&& other79) noexcept {
-  leases = std::move(other79.leases);
-  __isset = other79.__isset;
+LeaseList& LeaseList::operator=(LeaseList&& other89) noexcept {
+  leases = std::move(other89.leases);
+  __isset = other89.__isset;
   return *this;
 }
 void LeaseList::printTo(std::ostream& out) const {
@@ -1821,26 +2012,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyHolder::KeyHolder(const KeyHolder& other80) {
-  instance = other80.instance;
-  nonce = other80.nonce;
-  __isset = other80.__isset;
+KeyHolder::KeyHolder(const KeyHolder& other90) {
+  instance = other90.instance;
+  nonce = other90.nonce;
+  __isset = other90.__isset;
 }
-KeyHolder::KeyHolder(KeyHolder&& other81) noexcept {
-  instance = std::move(other81.instance);
-  nonce = other81.nonce;
-  __isset = other81.__isset;
+KeyHolder::KeyHolder(KeyHolder&& other91) noexcept {
+  instance = std::move(other91.instance);
+  nonce = other91.nonce;
+  __isset = other91.__isset;
 }
-KeyHolder& KeyHolder::operator=(const KeyHolder& other82) {
-  instance = other82.instance;
-  nonce = other82.nonce;
-  __isset = other82.__isset;
+KeyHolder& KeyHolder::operator=(const KeyHolder& other92) {
+  instance = other92.instance;
+  nonce = other92.nonce;
+  __isset = other92.__isset;
   return *this;
 }
-KeyHolder& KeyHolder::operator=(KeyHolder&& other83) noexcept {
-  instance = std::move(other83.instance);
-  nonce = other83.nonce;
-  __isset = other83.__isset;
+KeyHolder& KeyHolder::operator=(KeyHolder&& other93) noexcept {
+  instance = std::move(other93.instance);
+  nonce = other93.nonce;
+  __isset = other93.__isset;
   return *this;
 }
 void KeyHolder::printTo(std::ostream& out) const {
@@ -1915,14 +2106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sets.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->sets.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->sets.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += iprot->readI64(this->sets[_i88]);
+              xfer += iprot->readI64(this->sets[_i98]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1959,10 +2150,10 @@
   xfer += oprot->writeFieldBegin("sets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->sets.size()));
-    std::vector<int64_t> ::const_iterator _iter89;
-    for (_iter89 = this->sets.begin(); _iter89 != this->sets.end(); ++_iter89)
+    std::vector<int64_t> ::const_iterator _iter99;
+    for (_iter99 = this->sets.begin(); _iter99 != this->sets.end(); ++_iter99)
     {
-      xfer += oprot->writeI64((*_iter89));
+      xfer += oprot->writeI64((*_iter99));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1981,30 +2172,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other90) {
-  key = other90.key;
-  holder = other90.holder;
-  sets = other90.sets;
-  __isset = other90.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other100) {
+  key = other100.key;
+  holder = other100.holder;
+  sets = other100.sets;
+  __isset = other100.__isset;
 }
-KeyRecord::KeyRecord(KeyRecord&& other91) noexcept {
-  key = std::move(other91.key);
-  holder = std::move(other91.holder);
-  sets = std::move(other91.sets);
-  __isset = other91.__isset;
+KeyRecord::KeyRecord(KeyRecord&& other101) noexcept {
+  key = std::move(other101.key);
+  holder = std::move(other101.holder);
+  sets = std::move(other101.sets);
+  __isset = other101.__isset;
 }
-KeyRecord& KeyRecord::operator=(const KeyRecord& other92) {
-  key = other92.key;
-  holder = other92.holder;
-  sets = other92.sets;
-  __isset = other92.__isset;
+KeyRecord& KeyRecord::operator=(const KeyRecord& other102) {
+  key = other102.key;
+  holder = other102.holder;
+  sets = other102.sets;
+  __isset = other102.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other93) noexcept {
-  key = std::move(other93.key);
-  holder = std::move(other93.holder);
-  sets = std::move(other93.sets);
-  __isset = other93.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other103) noexcept {
+  key = std::move(other103.key);
+  holder = std::move(other103.holder);
+  sets = std::move(other103.sets);
+  __isset = other103.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -2143,34 +2334,34 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other94) {
-  key = other94.key;
-  holder = other94.holder;
-  status = other94.status;
-  verdict = other94.verdict;
-  __isset = other94.__isset;
-}
-KeyReply::KeyReply(KeyReply&& other95) noexcept {
-  key = std::move(other95.key);
-  holder = std::move(other95.holder);
-  status = other95.status;
-  verdict = other95.verdict;
-  __isset = other95.__isset;
-}
-KeyReply& KeyReply::operator=(const KeyReply& other96) {
-  key = other96.key;
-  holder = other96.holder;
-  status = other96.status;
-  verdict = other96.verdict;
-  __isset = other96.__isset;
+KeyReply::KeyReply(const KeyReply& other104) {
+  key = other104.key;
+  holder = other104.holder;
+  status = other104.status;
+  verdict = other104.verdict;
+  __isset = other104.__isset;
+}
+KeyReply::KeyReply(KeyReply&& other105) noexcept {
+  key = std::move(other105.key);
+  holder = std::move(other105.holder);
+  status = other105.status;
+  verdict = other105.verdict;
+  __isset = other105.__isset;
+}
+KeyReply& KeyReply::operator=(const KeyReply& other106) {
+  key = other106.key;
+  holder = other106.holder;
+  status = other106.status;
+  verdict = other106.verdict;
+  __isset = other106.__isset;
   return *this;
 }
-KeyReply& KeyReply::operator=(KeyReply&& other97) noexcept {
-  key = std::move(other97.key);
-  holder = std::move(other97.holder);
-  status = other97.status;
-  verdict = other97.verdict;
-  __isset = other97.__isset;
+KeyReply& KeyReply::operator=(KeyReply&& other107) noexcept {
+  key = std::move(other107.key);
+  holder = std::move(other107.holder);
+  status = other107.status;
+  verdict = other107.verdict;
+  __isset = other107.__isset;
   return *this;
 }
 void KeyReply::printTo(std::ostream& out) const {
@@ -2293,30 +2484,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyOutcome::KeyOutcome(const KeyOutcome& other98) {
-  key = other98.key;
-  holder = other98.holder;
-  verdict = other98.verdict;
-  __isset = other98.__isset;
+KeyOutcome::KeyOutcome(const KeyOutcome& other108) {
+  key = other108.key;
+  holder = other108.holder;
+  verdict = other108.verdict;
+  __isset = other108.__isset;
 }
-KeyOutcome::KeyOutcome(KeyOutcome&& other99) noexcept {
-  key = std::move(other99.key);
-  holder = std::move(other99.holder);
-  verdict = other99.verdict;
-  __isset = other99.__isset;
+KeyOutcome::KeyOutcome(KeyOutcome&& other109) noexcept {
+  key = std::move(other109.key);
+  holder = std::move(other109.holder);
+  verdict = other109.verdict;
+  __isset = other109.__isset;
 }
-KeyOutcome& KeyOutcome::operator=(const KeyOutcome& other100) {
-  key = other100.key;
-  holder = other100.holder;
-  verdict = other100.verdict;
-  __isset = other100.__isset;
+KeyOutcome& KeyOutcome::operator=(const KeyOutcome& other110) {
+  key = other110.key;
+  holder = other110.holder;
+  verdict = other110.verdict;
+  __isset = other110.__isset;
   return *this;
 }
-KeyOutcome& KeyOutcome::operator=(KeyOutcome&& other101) noexcept {
-  key = std::move(other101.key);
-  holder = std::move(other101.holder);
-  verdict = other101.verdict;
-  __isset = other101.__isset;
+KeyOutcome& KeyOutcome::operator=(KeyOutcome&& other111) noexcept {
+  key = std::move(other111.key);
+  holder = std::move(other111.holder);
+  verdict = other111.verdict;
+  __isset = other111.__isset;
   return *this;
 }
 void KeyOutcome::printTo(std::ostream& out) const {
@@ -2577,58 +2768,58 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other102) {
-  digest = other102.digest;
-  homeClaim = other102.homeClaim;
-  borrowRequest = other102.borrowRequest;
-  borrowReply = other102.borrowReply;
-  returnLeases = other102.returnLeases;
-  renewLeases = other102.renewLeases;
-  revokeLeases = other102.revokeLeases;
-  keyRecord = other102.keyRecord;
-  keyReply = other102.keyReply;
-  keyOutcome = other102.keyOutcome;
-  __isset = other102.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other103) noexcept {
-  digest = std::move(other103.digest);
-  homeClaim = std::move(other103.homeClaim);
-  borrowRequest = std::move(other103.borrowRequest);
-  borrowReply = std::move(other103.borrowReply);
-  returnLeases = std::move(other103.returnLeases);
-  renewLeases = std::move(other103.renewLeases);
-  revokeLeases = std::move(other103.revokeLeases);
-  keyRecord = std::move(other103.keyRecord);
-  keyReply = std::move(other103.keyReply);
-  keyOutcome = std::move(other103.keyOutcome);
-  __isset = other103.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other104) {
-  digest = other104.digest;
-  homeClaim = other104.homeClaim;
-  borrowRequest = other104.borrowRequest;
-  borrowReply = other104.borrowReply;
-  returnLeases = other104.returnLeases;
-  renewLeases = other104.renewLeases;
-  revokeLeases = other104.revokeLeases;
-  keyRecord = other104.keyRecord;
-  keyReply = other104.keyReply;
-  keyOutcome = other104.keyOutcome;
-  __isset = other104.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other112) {
+  digest = other112.digest;
+  homeClaim = other112.homeClaim;
+  borrowRequest = other112.borrowRequest;
+  borrowReply = other112.borrowReply;
+  returnLeases = other112.returnLeases;
+  renewLeases = other112.renewLeases;
+  revokeLeases = other112.revokeLeases;
+  keyRecord = other112.keyRecord;
+  keyReply = other112.keyReply;
+  keyOutcome = other112.keyOutcome;
+  __isset = other112.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other113) noexcept {
+  digest = std::move(other113.digest);
+  homeClaim = std::move(other113.homeClaim);
+  borrowRequest = std::move(other113.borrowRequest);
+  borrowReply = std::move(other113.borrowReply);
+  returnLeases = std::move(other113.returnLeases);
+  renewLeases = std::move(other113.renewLeases);
+  revokeLeases = std::move(other113.revokeLeases);
+  keyRecord = std::move(other113.keyRecord);
+  keyReply = std::move(other113.keyReply);
+  keyOutcome = std::move(other113.keyOutcome);
+  __isset = other113.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other114) {
+  digest = other114.digest;
+  homeClaim = other114.homeClaim;
+  borrowRequest = other114.borrowRequest;
+  borrowReply = other114.borrowReply;
+  returnLeases = other114.returnLeases;
+  renewLeases = other114.renewLeases;
+  revokeLeases = other114.revokeLeases;
+  keyRecord = other114.keyRecord;
+  keyReply = other114.keyReply;
+  keyOutcome = other114.keyOutcome;
+  __isset = other114.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other105) noexcept {
-  digest = std::move(other105.digest);
-  homeClaim = std::move(other105.homeClaim);
-  borrowRequest = std::move(other105.borrowRequest);
-  borrowReply = std::move(other105.borrowReply);
-  returnLeases = std::move(other105.returnLeases);
-  renewLeases = std::move(other105.renewLeases);
-  revokeLeases = std::move(other105.revokeLeases);
-  keyRecord = std::move(other105.keyRecord);
-  keyReply = std::move(other105.keyReply);
-  keyOutcome = std::move(other105.keyOutcome);
-  __isset = other105.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other115) noexcept {
+  digest = std::move(other115.digest);
+  homeClaim = std::move(other115.homeClaim);
+  borrowRequest = std::move(other115.borrowRequest);
+  borrowReply = std::move(other115.borrowReply);
+  returnLeases = std::move(other115.returnLeases);
+  renewLeases = std::move(other115.renewLeases);
+  revokeLeases = std::move(other115.revokeLeases);
+  keyRecord = std::move(other115.keyRecord);
+  keyReply = std::move(other115.keyReply);
+  keyOutcome = std::move(other115.keyOutcome);
+  __isset = other115.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
--- a/packages/routing/gen-cpp/routing_types.h
+++ b/packages/routing/gen-cpp/routing_types.h
@@ -25,6 +25,8 @@
 
 class WorkspaceUse;
 
+class EvacuatedZones;
+
 class Digest;
 
 class HomeClaim;
@@ -54,10 +56,11 @@
 class PeerMessage;
 
 typedef struct _ServiceDigest__isset {
-  _ServiceDigest__isset() : serviceId(false), servers(false), freeSlots(false) {}
+  _ServiceDigest__isset() : serviceId(false), servers(false), freeSlots(false), evacuatedServers(false) {}
   bool serviceId :1;
   bool servers :1;
   bool freeSlots :1;
+  bool evacuatedServers :1;
 } _ServiceDigest__isset;
 
 class ServiceDigest : public virtual ::apache::thrift::TBase {
@@ -70,13 +73,15 @@
   ServiceDigest() noexcept
                 : serviceId(),
                   servers(0),
-                  freeSlots(0) {
+                  freeSlots(0),
+                  evacuatedServers(0) {
   }
 
   virtual ~ServiceDigest() noexcept;
   std::string serviceId;
   int32_t servers;
   int32_t freeSlots;
+  int32_t evacuatedServers;
 
   _ServiceDigest__isset __isset;
 
@@ -86,6 +91,8 @@
 
   void __set_freeSlots(const int32_t val);
 
+  void __set_evacuatedServers(const int32_t val);
+
   bool operator == (const ServiceDigest & rhs) const
   {
     if (!(serviceId == rhs.serviceId))
@@ -94,6 +101,10 @@
       return false;
     if (!(freeSlots == rhs.freeSlots))
       return false;
+    if (__isset.evacuatedServers != rhs.__isset.evacuatedServers)
+      return false;
+    else if (__isset.evacuatedServers && !(evacuatedServers == rhs.evacuatedServers))
+      return false;
     return true;
   }
   bool operator != (const ServiceDigest &rhs) const {
@@ -164,12 +175,64 @@
 
 std::ostream& operator<<(std::ostream& out, const WorkspaceUse& obj);
 
+typedef struct _EvacuatedZones__isset {
+  _EvacuatedZones__isset() : index(false), zones(false) {}
+  bool index :1;
+  bool zones :1;
+} _EvacuatedZones__isset;
+
+class EvacuatedZones : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuatedZones(const EvacuatedZones&);
+  EvacuatedZones(EvacuatedZones&&) noexcept;
+  EvacuatedZones& operator=(const EvacuatedZones&);
+  EvacuatedZones& operator=(EvacuatedZones&&) noexcept;
+  EvacuatedZones() noexcept
+                 : index(0) {
+  }
+
+  virtual ~EvacuatedZones() noexcept;
+  int64_t index;
+  std::vector<std::string>  zones;
+
+  _EvacuatedZones__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  void __set_zones(const std::vector<std::string> & val);
+
+  bool operator == (const EvacuatedZones & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuatedZones &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuatedZones & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuatedZones &a, EvacuatedZones &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj);
+
 typedef struct _Digest__isset {
-  _Digest__isset() : version(false), delta(false), services(false), workspaces(false) {}
+  _Digest__isset() : version(false), delta(false), services(false), workspaces(false), evacuated(false) {}
   bool version :1;
   bool delta :1;
   bool services :1;
   bool workspaces :1;
+  bool evacuated :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -189,6 +252,7 @@
   bool delta;
   std::vector<ServiceDigest>  services;
   std::vector<WorkspaceUse>  workspaces;
+  EvacuatedZones evacuated;
 
   _Digest__isset __isset;
 
@@ -200,6 +264,8 @@
 
   void __set_workspaces(const std::vector<WorkspaceUse> & val);
 
+  void __set_evacuated(const EvacuatedZones& val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(version == rhs.version))
@@ -210,6 +276,10 @@
       return false;
     if (!(workspaces == rhs.workspaces))
       return false;
+    if (__isset.evacuated != rhs.__isset.evacuated)
+      return false;
+    else if (__isset.evacuated && !(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/packages/routing/internal/router_impl.h
+++ b/packages/routing/internal/router_impl.h
@@ -84,6 +84,9 @@
   // this time.
   Millis listEmptyUntil{};
   bool digestPending = false;
+  // Servers of evacuated zones get no new requests, because another zone has a
+  // server.
+  bool avoidsEvacuated = false;
 };
 
 struct WorkspaceState
@@ -138,6 +141,18 @@
   void OnRequestTimer(RequestId aRequest, Millis aNow, Effects& aEffects);
 
   // --- router_servers.cc ---
+  // Adopts evacuated zones that are newer than the known ones. Returns false
+  // for others.
+  bool SetEvacuatedZones(const EvacuatedZones& aEvacuated,
+                         Millis aNow,
+                         Effects& aEffects);
+  // Decides for each service whether servers of evacuated zones are avoided.
+  void UpdateAvoidedServers(Millis aNow, Effects& aEffects);
+  bool IsAvoided(uint32_t aService, const ServerIdentity& aServer) const
+  {
+    return mServices[aService].avoidsEvacuated &&
+           mEvacuated.zones.contains(aServer.zone);
+  }
   AnnounceResult Announce(const ServerAnnouncement& aAnnouncement, Millis aNow);
   // Expires servers, leases, keys and borrow requests, and updates the
   // capacities of the services.
@@ -241,6 +256,7 @@
   uint32_t mDigestOffset = 0;
   uint32_t mInstanceCount = 1;
   bool mDraining = false;
+  EvacuatedZones mEvacuated;
 
 private:
   Reason CheckAdmission(const RequestInfo& aInfo,
--- a/packages/routing/internal/router_peers.cc
+++ b/packages/routing/internal/router_peers.cc
@@ -36,6 +36,9 @@
   }
   if (const auto* digest = std::get_if<Digest>(&aMessage)) {
     if (mPeers.AcceptDigest(aFrom, *digest, aNow)) {
+      if (!SetEvacuatedZones(digest->evacuated, aNow, aEffects)) {
+        UpdateAvoidedServers(aNow, aEffects);
+      }
       ServeAllQueues(aNow, aEffects);
     }
   } else if (const auto* claim = std::get_if<HomeClaim>(&aMessage)) {
@@ -110,8 +113,13 @@
     auto asking = [&](const InstanceId& aId) {
       return mBorrower.HasPendingRequest(aId, aService, aNow);
     };
-    auto lender = mPeers.PickLender(
-      service.config.id, mayWaitElsewhere, aNow, mRandom, asking, free);
+    auto lender = mPeers.PickLender(service.config.id,
+                                    mayWaitElsewhere,
+                                    service.avoidsEvacuated,
+                                    aNow,
+                                    mRandom,
+                                    asking,
+                                    free);
     if (!lender) {
       return;
     }
@@ -216,7 +224,8 @@
     bool idle = service.queue.Empty();
     entries.push_back(ServiceDigest{ service.config.id,
                                      service.capacity.servers,
-                                     idle ? service.capacity.freeSlots : 0 });
+                                     idle ? service.capacity.freeSlots : 0,
+                                     service.capacity.evacuatedServers });
   }
   return entries;
 }
@@ -256,7 +265,9 @@
   } else {
     mNextDigest = aNow + mOptions.digestInterval;
     digest.workspaces = DigestWorkspaces();
-    bool empty = digest.services.empty() && digest.workspaces.empty();
+    digest.evacuated = mEvacuated;
+    bool empty = digest.services.empty() && digest.workspaces.empty() &&
+                 digest.evacuated.zones.empty();
     if (empty && mLastDigestEmpty) {
       return;
     }
--- a/packages/routing/internal/router_requests.cc
+++ b/packages/routing/internal/router_requests.cc
@@ -274,6 +274,11 @@
                        Effects& aEffects)
 {
   ServiceState& service = mServices[aLease.serviceIndex];
+  if (IsAvoided(aLease.serviceIndex, *aLease.server)) {
+    // The home instance has not heard of the evacuation yet.
+    ReturnLease(aLease, aLastOutcome, aEffects);
+    return;
+  }
   std::vector<FairQueue::Entry> skipped;
   bool used = false;
   while (!used && !service.queue.Empty() &&
@@ -420,7 +425,9 @@
   failed.deadline = aRequest.deadline;
   failed.hasOtherServer =
     mServers.HasUntriedServer(aRequest.service, aRequest.triedServers) ||
-    mPeers.HasServers(service.config.id, aNow);
+    (service.avoidsEvacuated
+       ? mPeers.HasServersOutsideEvacuated(service.config.id, aNow)
+       : mPeers.HasServers(service.config.id, aNow));
   Reason reason = CheckRetry(failed, mOptions, aNow);
   if (reason == Reason::kNone && !mRetryBudget.TryTake()) {
     reason = Reason::kRetryBudget;
--- a/packages/routing/internal/router_servers.cc
+++ b/packages/routing/internal/router_servers.cc
@@ -63,6 +63,7 @@
   }
   if (change.added || change.startedLeaving) {
     OnServersChanged(service->second, aNow, answer.effects);
+    UpdateAvoidedServers(aNow, answer.effects);
   }
   ServeQueue(service->second, aNow, answer.effects);
   return answer;
@@ -82,6 +83,54 @@
   }
 }
 
+bool
+Router::Impl::SetEvacuatedZones(const EvacuatedZones& aEvacuated,
+                                Millis aNow,
+                                Effects& aEffects)
+{
+  if (aEvacuated.index <= mEvacuated.index) {
+    return false;
+  }
+  mEvacuated = aEvacuated;
+  mServers.SetEvacuatedZones(mEvacuated.zones);
+  for (uint32_t n = 0; n < mServices.size(); ++n) {
+    // Update the candidates also if the decision below stays the same.
+    mServers.SetAvoidEvacuated(n, mServices[n].avoidsEvacuated, aNow);
+  }
+  UpdateAvoidedServers(aNow, aEffects);
+  return true;
+}
+
+void
+Router::Impl::UpdateAvoidedServers(Millis aNow, Effects& aEffects)
+{
+  bool anyAffected =
+    std::any_of(mServices.begin(), mServices.end(), [](const auto& it) {
+      return it.avoidsEvacuated || it.capacity.evacuatedServers > 0;
+    });
+  if (mEvacuated.zones.empty() && !anyAffected) {
+    return;
+  }
+  std::vector<ServerTable::Capacity> capacities(mServices.size());
+  mServers.Capacities(capacities);
+  for (uint32_t n = 0; n < mServices.size(); ++n) {
+    ServiceState& service = mServices[n];
+    bool avoid = !mEvacuated.zones.empty() &&
+                 (capacities[n].servers > capacities[n].evacuatedServers ||
+                  mPeers.HasServersOutsideEvacuated(service.config.id, aNow));
+    bool changed =
+      avoid != service.avoidsEvacuated ||
+      capacities[n].evacuatedServers != service.capacity.evacuatedServers;
+    if (!changed) {
+      continue;
+    }
+    service.avoidsEvacuated = avoid;
+    mServers.SetAvoidEvacuated(n, avoid, aNow);
+    OnServersChanged(n, aNow, aEffects);
+    ServeQueue(n, aNow, aEffects);
+  }
+}
+
 void
 Router::Impl::ServeAllQueues(Millis aNow, Effects& aEffects)
 {
@@ -119,6 +168,7 @@
     }
     service.capacity = capacities[n];
   }
+  UpdateAvoidedServers(aNow, aEffects);
   ServeAllQueues(aNow, aEffects);
 }
 
@@ -164,7 +214,13 @@
     return;
   }
   BorrowReply reply{ aRequest.firstLease, {} };
-  if (service == mServiceIndex.end() || mDraining ||
+  // Without a server outside the evacuated zones, the borrower is told at once,
+  // so that it asks another instance.
+  bool avoidsAll = service != mServiceIndex.end() &&
+                   mServices[service->second].avoidsEvacuated &&
+                   mServices[service->second].capacity.servers <=
+                     mServices[service->second].capacity.evacuatedServers;
+  if (service == mServiceIndex.end() || mDraining || avoidsAll ||
       !mServers.HasServers(service->second)) {
     aEffects.messages.push_back(SendToPeer{ aFrom, reply });
     return;
--- a/packages/routing/messages.h
+++ b/packages/routing/messages.h
@@ -11,6 +11,7 @@
 #include "routing/request.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -27,6 +28,8 @@
   // slots.
   uint32_t servers = 0;
   uint32_t freeSlots = 0;
+  // Of `servers`, those in evacuated zones.
+  uint32_t evacuatedServers = 0;
 
   bool operator==(const ServiceDigest&) const = default;
 };
@@ -42,6 +45,16 @@
   bool operator==(const WorkspaceUse&) const = default;
 };
 
+// The evacuated zones as of an index that increases with each change; index 0
+// if no zone has ever been evacuated.
+struct EvacuatedZones
+{
+  uint64_t index = 0;
+  std::set<ZoneId> zones{};
+
+  bool operator==(const EvacuatedZones&) const = default;
+};
+
 // The free slots that a home instance offers to others, and the requests of
 // each workspace that are in progress on it. Its size is bounded and does not
 // depend on the number of servers. A delta lists only the services that
@@ -54,6 +67,8 @@
   bool delta = false;
   std::vector<ServiceDigest> services{};
   std::vector<WorkspaceUse> workspaces{};
+  // Only in full digests.
+  EvacuatedZones evacuated{};
 
   bool operator==(const Digest&) const = default;
 };
--- a/packages/routing/peer_table.cc
+++ b/packages/routing/peer_table.cc
@@ -124,6 +124,17 @@
   });
 }
 
+bool
+PeerTable::HasServersOutsideEvacuated(const ServiceId& aService,
+                                      Millis aNow) const
+{
+  return std::any_of(mPeers.begin(), mPeers.end(), [&](const Peer& aPeer) {
+    const ServiceDigest* service = FindService(aPeer, aService);
+    return service && service->servers > service->evacuatedServers &&
+           IsFresh(aPeer, aNow);
+  });
+}
+
 uint32_t
 PeerTable::RequestsElsewhere(uint32_t aWorkspaceHash, Millis aNow) const
 {
--- a/packages/routing/peer_table.h
+++ b/packages/routing/peer_table.h
@@ -51,11 +51,14 @@
   // Chooses an instance to borrow slots of the service from: preferably one
   // with free slots in this instance's zone, then one with free slots in
   // another zone. With `aAllowSaturated`, instances without free slots are
-  // considered last. Skips instances for which `aExcluded` returns true.
+  // considered last. With `aAvoidEvacuated`, instances that only have servers
+  // in evacuated zones are skipped. Skips instances for which `aExcluded`
+  // returns true.
   // `aFreeSlots` receives the free slots of the chosen instance.
   template<typename Excluded>
   std::optional<InstanceId> PickLender(const ServiceId& aService,
                                        bool aAllowSaturated,
+                                       bool aAvoidEvacuated,
                                        Millis aNow,
                                        Random& aRandom,
                                        Excluded aExcluded,
@@ -69,6 +72,9 @@
   // True if any instance with a recent digest has a server of the service.
   bool HasServers(const ServiceId& aService, Millis aNow) const;
 
+  // The same, without servers in evacuated zones.
+  bool HasServersOutsideEvacuated(const ServiceId& aService, Millis aNow) const;
+
   // Requests of the workspace that are in progress on other instances.
   uint32_t RequestsElsewhere(uint32_t aWorkspaceHash, Millis aNow) const;
 
@@ -92,6 +98,7 @@
 std::optional<InstanceId>
 PeerTable::PickLender(const ServiceId& aService,
                       bool aAllowSaturated,
+                      bool aAvoidEvacuated,
                       Millis aNow,
                       Random& aRandom,
                       Excluded aExcluded,
@@ -105,6 +112,7 @@
   for (const Peer& it : mPeers) {
     const ServiceDigest* service = FindService(it, aService);
     if (!service || service->servers == 0 || !IsFresh(it, aNow) ||
+        (aAvoidEvacuated && service->servers <= service->evacuatedServers) ||
         aExcluded(it.id)) {
       continue;
     }
--- a/packages/routing/router.cc
+++ b/packages/routing/router.cc
@@ -177,6 +177,18 @@
   return effects;
 }
 
+Effects
+Router::SetEvacuatedZones(const EvacuatedZones& aEvacuated, Millis aNow)
+{
+  Effects effects;
+  if (mImpl->SetEvacuatedZones(aEvacuated, aNow, effects)) {
+    // At once, so that instances without contact to the control leader do not
+    // wait for the next digest.
+    mImpl->SendDigest(false, aNow, effects);
+  }
+  return effects;
+}
+
 Effects
 Router::Tick(Millis aNow)
 {
--- a/packages/routing/router.h
+++ b/packages/routing/router.h
@@ -160,6 +160,11 @@
                               const PeerMessage& aMessage,
                               Millis aNow);
 
+  // Adopts the evacuated zones as of `aEvacuated.index`, unless newer ones are
+  // known. While another zone has a server of a service, no new request is sent
+  // to its servers in evacuated zones. Tells the other instances.
+  Effects SetEvacuatedZones(const EvacuatedZones& aEvacuated, Millis aNow);
+
   // Handles timeouts and periodic work. Must be called at `NextDeadline()`; may
   // be called at any time.
   Effects Tick(Millis aNow);
--- a/packages/routing/routing.thrift
+++ b/packages/routing/routing.thrift
@@ -7,6 +7,8 @@
   1: string serviceId
   2: i32 servers
   3: i32 freeSlots
+  // Of the servers, those in evacuated zones; set only if there are any.
+  4: optional i32 evacuatedServers
 }
 
 struct WorkspaceUse {
@@ -15,11 +17,18 @@
   2: i32 requests
 }
 
+struct EvacuatedZones {
+  1: i64 index
+  2: list<string> zones
+}
+
 struct Digest {
   1: i64 version
   2: bool delta
   3: list<ServiceDigest> services
   4: list<WorkspaceUse> workspaces
+  // Set in full digests once a zone has been evacuated.
+  5: optional EvacuatedZones evacuated
 }
 
 struct HomeClaim {
--- a/packages/routing/server_table.cc
+++ b/packages/routing/server_table.cc
@@ -260,8 +260,10 @@
 {
   const HomeServer& server = At(aServer);
   bool free = server.ledger.FreeSlots() > 0 || mOptions.testOnly.ignoreSlots;
-  mPools[server.serviceIndex].SetCandidate(
-    aServer, server.identity->zone == mZone, free && IsUsable(server, aNow));
+  mPools[server.serviceIndex].SetCandidate(aServer,
+                                           server.identity->zone == mZone,
+                                           free && IsUsable(server, aNow) &&
+                                             !IsAvoided(server));
 }
 
 Millis
@@ -450,6 +452,10 @@
     }
     Capacity& capacity = aCapacities[it->serviceIndex];
     ++capacity.servers;
+    capacity.evacuatedServers += IsEvacuated(*it) ? 1 : 0;
+    if (IsAvoided(*it)) {
+      continue;
+    }
     uint32_t elsewhere = it->ledger.OccupiedElsewhere();
     uint32_t slots = it->ledger.Slots();
     capacity.slots += slots - std::min(slots, elsewhere);
@@ -457,6 +463,26 @@
   }
 }
 
+void
+ServerTable::SetEvacuatedZones(std::set<ZoneId> aZones)
+{
+  mEvacuatedZones = std::move(aZones);
+}
+
+void
+ServerTable::SetAvoidEvacuated(uint32_t aService, bool aAvoid, Millis aNow)
+{
+  if (aService >= mAvoidEvacuated.size()) {
+    mAvoidEvacuated.resize(aService + 1);
+  }
+  mAvoidEvacuated[aService] = aAvoid;
+  for (ServerIndex n = 0; n < mServers.size(); ++n) {
+    if (mServers[n] && mServers[n]->serviceIndex == aService) {
+      UpdateCandidate(n, aNow);
+    }
+  }
+}
+
 bool
 ServerTable::HasServers(uint32_t aService) const
 {
@@ -471,7 +497,7 @@
 {
   return std::any_of(mServers.begin(), mServers.end(), [&](const auto& it) {
     return it && it->serviceIndex == aService && !it->leaving &&
-           !it->health.Ejected() &&
+           !it->health.Ejected() && !IsAvoided(*it) &&
            std::none_of(aTried.begin(), aTried.end(), [&](const auto& x) {
              return x->id == it->identity->id;
            });
--- a/packages/routing/server_table.h
+++ b/packages/routing/server_table.h
@@ -18,6 +18,7 @@
 #include "routing/slot_ledger.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -124,11 +125,19 @@
   // Time until the server should announce itself again.
   Millis RenewAfter(ServerIndex aServer, Millis aNow) const;
 
+  // Servers of these zones are counted as evacuated from now on.
+  void SetEvacuatedZones(std::set<ZoneId> aZones);
+
+  // Sets whether servers of evacuated zones get no new work of the service.
+  void SetAvoidEvacuated(uint32_t aService, bool aAvoid, Millis aNow);
+
   // Servers that accept new work, now or after their takeover wait, and their
-  // slots.
+  // slots. Slots of avoided servers do not count.
   struct Capacity
   {
     uint32_t servers = 0;
+    // Of `servers`, those in evacuated zones.
+    uint32_t evacuatedServers = 0;
     // Slots available to this instance, used or free: all slots except those
     // lent to other instances and those occupied by unattributed work.
     uint32_t slots = 0;
@@ -183,6 +192,16 @@
                      Millis aNow);
   ServerRef Remove(ServerIndex aServer, Millis aNow);
   bool IsUsable(const HomeServer& aServer, Millis aNow) const;
+  bool IsEvacuated(const HomeServer& aServer) const
+  {
+    return mEvacuatedZones.contains(aServer.identity->zone);
+  }
+  // True if the server gets no new work, because its zone is evacuated.
+  bool IsAvoided(const HomeServer& aServer) const
+  {
+    return aServer.serviceIndex < mAvoidEvacuated.size() &&
+           mAvoidEvacuated[aServer.serviceIndex] && IsEvacuated(aServer);
+  }
   void UpdateCandidate(ServerIndex aServer, Millis aNow);
   void RecordAttemptOutcome(HomeServer& aServer,
                             const AttemptOutcome& aOutcome,
@@ -207,6 +226,9 @@
   std::unordered_map<ServerId, RemovedServer> mRemovedServers;
   // Indexed by service.
   std::vector<ServerPool> mPools;
+  std::set<ZoneId> mEvacuatedZones;
+  // Indexed by service; may be shorter than the number of services.
+  std::vector<bool> mAvoidEvacuated;
   uint64_t mEjections = 0;
   uint64_t mReadmissions = 0;
   uint64_t mEjectionsWithheld = 0;
