Provide the guarantees of evacuated zones elsewhere, or raise an alarm

The plan of a configuration pins each guaranteed shape to a zone. While the zone is evacuated, nobody provided its shapes, and nothing showed it.

The control leader and the zone authorities compute the plan without the racks of the evacuated zones. Shapes keep their zones where possible. If the remaining zones cannot satisfy all guarantees, the accepted plan stays and the leader raises zone_evacuation_breaks_guarantees. Without evacuated zones, the accepted plan is used unchanged.

--- a/packages/control/control_group.cc
+++ b/packages/control/control_group.cc
@@ -1,6 +1,7 @@
 #include "control/control_group.h"
 
 #include "base/error.h"
+#include "control/evacuated_plan.h"
 
 #include <algorithm>
 #include <set>
@@ -42,6 +43,16 @@
   return order;
 }
 
+std::set<ZoneId>
+EvacuatedZonesOf(const ControlState& aState)
+{
+  std::set<ZoneId> zones;
+  for (const auto& [zone, evacuation] : aState.EvacuatedZones()) {
+    zones.insert(zone);
+  }
+  return zones;
+}
+
 membership::InstanceStatus
 StatusOf(const gen::Heartbeat& aHeartbeat)
 {
@@ -380,6 +391,7 @@
     return;
   }
   ConfirmState(aNow);
+  UpdateEvacuatedPlan();
   PushUpdates(aNow);
   if (aNow >= mNextMaintenance || mOrdersChanged) {
     AssignJobs(aNow);
@@ -479,6 +491,39 @@
   }
 }
 
+void
+ControlGroup::UpdateEvacuatedPlan()
+{
+  std::pair key(mState.Version(), mState.EvacuationIndex());
+  if (!mState.Configuration() || (mAssigner && mPlannedFor == key)) {
+    return;
+  }
+  mPlannedFor = key;
+  model::PlannedDocument planned = mState.Configuration()->planned;
+  EvacuatedPlan evacuated = PlanWithout(EvacuatedZonesOf(mState), planned);
+  planned.plan = std::move(evacuated.plan);
+  mAssigner.emplace(planned);
+  constexpr const char* kAlarm = "zone_evacuation_breaks_guarantees";
+  if (evacuated.missing.empty()) {
+    if (mAlarms.erase(kAlarm) > 0) {
+      mEnvironment.Log(LogEvent("alarm_ended").Add("reason", kAlarm));
+    }
+    return;
+  }
+  // Names the first guarantee; the number shows whether there are more.
+  const model::Fault& first = evacuated.missing.front();
+  std::string detail = std::to_string(evacuated.missing.size()) +
+                       " faults without the evacuated zones; " + first.path +
+                       ": " + first.value + ", expected " + first.expected;
+  auto [alarm, added] =
+    mAlarms.try_emplace(kAlarm, QuerySources::Alarm{ kAlarm, "", WallNow() });
+  alarm->second.detail = detail;
+  if (added) {
+    mEnvironment.Log(
+      LogEvent("alarm").Add("reason", kAlarm).Add("detail", detail));
+  }
+}
+
 void
 ControlGroup::AssignJobs(Millis aNow)
 {
@@ -486,14 +531,7 @@
       mState.Jobs().Unassigned().empty()) {
     return;
   }
-  if (!mAssigner || mAssignerVersion != mState.Version()) {
-    mAssigner.emplace(mState.Configuration()->planned);
-    mAssignerVersion = mState.Version();
-  }
-  std::set<ZoneId> evacuated;
-  for (const auto& [zone, evacuation] : mState.EvacuatedZones()) {
-    evacuated.insert(zone);
-  }
+  std::set<ZoneId> evacuated = EvacuatedZonesOf(mState);
   auto chosen = mAssigner->Assign(mState.Jobs(), mInstances, aNow, evacuated);
   if (chosen.empty()) {
     return;
--- a/packages/control/control_group.h
+++ b/packages/control/control_group.h
@@ -154,6 +154,9 @@
   // of earlier leaders have been applied.
   void ConfirmState(Millis aNow);
   void LogZoneOrders(const std::map<ZoneId, ZoneEvacuation>& aBefore);
+  // Plans the guarantees anew after a change of the configuration or of the
+  // evacuated zones, and raises or ends the alarm for missing ones.
+  void UpdateEvacuatedPlan();
   void AssignJobs(Millis aNow);
   void FenceUnreachableZones(Millis aNow);
   void MeasureConvergence(Millis aNow);
@@ -177,8 +180,9 @@
   membership::InstanceTable mInstances;
   std::map<ZoneId, membership::LeaseVoter> mTieBreakers;
   std::optional<Assigner> mAssigner;
-  // Configuration version that `mAssigner` was built from.
-  ConfigVersion mAssignerVersion;
+  // Configuration version and evacuation index that `mAssigner` and the alarm
+  // `zone_evacuation_breaks_guarantees` are based on.
+  std::pair<ConfigVersion, uint64_t> mPlannedFor;
   // At most one assignment command and one membership change are proposed at a
   // time.
   bool mAssignInFlight = false;
--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -1,5 +1,6 @@
 #include "daemon/instance_core.h"
 
+#include "control/evacuated_plan.h"
 #include "model/delta.h"
 
 #include <nlohmann/json.hpp>
@@ -257,8 +258,13 @@
       LogEvent(evacuated ? "own_zone_evacuated" : "own_zone_restored")
         .Add("zone", mSettings.zone));
   }
-  if (mAuthority && evacuated != mAuthority->Evacuated()) {
-    mAuthority->SetEvacuated(evacuated, aNow);
+  if (mAuthority) {
+    if (evacuated != mAuthority->Evacuated()) {
+      mAuthority->SetEvacuated(evacuated, aNow);
+    }
+    if (mPlanned) {
+      ConfigureAuthority(aNow);
+    }
     mNextTick = aNow;
   }
   mEnvironment.OnEvacuatedZones(mEvacuationIndex, mEvacuatedZones);
@@ -353,7 +359,7 @@
     LogEvent("configuration_in_force").Add("version", inForce.version));
   mEnvironment.OnConfigurationInForce(inForce, *mPlanned);
   if (mAuthority) {
-    mAuthority->OnConfiguration(*mPlanned, MonotonicNow());
+    ConfigureAuthority(MonotonicNow());
   }
   // Report the new version with the next tick.
   mNextHeartbeat = Millis();
@@ -412,11 +418,23 @@
                      .Add("zone", mSettings.zone)
                      .Add("epoch", mCandidate.CurrentEpoch()));
   if (mPlanned) {
-    mAuthority->OnConfiguration(*mPlanned, aNow);
+    ConfigureAuthority(aNow);
   }
   SendHeartbeat(aNow);
 }
 
+void
+InstanceCore::ConfigureAuthority(Millis aNow)
+{
+  if (mEvacuatedZones.empty()) {
+    mAuthority->OnConfiguration(*mPlanned, aNow);
+    return;
+  }
+  model::PlannedDocument planned = *mPlanned;
+  planned.plan = control::PlanWithout(mEvacuatedZones, planned).plan;
+  mAuthority->OnConfiguration(planned, aNow);
+}
+
 void
 InstanceCore::LoseAuthority()
 {
--- a/packages/daemon/instance_core.h
+++ b/packages/daemon/instance_core.h
@@ -115,6 +115,9 @@
   void ApplyElectionOutput(const membership::CandidateOutput& aOutput,
                            Millis aNow);
   void BecomeAuthority(Millis aNow);
+  // Passes the configuration to the zone authority, with the plan that applies
+  // while zones are evacuated.
+  void ConfigureAuthority(Millis aNow);
   void LoseAuthority();
   void SendHeartbeat(Millis aNow);
   void RequestConfiguration(Millis aNow);
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -17,12 +17,14 @@
 namespace gen = control::gen;
 using nlohmann::json;
 
+// The guarantees take one worker in each zone.
 constexpr const char* kDocument = R"({"zones":["sogn","voss"],
   "racks":[{"id":"r1","zone":"sogn","workers":4,"acceleratorsPerWorker":8,
             "coresPerWorker":64,"memoryMbPerWorker":100000},
            {"id":"r2","zone":"voss","workers":4,"acceleratorsPerWorker":8,
             "coresPerWorker":64,"memoryMbPerWorker":100000}],
-  "workspaces":[{"id":"surveys","guarantees":[],
+  "workspaces":[{"id":"surveys","guarantees":[
+    {"shape":{"accelerators":8,"closeness":"worker"},"count":2}],
     "quota":{"accelerators":32,"jobs":100,"requests":100}}],
   "services":[]})";
 
@@ -128,10 +130,10 @@
     EXPECT_TRUE(Apply(command).changes.empty());
   }
 
-  void Order(bool aEvacuate)
+  void Order(bool aEvacuate, const char* aZone = "sogn")
   {
     gen::ZoneOrder order;
-    order.zone = "sogn";
+    order.zone = aZone;
     order.by = "ada";
     gen::Command command;
     if (aEvacuate) {
@@ -207,6 +209,9 @@
     mCore->OnControl(kLeader, message, now);
   }
 
+  // Number of active alarms of the zone authority.
+  size_t Alarms() const { return mCore->Authority()->Alarms().size(); }
+
   size_t Calls(const char* aAction) const
   {
     return static_cast<size_t>(std::count(calls.begin(), calls.end(), aAction));
@@ -461,6 +466,24 @@
   EXPECT_EQ(zone.Calls("start"), 1U);
 }
 
+// The guarantees of an evacuated zone must be provided by the other ones. The
+// zone's only live worker holds its own shape but not also that of the other
+// zone, which the authority reports.
+TEST(ZoneEvacuation, GuaranteesMoveToTheRemainingZone)
+{
+  Zone zone;
+  zone.workerAnnounced = true;
+  zone.Elect();
+  zone.RunFor(Seconds(30));
+  EXPECT_EQ(zone.Alarms(), 0U);
+  zone.Order(true, "voss");
+  zone.RunFor(Seconds(30));
+  EXPECT_EQ(zone.Alarms(), 1U);
+  zone.Order(false, "voss");
+  zone.RunFor(Seconds(30));
+  EXPECT_EQ(zone.Alarms(), 0U);
+}
+
 // A message of an earlier leader that arrives late must not end an evacuation.
 TEST(ZoneEvacuation, LateMessageDoesNotEndIt)
 {
