Return a job from every evacuation, and answer 503 to an unknown command

A start that was refused after its attempt had been abandoned marked the job as being returned although it already had been. If the job was assigned to the zone again, a later evacuation did not return it. The mark now ends with the next assignment.

A leader of an earlier version rejects a zone order as an unknown command. The instance answered 404, as for an unknown zone; it now answers 503, so that the order is sent again.

JobIsReturnedFromEachEvacuation and CommandUnknownToTheLeaderIsNoUnknownZone failed without the changes.

--- a/packages/daemon/instance_api.cc
+++ b/packages/daemon/instance_api.cc
@@ -428,7 +428,10 @@
                                 { "evacuated", evacuate },
                                 { "repeated", aAnswer.result.repeated } }));
                     } else {
-                      done(Refuse(404, aAnswer.result.reason));
+                      // Any other reason is that of a leader of a version that
+                      // does not know the command.
+                      bool unknown = aAnswer.result.reason == "unknown_zone";
+                      done(Refuse(unknown ? 404 : 503, aAnswer.result.reason));
                     }
                   });
 }
--- a/packages/daemon/zone_authority.cc
+++ b/packages/daemon/zone_authority.cc
@@ -201,6 +201,8 @@
         continue;
       }
       mOrders[id].spec = spec.value;
+      // May be left over from an earlier assignment that ended otherwise.
+      mJobsBeingReturned.erase(id);
       JobAssigned assigned;
       assigned.job = id;
       assigned.spec = std::move(spec.value);
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace limpetwood::daemon {
 namespace {
@@ -232,6 +233,10 @@
   // Whether the leader's messages contain the evacuated zones.
   bool tellsEvacuation = true;
   bool stateIncomplete = false;
+  // The leader answers no proposals until this is false again.
+  bool holdProposals = false;
+  // The leader rejects every command with this reason if it is not empty.
+  std::string rejectReason;
   // Actions that the worker was asked for.
   std::vector<std::string> calls;
 
@@ -290,10 +295,16 @@
   void Deliver()
   {
     while (!mMessages.empty() || !mWorkerAnswers.empty()) {
+      if (!holdProposals) {
+        std::move(mHeld.begin(), mHeld.end(), std::back_inserter(mMessages));
+        mHeld.clear();
+      }
       auto messages = std::move(mMessages);
       mMessages.clear();
       for (const auto& [to, message] : messages) {
-        if (to == kSelf) {
+        if (message.__isset.propose && holdProposals) {
+          mHeld.emplace_back(to, message);
+        } else if (to == kSelf) {
           mCore->OnControl(kSelf, message, now);
         } else if (leaderReachable) {
           AnswerAsLeader(message);
@@ -315,9 +326,15 @@
       gen::ProposeReply reply;
       reply.id = aMessage.propose.id;
       reply.verdict = static_cast<int32_t>(Verdict::kAnswered);
-      reply.__set_result(control::Decode<gen::CommandResult>(
-                           state.Apply(++mIndex, aMessage.propose.command))
-                           .Value());
+      gen::CommandResult result;
+      if (rejectReason.empty()) {
+        result = control::Decode<gen::CommandResult>(
+                   state.Apply(++mIndex, aMessage.propose.command))
+                   .Value();
+      } else {
+        result.reason = rejectReason;
+      }
+      reply.__set_result(result);
       gen::ControlMessage message;
       message.__set_proposeReply(reply);
       mCore->OnControl(kLeader, message, now);
@@ -327,6 +344,7 @@
   uint64_t mIndex = 0;
   Millis mNextRenewal;
   std::vector<std::pair<InstanceId, gen::ControlMessage>> mMessages;
+  std::vector<std::pair<InstanceId, gen::ControlMessage>> mHeld;
   std::vector<std::function<void(WorkerAnswer)>> mWorkerAnswers;
   std::optional<InstanceCore> mCore;
 };
@@ -419,6 +437,36 @@
   EXPECT_TRUE(zone.Job("a").zone.empty());
 }
 
+// A start that is refused after its attempt was abandoned must not prevent the
+// return of the job from a later evacuation.
+TEST(ZoneEvacuation, JobIsReturnedFromEachEvacuation)
+{
+  Zone zone;
+  zone.workerAnnounced = true;
+  zone.Elect();
+  zone.RunFor(Seconds(6));
+  zone.holdProposals = true;
+  zone.SubmitAndAssign("a");
+  zone.RunFor(Millis(1500));
+  ASSERT_EQ(zone.Calls("prepare"), 1U);
+  zone.Order(true);
+  zone.SendReply(0);
+  // The job is returned after the delay of a retry, before the held start is
+  // answered.
+  zone.RunFor(Millis(2500));
+  EXPECT_EQ(zone.Calls("release"), 1U);
+  zone.holdProposals = false;
+  zone.RunFor(Seconds(3));
+  EXPECT_TRUE(zone.Job("a").zone.empty());
+  zone.Order(false);
+  zone.Assign("a");
+  zone.Order(true);
+  zone.RunFor(Seconds(5));
+  EXPECT_TRUE(zone.Job("a").zone.empty());
+  EXPECT_EQ(zone.Job("a").state, model::JobState::kQueued);
+  EXPECT_EQ(zone.Calls("start"), 0U);
+}
+
 // While it is cut off, an authority starts jobs again without a commit. It must
 // not do so in a zone that it knows to be evacuated.
 TEST(ZoneEvacuation, CutOffAuthorityStartsNothing)
@@ -546,6 +594,19 @@
     404);
 }
 
+// During an upgrade, a leader of an earlier version does not know the command.
+// The zone must not be reported as unknown, so that the order is sent again.
+TEST(ZoneOrders, CommandUnknownToTheLeaderIsNoUnknownZone)
+{
+  Zone zone;
+  zone.RunFor(Seconds(1));
+  zone.rejectReason = "unknown_command";
+  ApiAnswer answer = zone.Call(
+    "POST", "/v1/zones/evacuate", R"({"zone":"sogn","by":"ada"})", "k1");
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(answer.body.find("not_run"), std::string::npos);
+}
+
 // The operator must see every fault of a malformed order at once, and a wrong
 // method must not be taken for an order.
 TEST(ZoneOrders, EveryFaultIsListed)
