--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -1,5 +1,6 @@
 #include "daemon/instance_core.h"
 
+#include "control/evacuated_plan.h"
 #include "model/delta.h"
 
 #include <nlohmann/json.hpp>
@@ -211,9 +212,18 @@
   if (aReply.sentAtMs > 0) {
     mCandidate.OnLeaderContact(Millis(aReply.sentAtMs));
   }
+  if (aReply.__isset.evacuated) {
+    OnEvacuatedZones(aReply.evacuated, aNow);
+  }
   if (!mAuthority || !mCandidate.IsAuthority(aNow)) {
     return;
   }
+  // A pushed message or an answer to an earlier heartbeat may have been sent
+  // before the election, with an evacuation state that is out of date.
+  if (aReply.sentAtMs > 0 && Millis(aReply.sentAtMs) >= mAuthoritySince &&
+      !aReply.stateIncomplete) {
+    mAuthority->OnLeaderContact(aNow);
+  }
   // Ignore a reply whose orders begin after the last known index, because the
   // orders in between would be missing. The next heartbeat requests them.
   if (!aReply.__isset.afterIndex ||
@@ -227,6 +237,39 @@
   }
 }
 
+void
+InstanceCore::OnEvacuatedZones(const gen::EvacuatedZones& aEvacuated,
+                               Millis aNow)
+{
+  auto index = static_cast<uint64_t>(aEvacuated.index);
+  if (index <= mEvacuationIndex) {
+    return;
+  }
+  std::set<ZoneId> zones;
+  for (const std::string& it : aEvacuated.zones) {
+    zones.emplace(it);
+  }
+  mEvacuationIndex = index;
+  bool wasEvacuated = mEvacuatedZones.contains(mSettings.zone);
+  mEvacuatedZones = std::move(zones);
+  bool evacuated = mEvacuatedZones.contains(mSettings.zone);
+  if (evacuated != wasEvacuated) {
+    mEnvironment.Log(
+      LogEvent(evacuated ? "own_zone_evacuated" : "own_zone_restored")
+        .Add("zone", mSettings.zone));
+  }
+  if (mAuthority) {
+    if (evacuated != mAuthority->Evacuated()) {
+      mAuthority->SetEvacuated(evacuated, aNow);
+    }
+    if (mPlanned) {
+      ConfigureAuthority(aNow);
+    }
+    mNextTick = aNow;
+  }
+  mEnvironment.OnEvacuatedZones(mEvacuationIndex, mEvacuatedZones);
+}
+
 void
 InstanceCore::RequestConfiguration(Millis aNow)
 {
@@ -316,7 +359,7 @@
     LogEvent("configuration_in_force").Add("version", inForce.version));
   mEnvironment.OnConfigurationInForce(inForce, *mPlanned);
   if (mAuthority) {
-    mAuthority->OnConfiguration(*mPlanned, MonotonicNow());
+    ConfigureAuthority(MonotonicNow());
   }
   // Report the new version with the next tick.
   mNextHeartbeat = Millis();
@@ -369,15 +412,29 @@
                                                mSettings.timings.workerLease,
                                                mEnvironment,
                                                mLeader);
+  mAuthoritySince = aNow;
+  mAuthority->SetEvacuated(mEvacuatedZones.contains(mSettings.zone), aNow);
   mEnvironment.Log(LogEvent("zone_authority")
                      .Add("zone", mSettings.zone)
                      .Add("epoch", mCandidate.CurrentEpoch()));
   if (mPlanned) {
-    mAuthority->OnConfiguration(*mPlanned, aNow);
+    ConfigureAuthority(aNow);
   }
   SendHeartbeat(aNow);
 }
 
+void
+InstanceCore::ConfigureAuthority(Millis aNow)
+{
+  if (mEvacuatedZones.empty()) {
+    mAuthority->OnConfiguration(*mPlanned, aNow);
+    return;
+  }
+  model::PlannedDocument planned = *mPlanned;
+  planned.plan = control::PlanWithout(mEvacuatedZones, planned).plan;
+  mAuthority->OnConfiguration(planned, aNow);
+}
+
 void
 InstanceCore::LoseAuthority()
 {
