--- a/packages/fleet/caller_cost.cc
+++ b/packages/fleet/caller_cost.cc
@@ -101,7 +101,7 @@
     Millis time = mForecast.ExpectedTime(aJob.queue, it.estimate);
     out += ResourceWeight(it.resources) * it.tasks * SecondsOf(time);
   }
-  return out * aJob.spec.OccurrenceCount();
+  return out;
 }
 
 double
--- a/packages/fleet/caller_cost.h
+++ b/packages/fleet/caller_cost.h
@@ -1,8 +1,8 @@
 // What callers lose when jobs are delayed, in one unit for all decisions.
 //
-// Answers a load with too little room: an urgent job can start at once only if
-// others are stopped, and stopping costs the work done so far, may make the
-// stopped job late, and takes capacity from everybody who waits. The unit is
+// Addresses a load with too little capacity: an urgent job can start at once
+// only if others are stopped, and stopping costs the work done so far, may make
+// the stopped job late, and takes capacity from waiting jobs. The unit is
 // the core-second. Lost work counts as it is; the value of a job is converted
 // by the value that a core-second yields in the jobs at hand, so that work is
 // lost only for something worth more.
@@ -62,7 +62,7 @@
                    Millis aTotal) const;
 
 private:
-  // Work of the whole job in core-seconds.
+  // Work of one occurrence in core-seconds.
   double WorkOf(const Job& aJob) const;
   // Expected run time of the job in seconds.
   double RunSecondsOf(const Job& aJob) const;
--- a/packages/fleet/caller_cost_test.cc
+++ b/packages/fleet/caller_cost_test.cc
@@ -26,6 +26,7 @@
     step.tasks = aTasks;
     step.resources.accelerators = 8;
     step.estimate = aEstimate;
+    spec.occurrences = mOccurrences;
     gen::SubmitJob job;
     job.id = aId;
     job.queue = "queue-" + std::to_string(aPriority);
@@ -47,6 +48,7 @@
 
   FleetState mState;
   Forecast mForecast;
+  uint32_t mOccurrences = 0;
 };
 
 TEST_F(CallerCostTest, UrgentAndLargerResultsAreWorthMore)
@@ -62,10 +64,9 @@
 }
 
 // An urgent job may displace work up to what callers gain, not any work.
-TEST_F(CallerCostTest, GainIsBoundedByTheValueOfWorkAtHand)
+TEST_F(CallerCostTest, GainFollowsTheValueOfWorkAtHand)
 {
   const Job& urgent = Submit("a", 0, Seconds(2));
-  CostAt(Millis(0));
   // One job alone: a core-second is worth what its own work is.
   double work = 2 * 64;
   EXPECT_NEAR(CostAt(Millis(0)).GainInTime(urgent), 0.75 * work, 1e-6);
@@ -74,6 +75,17 @@
   EXPECT_GT(CostAt(Millis(0)).GainInTime(urgent), 0.75 * work);
 }
 
+// A recurring job must not make every core-second look worthless.
+TEST_F(CallerCostTest, OccurrencesDoNotChangeTheValueOfWork)
+{
+  const Job& urgent = Submit("a", 0, Seconds(2));
+  Submit("b", 2, Seconds(2));
+  double once = CostAt(Millis(0)).GainInTime(urgent);
+  mOccurrences = 1000;
+  Submit("c", 2, Seconds(2));
+  EXPECT_LE(CostAt(Millis(0)).GainInTime(urgent), once * 2);
+}
+
 TEST_F(CallerCostTest, RestartCostsWhatMakesTheResultLate)
 {
   const Job& job = Submit("a", 1, Seconds(10));
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -55,7 +55,11 @@
   Millis reportedAt =
     aNow - aSilence - mOptions.heartbeatInterval * (kMaxMissedReports - 1);
   for (const auto& [id, worker] : aState.Workers()) {
-    LinkOf(worker, aNow).reportedAt = reportedAt;
+    WorkerLink& link = LinkOf(worker, aNow);
+    link.reportedAt = reportedAt;
+    // The stored report may be old; the next one says whether the worker is
+    // slow.
+    link.coldUntil = aNow;
     if (worker.speed) {
       mSpeeds.Restore(id, *worker.speed);
     }
@@ -156,7 +160,8 @@
     if (stored.draining == aReport.draining &&
         stored.capacity == aReport.capacity &&
         stored.address == aReport.address &&
-        stored.service == aReport.service && stored.labels == aReport.labels) {
+        stored.service == aReport.service && stored.zone == aReport.zone &&
+        stored.rack == aReport.rack && stored.labels == aReport.labels) {
       return false;
     }
   }
@@ -297,6 +302,7 @@
     mProposals.OnRemovalCommitted(WorkerId(it.id));
     if (mState.FindWorker(WorkerId(it.id)) == nullptr) {
       mLinks.erase(WorkerId(it.id));
+      mSpeeds.Forget(WorkerId(it.id));
     }
   }
   for (const gen::WorkerReport& it : aCommand.workers) {
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -174,6 +174,8 @@
                      const Worker& aWorker,
                      WorkerLink& aLink,
                      Millis aNow);
+  // Why the run was stopped, as far as this leader knows.
+  StopReason StopReasonOf(const EndedRun& aEnd, const WorkerLink& aLink) const;
   // Proposes the end of a run that the worker does not list.
   void ProposeLostRun(const Worker& aWorker,
                       const RunRef& aRun,
--- a/packages/fleet/dispatcher_evacuation_test.cc
+++ b/packages/fleet/dispatcher_evacuation_test.cc
@@ -88,6 +88,7 @@
   AddZone("b", 1);
   mFleet.HoldCommits(true);
   mFleet.Submit(kJob, Tasks(1, 8));
+  ASSERT_TRUE(mFleet.GetDispatcher().HasCommand());
   mFleet.Evacuate("a");
   mFleet.HoldCommits(false);
   mFleet.Advance(Millis(50));
@@ -156,6 +157,9 @@
   mFleet.AnswerRenewal("a-1", mFleet.EmptyRenewalResult());
   Run(Seconds(1));
   EXPECT_TRUE(Starts().empty());
+  mFleet.Restore("a");
+  mFleet.Advance(Millis(50));
+  EXPECT_EQ(Starts().size(), 1U);
 }
 
 // Guards against a burst on a zone that has just been restored: its workers may
--- a/packages/fleet/dispatcher_pace_test.cc
+++ b/packages/fleet/dispatcher_pace_test.cc
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace limpetwood::fleet {
 namespace {
 
@@ -24,6 +27,13 @@
 class PaceTest : public ::testing::Test
 {
 protected:
+  struct ActiveRun
+  {
+    WorkerId worker;
+    RunRef run;
+    Millis since;
+  };
+
   explicit PaceTest(DispatcherOptions aOptions = CallerCostOptions())
     : mFleet(aOptions)
   {
@@ -53,7 +63,7 @@
     for (Millis end = mFleet.Now() + aTime; mFleet.Now() < end;) {
       for (const Order& it : mFleet.TakeOrders(Order::Kind::kStart)) {
         mFleet.Answer(it, OrderResult::Outcome::kAnswered);
-        mRuns[it.worker] = { it.run, mFleet.Now() };
+        mRuns.push_back({ it.worker, it.run, mFleet.Now() });
       }
       for (const Order& it : mFleet.TakeOrders(Order::Kind::kStop)) {
         mFleet.Answer(it, OrderResult::Outcome::kAnswered);
@@ -76,22 +86,23 @@
   void Renew(const WorkerId& aWorker, double aPercentPerSecond)
   {
     OrderResult result = mFleet.EmptyRenewalResult();
-    auto run = mRuns.find(aWorker);
-    if (run != mRuns.end()) {
-      const auto& [ref, since] = run->second;
-      double seconds =
-        static_cast<double>((mFleet.Now() - since).Count()) / 1000;
-      double rate = aPercentPerSecond / (mSlow.contains(aWorker) ? 10 : 1);
-      if (mStopped.contains(ref)) {
+    double rate = aPercentPerSecond / (mSlow.contains(aWorker) ? 10 : 1);
+    std::erase_if(mRuns, [&](const ActiveRun& it) {
+      if (it.worker != aWorker) {
+        return false;
+      }
+      if (mStopped.contains(it.run) && !mEndsHeld) {
         result.ended.push_back({ .number = ++mEnds[aWorker],
-                                 .run = ref,
+                                 .run = it.run,
                                  .kind = EndKind::kStopped });
-        mRuns.erase(run);
-      } else {
-        result.running.push_back(
-          { .run = ref, .percent = static_cast<int32_t>(seconds * rate) });
+        return true;
       }
-    }
+      double seconds =
+        static_cast<double>((mFleet.Now() - it.since).Count()) / 1000;
+      result.running.push_back(
+        { .run = it.run, .percent = static_cast<int32_t>(seconds * rate) });
+      return false;
+    });
     mFleet.AnswerRenewal(aWorker.Value(), result);
   }
 
@@ -116,10 +127,12 @@
   static constexpr int kWorkers = 6;
   FleetFixture mFleet;
   std::set<WorkerId> mSlow;
-  std::map<WorkerId, std::pair<RunRef, Millis>> mRuns;
+  std::vector<ActiveRun> mRuns;
   std::map<WorkerId, uint64_t> mEnds;
   std::set<RunRef> mStopped;
   Millis mReportedAt{};
+  // Workers do not report the ends of stopped runs.
+  bool mEndsHeld = false;
 };
 
 class PriorityPaceTest : public PaceTest
@@ -151,14 +164,19 @@
   mFleet.Submit(kJob, SingleTasks(5));
   for (const Order& it : mFleet.TakeOrders(Order::Kind::kStart)) {
     mFleet.Answer(it, OrderResult::Outcome::kAnswered);
-    mRuns[it.worker] = { it.run, mFleet.Now() };
+    mRuns.push_back({ it.worker, it.run, mFleet.Now() });
   }
   ASSERT_EQ(mRuns.size(), 5U);
   // Where the task goes next is as slow.
-  mSlow.insert(mRuns.begin()->first);
+  mSlow.insert(mRuns.front().worker);
   for (int n = 1; n <= kWorkers; ++n) {
-    if (!mRuns.contains(WorkerId(Worker(n)))) {
-      mSlow.insert(WorkerId(Worker(n)));
+    WorkerId worker(Worker(n));
+    bool idle =
+      std::none_of(mRuns.begin(), mRuns.end(), [&](const ActiveRun& it) {
+        return it.worker == worker;
+      });
+    if (idle) {
+      mSlow.insert(worker);
     }
   }
   EXPECT_EQ(Play(Seconds(15), 6), 1);
@@ -170,9 +188,8 @@
 {
   mFleet.Submit(kJob, SingleTasks(5));
   Play(Millis(100), 6);
-  WorkerId slow = mRuns.begin()->first;
-  TaskRef task = mRuns.begin()->second.first.task;
-  mSlow.insert(slow);
+  TaskRef task = mRuns.front().run.task;
+  mSlow.insert(mRuns.front().worker);
   ASSERT_EQ(Play(Seconds(4), 6), 1);
   ASSERT_NE(mFleet.State().FindTask(task), nullptr);
   EXPECT_TRUE(mFleet.State().FindTask(task)->movedForPace);
@@ -181,6 +198,45 @@
   EXPECT_TRUE(restored.FindTask(task)->movedForPace);
 }
 
+// The stop is requested by one leader, and its end reported to the next.
+TEST_F(PaceTest, MoveOutlivesAChangeOfLeader)
+{
+  mFleet.Submit(kJob, SingleTasks(5));
+  Play(Millis(100), 6);
+  ActiveRun run = mRuns.front();
+  mSlow.insert(run.worker);
+  mEndsHeld = true;
+  for (int n = 0; n < 100 && mStopped.empty(); ++n) {
+    Play(Millis(100), 6);
+  }
+  ASSERT_EQ(mStopped.count(run.run), 1U);
+  mFleet.DropOrders();
+  mFleet.ChangeLeader();
+  mEndsHeld = false;
+  for (int n = 1; n <= kWorkers; ++n) {
+    mFleet.Heartbeat(Worker(n));
+  }
+  Play(Seconds(1), 6);
+  const Task* task = mFleet.State().FindTask(run.run.task);
+  EXPECT_GT(task->attempt, run.run.attempt);
+  EXPECT_TRUE(task->movedForPace);
+}
+
+// Tasks that share one slow worker have no peers on others.
+TEST_F(PaceTest, TasksTogetherOnASlowWorkerAreMoved)
+{
+  LearnShortRunTime();
+  StepSpec step = SingleTasks(4);
+  step.resources.accelerators = 2;
+  mFleet.Submit(kJob, step);
+  std::vector<Order> starts = mFleet.TakeOrders(Order::Kind::kStart);
+  ASSERT_FALSE(starts.empty());
+  mFleet.Answer(starts[0], OrderResult::Outcome::kAnswered);
+  mRuns.push_back({ starts[0].worker, starts[0].run, mFleet.Now() });
+  mSlow.insert(starts[0].worker);
+  EXPECT_GE(Play(Seconds(3), 50), 1);
+}
+
 // A task of hours gains one percent in minutes.
 TEST_F(PaceTest, TaskOfHoursIsNotStalled)
 {
@@ -188,6 +244,7 @@
   step.estimate = Hours(10);
   mFleet.Submit(kJob, step);
   EXPECT_EQ(Play(Minutes(20), 100.0 / 36'000), 0);
+  EXPECT_EQ(mFleet.State().FindJob(JobId(kJob))->activeRuns, 1U);
 }
 
 TEST_F(PaceTest, TaskThatStandsStillIsStopped)
@@ -195,8 +252,8 @@
   mFleet.Submit(kJob, SingleTasks(1));
   EXPECT_EQ(Play(Seconds(2), 20), 0);
   // At most four times the 50 ms that one percent took, but 2.5 s at least.
-  for (auto& [worker, run] : mRuns) {
-    run.second = mFleet.Now() - Seconds(2);
+  for (ActiveRun& it : mRuns) {
+    it.since = mFleet.Now() - Seconds(2);
   }
   EXPECT_GE(Play(Seconds(4), 0.0001), 1);
 }
--- a/packages/fleet/dispatcher_planning.cc
+++ b/packages/fleet/dispatcher_planning.cc
@@ -4,6 +4,7 @@
 #include "fleet/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpetwood::fleet {
 
@@ -86,12 +87,15 @@
   }
   auto run = link->second.runs.find(aStop.run);
   if (run != link->second.runs.end() && !run->second.stopRequested) {
-    LogRunEvent("run_preempted", aStop.worker, aStop.run)
-      .Add("room_for", aStop.beneficiary)
-      .Add("percent", run->second.progress.Percent())
-      .Add("cost_core_s", static_cast<int64_t>(aStop.cost))
-      .Add("max_cost_core_s", static_cast<int64_t>(aStop.maxCost))
-      .Add("lost_ms", mMonitor.CostOf(aStop.worker, aStop.run, aNow).lostWork);
+    LogEvent& event =
+      LogRunEvent("run_preempted", aStop.worker, aStop.run)
+        .Add("room_for", aStop.beneficiary)
+        .Add("percent", run->second.progress.Percent())
+        .Add("lost_ms", mMonitor.CostOf(aStop.worker, aStop.run, aNow).lostWork)
+        .Add("cost_core_s", static_cast<int64_t>(aStop.cost));
+    if (std::isfinite(aStop.maxCost)) {
+      event.Add("max_cost_core_s", static_cast<int64_t>(aStop.maxCost));
+    }
     run->second.stopRequested = true;
     run->second.stopReason = StopReason::kPreempted;
     ++mCounters.preemptions;
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -181,7 +181,8 @@
                         aRun,
                         aView.crash ? EndKind::kWorkerCrashed : EndKind::kLost,
                         aView.checkpoint,
-                        aView.crash.value_or(CrashEvidence::kNone));
+                        aView.crash.value_or(CrashEvidence::kNone),
+                        aView.stopReason);
 }
 
 void
@@ -257,6 +258,8 @@
     auto speed = mSpeeds.SpeedOf(id);
     bool changed =
       speed && (!aWorker.speed ||
+                WorkerSpeeds::ClassFor(*speed) !=
+                  WorkerSpeeds::ClassFor(*aWorker.speed) ||
                 std::abs(*speed - *aWorker.speed) > kMinRecordedSpeedChange);
     if (changed) {
       mProposals.ProposeSpeed(aWorker, *speed);
@@ -298,6 +301,19 @@
   }
 }
 
+StopReason
+Dispatcher::StopReasonOf(const EndedRun& aEnd, const WorkerLink& aLink) const
+{
+  auto run = aLink.runs.find(aEnd.run);
+  if (run == aLink.runs.end()) {
+    return StopReason::kNone;
+  }
+  const RunView& view = run->second;
+  bool unexpected = aEnd.kind == EndKind::kStopped && !view.stopRequested &&
+                    !mMonitor.MustStop(aEnd.run, view);
+  return unexpected ? StopReason::kEarlierLeader : view.stopReason;
+}
+
 void
 Dispatcher::OnRenewResult(const Order& aOrder,
                           const OrderResult& aResult,
@@ -314,9 +330,7 @@
     listed.insert(it.run);
     if (it.number > aLink.endsProposed) {
       aLink.endsProposed = it.number;
-      auto run = aLink.runs.find(it.run);
-      StopReason reason =
-        run == aLink.runs.end() ? StopReason::kNone : run->second.stopReason;
+      StopReason reason = StopReasonOf(it, aLink);
       if (mProposals.ProposeEnd(aOrder.worker,
                                 it.run,
                                 it.kind,
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -158,7 +158,8 @@
       continue;
     }
     int faultScore = 0;
-    // The tasks of one rack end with the slowest of them.
+    // Of the racks, the one is chosen whose least preferred worker is preferred
+    // most.
     int speedRank = std::numeric_limits<int>::min();
     for (size_t it : chosen) {
       faultScore += EffectiveFaultScore(aRequest, aCandidates[it]);
@@ -257,20 +258,27 @@
       const std::vector<Candidate>& aCandidates)
 {
   std::vector<Fit> fits = FindFits(aRequest, aCandidates);
-  if (!aRequest.step->gang || aRequest.speed != SpeedPreference::kFast) {
+  const StepSpec& step = *aRequest.step;
+  bool byClass =
+    step.gang && step.rack.empty() && aRequest.speed == SpeedPreference::kFast;
+  if (!byClass) {
     return PlaceOn(aRequest, aCandidates, std::move(fits));
   }
   // A gang ends with its slowest member, so one slow worker makes fast ones
   // useless to it. Of workers that are fast enough, the slowest are taken.
   PlacementRequest uniform = aRequest;
   uniform.speed = SpeedPreference::kSlow;
+  // Speed does not make up for what a second rack costs.
+  uniform.maySpanRacks = false;
   for (SpeedClass slowest : { SpeedClass::kFast, SpeedClass::kNormal }) {
     std::vector<Fit> fastEnough;
     std::copy_if(fits.begin(),
                  fits.end(),
                  std::back_inserter(fastEnough),
                  [&](const Fit& it) {
-                   return aCandidates[it.candidate].speed >= slowest;
+                   const Candidate& candidate = aCandidates[it.candidate];
+                   return candidate.speed >= slowest &&
+                          EffectiveFaultScore(aRequest, candidate) == 0;
                  });
     std::vector<size_t> out =
       PlaceOn(uniform, aCandidates, std::move(fastEnough));
@@ -278,6 +286,7 @@
       return out;
     }
   }
+  uniform.maySpanRacks = aRequest.maySpanRacks;
   return PlaceOn(uniform, aCandidates, std::move(fits));
 }
 
--- a/packages/fleet/placement_test.cc
+++ b/packages/fleet/placement_test.cc
@@ -94,6 +94,18 @@
   EXPECT_EQ(PlaceTasks(2, SpeedPreference::kSlow), (Counts{ 0, 2, 0 }));
 }
 
+// Speed does not outweigh faults: the gang would fail there again.
+TEST_F(PlacementTest, FaultyFastWorkersAreAvoided)
+{
+  Add(SpeedClass::kNormal, 2);
+  Add(SpeedClass::kFast, 2);
+  for (Candidate& it : mCandidates) {
+    it.faultScore = it.speed == SpeedClass::kFast ? 2 : 0;
+  }
+  mStep.gang = true;
+  EXPECT_EQ(PlaceTasks(2, SpeedPreference::kFast), (Counts{ 0, 2, 0 }));
+}
+
 TEST_F(PlacementTest, WithoutAPreferenceSpeedDoesNotMatter)
 {
   Add(SpeedClass::kSlow, 1);
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -5,7 +5,6 @@
 #include "fleet/reservation.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -13,6 +12,9 @@
 
 namespace {
 
+// Additional time of a task on a slow worker, in percent of its expected time.
+constexpr int64_t kMaxSlowdownPercent = 125;
+
 // Returns the tasks of one step of an occurrence that can start now.
 // A gang starts only as a whole, so none of its tasks can start while one is
 // active.
@@ -74,6 +76,17 @@
     }));
 }
 
+uint32_t
+PlannedTasksOn(const Unit& aUnit, const WorkerId& aWorker, const Plan& aPlan)
+{
+  return static_cast<uint32_t>(std::count_if(
+    aPlan.starts.begin(), aPlan.starts.end(), [&](const PlannedStart& it) {
+      const TaskRef& task = it.run.task;
+      return it.worker == aWorker && task.job == aUnit.job->id &&
+             task.occurrence == aUnit.occurrence && task.step == aUnit.step;
+    }));
+}
+
 } // namespace
 
 void
@@ -82,7 +95,9 @@
   const Job& job = *aRun.job;
   uint32_t occurrence = aRun.run.task.occurrence;
   Millis total = aRun.cost.totalTime;
-  if (aRun.remaining == Millis::Max()) {
+  // Tasks that last have no end by which they could be late.
+  if (aRun.remaining == Millis::Max() ||
+      job.spec.steps[aRun.run.task.step].longRunning) {
     return;
   }
   if (aCost.IsWorthless(job, occurrence, aRun.remaining, total)) {
@@ -383,7 +398,8 @@
   // On a slow worker the result must still be in time.
   Millis taskTime =
     aView.forecast->ExpectedTime(aUnit.job->queue, aUnit.Spec().estimate);
-  bool hasSlack = aView.wallNow + taskTime / 2 <= LatestStart(aUnit, aView);
+  Millis delay = taskTime * kMaxSlowdownPercent / 100;
+  bool hasSlack = aView.wallNow + delay <= LatestStart(aUnit, aView);
   return hasSlack ? SpeedPreference::kSlow : SpeedPreference::kNone;
 }
 
@@ -526,6 +542,10 @@
 {
   const StepSpec& step = aUnit.Spec();
   PlacementRequest request = RequestFor(aUnit, aView);
+  // Another part of the step may have been placed in this pass.
+  request.activeTasksOn = [&](const WorkerId& aWorker) {
+    return TasksOn(aUnit, aWorker) + PlannedTasksOn(aUnit, aWorker, aPlan);
+  };
   std::vector<size_t> chosen = Place(request, aView.candidates);
   for (size_t n = 0; n < chosen.size(); ++n) {
     Candidate& it = aView.candidates[chosen[n]];
@@ -578,7 +598,10 @@
 bool
 Planner::MustMeetGuarantee(const Unit& aUnit, const FleetView& aView) const
 {
-  if (WaitingTime(aUnit, aView) >= mOptions.maxGuaranteeWait) {
+  // The waiting time alone starts anew with each leader and each broken gang.
+  Millis waited =
+    std::max(WaitingTime(aUnit, aView), aView.wallNow - aUnit.due);
+  if (waited >= mOptions.maxGuaranteeWait) {
     return true;
   }
   Millis latest = LatestStart(aUnit, aView);
@@ -619,12 +642,11 @@
     .workers = choice->workers, .expiresAt = aView.now + mOptions.reclaimTimeout
   };
   for (const auto& [worker, run] : choice->victims) {
-    aPlan.stops.push_back(
-      { .run = run,
-        .worker = worker,
-        .beneficiary = aUnit.job->id,
-        .cost = choice->cost,
-        .maxCost = std::isfinite(request.maxCost) ? request.maxCost : 0 });
+    aPlan.stops.push_back({ .run = run,
+                            .worker = worker,
+                            .beneficiary = aUnit.job->id,
+                            .cost = choice->cost,
+                            .maxCost = request.maxCost });
   }
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -17,6 +17,7 @@
 #include "fleet/placement.h"
 #include "fleet/state.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -76,9 +77,10 @@
   // See `DispatcherOptions::callerCost`.
   bool callerCost = false;
   // With `callerCost`, the time for which a guaranteed unit waits for room that
-  // costs callers little, before it is given room at any cost. A quarter of the
-  // time in which a guarantee must be met.
-  Millis maxGuaranteeWait = Millis(700);
+  // costs callers little before it is given room at any cost. A failed attempt
+  // blocks the next one for `reclaimTimeout`, and both must end within the time
+  // in which a guarantee is met, 2.7 s or more.
+  Millis maxGuaranteeWait = Millis(400);
 };
 
 // Cost of stopping a run now.
@@ -150,9 +152,9 @@
   // The job of the more urgent unit.
   JobId beneficiary{};
   // The cost of all stops for the unit and the most that they may cost, in
-  // core-seconds; without a limit 0.
+  // core-seconds.
   double cost = 0;
-  double maxCost = 0;
+  double maxCost = std::numeric_limits<double>::infinity();
 };
 
 struct Plan
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -19,6 +19,11 @@
 class Fleet
 {
 public:
+  explicit Fleet(PlannerOptions aOptions = {})
+    : mPlanner(aOptions)
+  {
+  }
+
   void AddWorker(const std::string& aId, const std::string& aRack)
   {
     WorkerReport report;
@@ -82,28 +87,31 @@
                 uint32_t aIndex,
                 const std::string& aWorker,
                 Millis aLostWork,
-                Millis aRemaining)
+                Millis aRemaining,
+                uint32_t aAttempt = 1)
   {
     gen::RunStart start;
     start.task = ToWire(TaskRef{ .job = JobId(aId), .index = aIndex });
-    start.run = 1;
+    start.run = static_cast<int32_t>(aAttempt);
     start.worker = aWorker;
     start.incarnation = 1;
     gen::Command command;
     command.starts.push_back(start);
     mState.Apply(command);
     RunRef run{ .task = { .job = JobId(aId), .index = aIndex },
-                .attempt = Attempt(1) };
+                .attempt = Attempt(aAttempt) };
     mLostWork[run] = aLostWork;
     mRemaining[run] = aRemaining;
   }
 
-  // Starts the job's first task and ends it by a crash of the worker.
-  void CrashUnder(const std::string& aId, const std::string& aWorker)
+  // Starts a task of the job and ends it by a crash of the worker.
+  void CrashUnder(const std::string& aId,
+                  const std::string& aWorker,
+                  uint32_t aIndex = 0)
   {
-    StartRun(aId, 0, aWorker, Millis(0), Millis(0));
+    StartRun(aId, aIndex, aWorker, Millis(0), Millis(0));
     gen::RunEnd end;
-    end.task = ToWire(TaskRef{ .job = JobId(aId) });
+    end.task = ToWire(TaskRef{ .job = JobId(aId), .index = aIndex });
     end.run = 1;
     end.worker = aWorker;
     end.kind = static_cast<int32_t>(EndKind::kWorkerCrashed);
@@ -145,7 +153,7 @@
 
 private:
   FleetState mState;
-  Planner mPlanner{ PlannerOptions() };
+  Planner mPlanner;
   Forecast mForecast;
   Millis mNow{ 1'000'000 };
   int64_t mAccelerators = 8;
@@ -194,6 +202,58 @@
   EXPECT_EQ(fleet.Decide().starts.size(), 2U);
 }
 
+// Guards against preemption that costs callers more than the urgent job gains,
+// and against a guarantee that is not met because its room costs much.
+TEST(Planner, CostToCallersBoundsPreemptionUntilAGuaranteeIsDue)
+{
+  PlannerOptions options;
+  options.callerCost = true;
+  auto stopsWith = [&](Millis aLostWork, int64_t aGuarantee, Millis aWait) {
+    Fleet fleet(options);
+    fleet.AddWorker("w1", "r1");
+    fleet.Guarantee(aGuarantee);
+    fleet.Submit(JobName(1), StepOf(1, 8, false), 1);
+    fleet.StartRun(JobName(1), 0, "w1", aLostWork, Seconds(6));
+    fleet.Submit(JobName(2), StepOf(1, 8, false), 0);
+    size_t stops = fleet.Decide().stops.size();
+    fleet.Advance(aWait);
+    return stops + fleet.Decide().stops.size();
+  };
+  EXPECT_EQ(stopsWith(Millis(100), 0, Millis(0)), 1U);
+  EXPECT_EQ(stopsWith(Minutes(2), 0, Millis(500)), 0U);
+  EXPECT_EQ(stopsWith(Minutes(2), 8, Millis(100)), 0U);
+  EXPECT_EQ(stopsWith(Minutes(2), 8, Millis(500)), 1U);
+}
+
+// Guards against more tasks of a step on one worker than it allows, where the
+// step is planned in two parts because some of its tasks are suspects.
+TEST(Planner, LimitForAWorkerHoldsForSoundAndSuspectedTasksTogether)
+{
+  Fleet fleet;
+  for (const char* it : { "w1", "w2", "w3" }) {
+    fleet.AddWorker(it, "r1");
+  }
+  StepSpec step = StepOf(4, 1, false);
+  step.perWorkerLimit = 1;
+  fleet.Submit(JobName(1), step, 1);
+  fleet.CrashUnder(JobName(1), "w1", 0);
+  fleet.CrashUnder(JobName(1), "w1", 1);
+  // One suspect runs again and has passed its trial.
+  fleet.StartRun(JobName(1), 0, "w1", Millis(0), Seconds(4), 2);
+  fleet.Decide();
+  fleet.Advance(Seconds(2));
+  Plan plan = fleet.Decide();
+  std::map<WorkerId, int> tasks;
+  for (const PlannedStart& it : plan.starts) {
+    ++tasks[it.worker];
+  }
+  EXPECT_EQ(plan.starts.size(), 2U);
+  for (const auto& [worker, count] : tasks) {
+    EXPECT_EQ(count, 1) << worker.Value();
+  }
+  EXPECT_FALSE(tasks.contains(WorkerId("w1")));
+}
+
 // Guards against members of one gang that run in different attempts.
 TEST(Planner, GangMembersShareOneAttempt)
 {
--- a/packages/fleet/proposals.cc
+++ b/packages/fleet/proposals.cc
@@ -1,6 +1,7 @@
 #include "fleet/proposals.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -66,7 +67,7 @@
   gen::WorkerSpeed speed;
   speed.worker = aWorker.report.id.Value();
   speed.incarnation = static_cast<int64_t>(aWorker.report.incarnation.Value());
-  speed.permille = static_cast<int32_t>(aSpeed * 1000);
+  speed.permille = static_cast<int32_t>(std::lround(aSpeed * 1000));
   mCommand.speeds.push_back(std::move(speed));
 }
 
--- a/packages/fleet/run_monitor.cc
+++ b/packages/fleet/run_monitor.cc
@@ -14,6 +14,8 @@
 // The same as a multiple of the time in which the run gains one percent, so
 // that a task of hours is not taken to be stalled.
 constexpr int64_t kStallPercents = 4;
+// Bounds this time for a run without progress, whose estimate may be wrong.
+constexpr Millis kMaxFirstPercentTime = Hours(1);
 // The rate of a run is recorded at this progress: before, whole percents are
 // too coarse.
 constexpr int32_t kMinRecordedPercent = 8;
@@ -69,16 +71,18 @@
 Millis
 RunMonitor::StallTimeOf(const RunRef& aRun, const RunView& aView) const
 {
-  if (auto time = aView.progress.TimePerPercent()) {
-    return std::max(kStallTime, *time * kStallPercents);
-  }
   const Job* job = mState.FindJob(aRun.task.job);
-  if (job == nullptr) {
+  if (!mJudgeByStep || job == nullptr) {
     return kStallTime;
   }
+  if (auto time = aView.progress.TimePerPercent()) {
+    return std::max(kStallTime, *time * kStallPercents);
+  }
   Millis expected = mForecast.ExpectedTime(
     job->queue, job->spec.steps[aRun.task.step].estimate);
-  return std::max(kStallTime, expected * kStallPercents / kCompletePercent);
+  return std::clamp(expected * kStallPercents / kCompletePercent,
+                    kStallTime,
+                    kMaxFirstPercentTime);
 }
 
 Millis
@@ -156,8 +160,12 @@
   // The rates of the step's other runs will show whether the job is long.
   const Step& step =
     job->occurrences[aRun.task.occurrence].steps[aRun.task.step];
+  auto onOtherWorkers = static_cast<size_t>(
+    std::count_if(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
+      return it.phase == Task::Phase::kActive && it.worker != aWorker;
+    }));
   if (input.peers.empty() && !input.stepRate &&
-      step.active > StepRates::kMinPeers) {
+      onOtherWorkers >= StepRates::kMinPeers) {
     return Pace::kUnknown;
   }
   // Without peers, the run may be slow because its job is long.
@@ -178,7 +186,9 @@
   bool known = mJudgeByStep && !aView.speedObserved && rate && *rate > 0 &&
                aView.progress.Percent() >= kMinRecordedPercent;
   const Job* job = known ? mState.FindJob(aRun.task.job) : nullptr;
-  if (job == nullptr || job->spec.steps[aRun.task.step].longRunning) {
+  // The rates of an ended job have been forgotten.
+  if (job == nullptr || job->Ended() ||
+      job->spec.steps[aRun.task.step].longRunning) {
     return std::nullopt;
   }
   if (!aView.rateRecorded) {
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -365,7 +365,9 @@
                  .end = aKind,
                  .evidence = aEvidence,
                  .stopReason = aReason });
-  task->movedForPace = task->movedForPace || aReason == StopReason::kSlow;
+  // An earlier leader may have stopped the run because it was slow.
+  task->movedForPace = task->movedForPace || aReason == StopReason::kSlow ||
+                       aReason == StopReason::kEarlierLeader;
   job->begun = job->begun || aKind != EndKind::kRejected;
   if (!job->begun && job->activeRuns == 0 &&
       job->status == JobStatus::kRunning) {
@@ -494,7 +496,7 @@
   auto it = mWorkers.find(WorkerId(aSpeed.worker));
   if (it != mWorkers.end() && it->second.report.incarnation.Value() ==
                                 static_cast<uint64_t>(aSpeed.incarnation)) {
-    it->second.speed = aSpeed.permille / 1000.0;
+    it->second.speed = std::max(aSpeed.permille, 1) / 1000.0;
   }
 }
 
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -3,6 +3,7 @@
 #include "fleet/state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpetwood::fleet {
 
@@ -135,7 +136,7 @@
       speed.worker = id.Value();
       speed.incarnation =
         static_cast<int64_t>(worker.report.incarnation.Value());
-      speed.permille = static_cast<int32_t>(*worker.speed * 1000);
+      speed.permille = static_cast<int32_t>(std::lround(*worker.speed * 1000));
     }
   }
   return out;
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -351,6 +351,33 @@
   EXPECT_EQ(state.FindJob(JobId(kJob))->activeRuns, 1U);
 }
 
+// Guards against a learned speed that replicas do not share, or that the next
+// process of a worker inherits.
+TEST(FleetState, SpeedBelongsToOneProcessOfAWorker)
+{
+  FleetState state;
+  gen::WorkerSpeed speed;
+  speed.worker = "w1";
+  speed.incarnation = 1;
+  speed.permille = 1001;
+  gen::Command command;
+  command.workers.push_back(Report("w1"));
+  command.speeds.push_back(speed);
+  speed.incarnation = 2;
+  speed.permille = 3000;
+  command.speeds.push_back(speed);
+  state.Apply(command);
+  FleetState restored;
+  ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
+  EXPECT_DOUBLE_EQ(*state.FindWorker(WorkerId("w1"))->speed, 1.001);
+  EXPECT_DOUBLE_EQ(*restored.FindWorker(WorkerId("w1"))->speed, 1.001);
+  EXPECT_EQ(restored.TakeSnapshot(), state.TakeSnapshot());
+  gen::Command next;
+  next.workers.push_back(Report("w1", 2));
+  state.Apply(next);
+  EXPECT_FALSE(state.FindWorker(WorkerId("w1"))->speed);
+}
+
 // Guards against running cancelled jobs.
 TEST(FleetState, StartAfterCancellationChangesNothing)
 {
--- a/packages/fleet/step_rates.cc
+++ b/packages/fleet/step_rates.cc
@@ -9,9 +9,10 @@
 void
 StepRates::Record(const TaskRef& aTask, const WorkerId& aWorker, double aRate)
 {
-  mSteps[{ aTask.job, aTask.occurrence, aTask.step }].samples[aTask.index] = {
-    .worker = aWorker, .rate = aRate
-  };
+  auto& samples = mSteps[{ aTask.job, aTask.occurrence, aTask.step }].samples;
+  if (samples.size() < kMaxSamples || samples.contains(aTask.index)) {
+    samples[aTask.index] = { .worker = aWorker, .rate = aRate };
+  }
 }
 
 std::optional<double>
--- a/packages/fleet/step_rates.h
+++ b/packages/fleet/step_rates.h
@@ -1,8 +1,8 @@
 // Rates of progress of the runs of each step.
 //
-// Answers a load in which some jobs take many times as long as others of their
-// queue: whether a run is slow is judged by the other runs of its own step,
-// which are as long, and not by the run times of the queue.
+// Addresses a load in which some jobs take many times as long as others of
+// their queue: whether a run is slow is judged by the other runs of its own
+// step, which are as long, and not by the run times of the queue.
 
 #pragma once
 
@@ -21,7 +21,8 @@
 {
 public:
   // Records the rate, in percent per second, at which a run of the task
-  // progressed on a worker. A later run of the task replaces it.
+  // progressed on a worker. A later run of the task replaces it. Beyond
+  // `kMaxSamples` tasks of a step nothing is recorded.
   void Record(const TaskRef& aTask, const WorkerId& aWorker, double aRate);
 
   // Median rate of the step's other tasks on other workers, each divided by the
@@ -39,6 +40,7 @@
   void Forget(const JobId& aJob);
 
   static constexpr size_t kMinPeers = 2;
+  static constexpr size_t kMaxSamples = 64;
 
 private:
   struct Sample
--- a/packages/fleet/types.cc
+++ b/packages/fleet/types.cc
@@ -58,7 +58,7 @@
 {
   switch (aReason) {
     case StopReason::kNone:
-      return "not_needed";
+      return "job_or_gang_ended";
     case StopReason::kSlow:
       return "slow";
     case StopReason::kStalled:
@@ -66,9 +66,11 @@
     case StopReason::kPreempted:
       return "preempted";
     case StopReason::kUnanswered:
+      return "unanswered";
+    case StopReason::kEarlierLeader:
       break;
   }
-  return "unanswered";
+  return "earlier_leader";
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -243,9 +243,11 @@
   kPreempted,
   // Its start received no answer.
   kUnanswered,
+  // An earlier leader stopped it, for a reason that is not known.
+  kEarlierLeader,
 };
 
-inline constexpr int kStopReasonCount = 5;
+inline constexpr int kStopReasonCount = 6;
 
 std::string_view
 StopReasonName(StopReason aReason);
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -54,8 +54,9 @@
   Millis trackedSince{};
   // The worker listed the run when it had been active for `kStartWatchTime`.
   bool passedStart = false;
-  // Its rate was recorded, and compared with those of its step.
+  // Its rate was recorded for its step.
   bool rateRecorded = false;
+  // Its rate was compared with those of the step's other runs.
   bool speedObserved = false;
   // Set if the worker's process that the run was started on has ended without
   // notice.
--- a/packages/fleet/worker_speeds.cc
+++ b/packages/fleet/worker_speeds.cc
@@ -13,7 +13,7 @@
 constexpr double kSlowSpeed = 1 / kFastSpeed;
 // Bounds how long a worker that has changed its speed is judged by its past.
 constexpr size_t kMaxSamples = 7;
-// Samples after which the reference is computed anew.
+// Samples after which the values are normalized again.
 constexpr size_t kUpdateInterval = 16;
 
 double
@@ -33,15 +33,13 @@
   if (record.samples.size() == kMaxSamples) {
     record.samples.erase(record.samples.begin());
   }
-  // The sample is relative to a worker of speed 1, which has the reference as
-  // its value.
   record.samples.push_back(
-    mReference * std::clamp(aRelativeRate, 1 / kMaxFactor, kMaxFactor));
+    std::clamp(aRelativeRate, 1 / kMaxFactor, kMaxFactor));
   if (record.samples.size() >= kMinSamples) {
     record.median = MedianOf(record.samples);
   }
   if (++mSamplesSinceUpdate >= kUpdateInterval) {
-    UpdateReference();
+    Normalize();
   }
 }
 
@@ -52,7 +50,7 @@
 }
 
 void
-WorkerSpeeds::UpdateReference()
+WorkerSpeeds::Normalize()
 {
   mSamplesSinceUpdate = 0;
   std::vector<double> values;
@@ -61,8 +59,21 @@
       values.push_back(*value);
     }
   }
-  if (!values.empty()) {
-    mReference = MedianOf(std::move(values));
+  if (values.empty()) {
+    return;
+  }
+  // Only ratios of values carry information, because samples are relative to
+  // earlier estimates. Without the common scale they would drift together.
+  double reference = MedianOf(std::move(values));
+  for (auto& [id, record] : mWorkers) {
+    for (double& it : record.samples) {
+      it /= reference;
+    }
+    for (auto* it : { &record.restored, &record.median }) {
+      if (*it) {
+        **it /= reference;
+      }
+    }
   }
 }
 
@@ -70,18 +81,22 @@
 WorkerSpeeds::SpeedOf(const WorkerId& aWorker) const
 {
   auto it = mWorkers.find(aWorker);
-  auto value = it == mWorkers.end() ? std::nullopt : it->second.Value();
-  return value ? std::optional(*value / mReference) : std::nullopt;
+  return it == mWorkers.end() ? std::nullopt : it->second.Value();
 }
 
 SpeedClass
-WorkerSpeeds::ClassOf(const WorkerId& aWorker) const
+WorkerSpeeds::ClassFor(double aSpeed)
 {
-  double speed = SpeedOf(aWorker).value_or(1);
-  if (speed >= kFastSpeed) {
+  if (aSpeed >= kFastSpeed) {
     return SpeedClass::kFast;
   }
-  return speed <= kSlowSpeed ? SpeedClass::kSlow : SpeedClass::kNormal;
+  return aSpeed <= kSlowSpeed ? SpeedClass::kSlow : SpeedClass::kNormal;
+}
+
+SpeedClass
+WorkerSpeeds::ClassOf(const WorkerId& aWorker) const
+{
+  return ClassFor(SpeedOf(aWorker).value_or(1));
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/worker_speeds.h
+++ b/packages/fleet/worker_speeds.h
@@ -1,9 +1,9 @@
 // Relative speeds of workers, learned from the runs on them.
 //
-// Answers a load on uneven workers: an urgent job on a worker at half of the
+// Addresses a load on uneven workers: an urgent job on a worker at half of the
 // others' speed ends late although it started at once, and a gang runs at the
 // speed of its slowest member. A sample is the rate of a run divided by the
-// rate that the other runs of its step let expect on a worker of speed 1, so it
+// rate expected from the other runs of its step on a worker of speed 1, so it
 // does not depend on how long the job is.
 
 #pragma once
@@ -33,6 +33,7 @@
   // is known.
   std::optional<double> SpeedOf(const WorkerId& aWorker) const;
 
+  static SpeedClass ClassFor(double aSpeed);
   // `kNormal` if too little is known.
   SpeedClass ClassOf(const WorkerId& aWorker) const;
 
@@ -52,13 +53,10 @@
     std::optional<double> Value() const { return median ? median : restored; }
   };
 
-  void UpdateReference();
+  // Divides all values by their median.
+  void Normalize();
 
   std::map<WorkerId, Record> mWorkers;
-  // Median of the values of all known workers; updated after every few samples.
-  // Values have an arbitrary common scale: samples are relative to earlier
-  // estimates, so only their ratios carry information.
-  double mReference = 1;
   size_t mSamplesSinceUpdate = 0;
 };
 
