--- a/packages/fleet/planner_benchmark.cc
+++ b/packages/fleet/planner_benchmark.cc
@@ -84,9 +84,11 @@
   auto workers = static_cast<size_t>(aState.range(0));
   FleetState state = LoadedFleet(workers, workers / 2);
   Forecast forecast;
+  PlannerOptions options;
+  options.callerCost = aState.range(1) != 0;
   for (auto unused : aState) {
     (void)unused;
-    Planner planner{ PlannerOptions() };
+    Planner planner{ options };
     FleetView view{ .state = &state,
                     .costOf =
                       [](const WorkerId&, const RunRef&) {
@@ -111,8 +113,10 @@
   }
 }
 
-BENCHMARK(PlanPass)->Arg(48)->Arg(350)->Arg(540)->Arg(1000)->Unit(
-  benchmark::kMillisecond);
+BENCHMARK(PlanPass)
+  ->ArgNames({ "workers", "caller_cost" })
+  ->ArgsProduct({ { 48, 350, 540, 1000 }, { 0, 1 } })
+  ->Unit(benchmark::kMillisecond);
 
 } // namespace
 } // namespace limpetwood::fleet
