--- a/packages/control/control_group_test.cc
+++ b/packages/control/control_group_test.cc
@@ -73,8 +73,8 @@
 
   void RunFor(Millis aTime)
   {
-    for (Millis end = now + aTime; now < end; now += Millis(50)) {
-      mGroup->Tick(now);
+    for (Millis end = mNow + aTime; mNow < end; mNow += Millis(50)) {
+      mGroup->Tick(mNow);
     }
   }
 
@@ -85,13 +85,13 @@
     propose.command = Encode(aCommand);
     gen::ControlMessage message;
     message.__set_propose(propose);
-    mGroup->OnControl(InstanceId("x"), message, now);
+    mGroup->OnControl(InstanceId("x"), message, mNow);
     RunFor(Millis(200));
-    auto found = std::find_if(sent.rbegin(), sent.rend(), [](const auto& it) {
+    auto found = std::find_if(mSent.rbegin(), mSent.rend(), [](const auto& it) {
       return it.second.__isset.proposeReply;
     });
-    return found == sent.rend() ? gen::CommandResult()
-                                : found->second.proposeReply.result;
+    return found == mSent.rend() ? gen::CommandResult()
+                                 : found->second.proposeReply.result;
   }
 
   void Order(bool aEvacuate, const char* aZone)
@@ -117,18 +117,18 @@
     heartbeat.sentAtMs = 7;
     gen::ControlMessage message;
     message.__set_heartbeat(heartbeat);
-    mGroup->OnControl(InstanceId("i"), message, now);
+    mGroup->OnControl(InstanceId("i"), message, mNow);
   }
 
   // The last message to the instance; it must be a heartbeat reply.
   gen::HeartbeatReply LastReply() const
   {
-    auto found = std::find_if(sent.rbegin(), sent.rend(), [](const auto& it) {
+    auto found = std::find_if(mSent.rbegin(), mSent.rend(), [](const auto& it) {
       return it.first == InstanceId("i") && it.second.__isset.heartbeatReply;
     });
-    EXPECT_NE(found, sent.rend());
-    return found == sent.rend() ? gen::HeartbeatReply()
-                                : found->second.heartbeatReply;
+    EXPECT_NE(found, mSent.rend());
+    return found == mSent.rend() ? gen::HeartbeatReply()
+                                 : found->second.heartbeatReply;
   }
 
   std::vector<std::string> Alarms()
@@ -138,10 +138,10 @@
     query.target = "/v1/alarms";
     gen::ControlMessage message;
     message.__set_query(query);
-    mGroup->OnControl(InstanceId("x"), message, now);
+    mGroup->OnControl(InstanceId("x"), message, mNow);
     RunFor(Millis(200));
     std::vector<std::string> reasons;
-    json body = json::parse(sent.back().second.queryReply.body);
+    json body = json::parse(mSent.back().second.queryReply.body);
     for (const json& it : body.at("alarms")) {
       reasons.push_back(it.at("reason"));
     }
@@ -150,12 +150,12 @@
 
   long Logged(const char* aEvent) const
   {
-    return std::count(logged.begin(), logged.end(), aEvent);
+    return std::count(mLogged.begin(), mLogged.end(), aEvent);
   }
 
-  Millis now{ 1000 };
-  std::vector<std::pair<InstanceId, gen::ControlMessage>> sent;
-  std::vector<std::string> logged;
+  Millis mNow{ 1000 };
+  std::vector<std::pair<InstanceId, gen::ControlMessage>> mSent;
+  std::vector<std::string> mLogged;
   std::unique_ptr<ControlGroup> mGroup;
 
 private:
@@ -163,11 +163,12 @@
   void SendControl(const InstanceId& aTo,
                    const gen::ControlMessage& aMessage) override
   {
-    sent.emplace_back(aTo, aMessage);
+    mSent.emplace_back(aTo, aMessage);
   }
   void Log(const LogEvent& aEvent) override
   {
-    logged.push_back(json::parse("{" + aEvent.JsonMembers() + "}").at("event"));
+    mLogged.push_back(
+      json::parse("{" + aEvent.JsonMembers() + "}").at("event"));
   }
 
   std::string mFolder;
