Give each configuration of the end-to-end tests its own key

SecondLossRightAfterRepair failed here at version 19 instead of 20, in a later run at 14 and 17: the idempotency key was the time in milliseconds, and on this machine two submissions fall into one millisecond, so the second one repeated the result of the first. The key now has a counter.

--- a/packages/e2e/cluster.cc
+++ b/packages/e2e/cluster.cc
@@ -487,7 +487,10 @@
                    uint64_t aBaseVersion)
 {
   uint64_t version = 0;
-  std::string key = "k-" + std::to_string(WallNow().Count());
+  // Two calls within one millisecond must not share a key.
+  static uint64_t sCalls = 0;
+  std::string key =
+    "k-" + std::to_string(WallNow().Count()) + "-" + std::to_string(++sCalls);
   Eventually(Seconds(20), [&] {
     http::FetchResult result =
       Fetch(aId,
