Log why the runs of a departing worker end

Callers saw a task run again although it was done when its worker left. The logs showed the removal of the worker and the end of its runs as lost, but not what was asked of the worker before, what it answered, and why nothing was expected of it any more, so they could not tell an end that the leader read and dropped from one whose answer was thrown away or never arrived.

No decision changes.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -21,6 +21,16 @@
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
 
+// Why nothing can run on a worker that is gone.
+std::string_view
+RemovalReason(const Worker& aWorker, const WorkerLink& aLink)
+{
+  if (aWorker.active.empty()) {
+    return "no_runs";
+  }
+  return aLink.processEnded ? "process_ended" : "lease_expired";
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions aOptions,
@@ -181,6 +191,13 @@
     return false;
   }
   WorkerLink& link = LinkOf(*known, aNow);
+  mEvents.emplace_back("worker_leaving")
+    .Add("worker", aWorker)
+    .Add("repeated", link.gone)
+    .Add("active", known->active.size())
+    .Add("renewals_in_flight", link.renewalsInFlight)
+    .Add("ends_listed", link.endsProposed)
+    .Add("ends_acknowledged", link.endsAcknowledged);
   if (!link.gone && !known->active.empty()) {
     link.leftAt = aNow;
     link.leaveRenewalDue = true;
@@ -223,7 +240,16 @@
       aLink.leaveRenewalDue || endProposed) {
     return false;
   }
-  mProposals.ProposeRemoval(aWorker);
+  if (!mProposals.HasProposedRemoval(aWorker.report.id)) {
+    mEvents.emplace_back("worker_removal_proposed")
+      .Add("worker", aWorker.report.id)
+      .Add("reason", RemovalReason(aWorker, aLink))
+      .Add("active", aWorker.active.size())
+      .Add("since_leave_ms", aNow - aLink.leftAt.value_or(aNow))
+      .Add("ends_listed", aLink.endsProposed)
+      .Add("ends_acknowledged", aLink.endsAcknowledged);
+    mProposals.ProposeRemoval(aWorker);
+  }
   return true;
 }
 
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -182,6 +182,16 @@
                       const RunView& aView);
   // Proposes the ends of the runs of a worker that crashed and is gone.
   void ProposeCrashedRuns(const Worker& aWorker, const WorkerLink& aLink);
+  // Logs the result of a renewal to a worker that drains or has left.
+  void LogDepartingRenewal(const Order& aOrder,
+                           const OrderResult& aResult,
+                           bool aLeft,
+                           Millis aNow);
+  // Logs an end as done that a worker lists and that changes no state.
+  void LogUnrecordedEnd(const Order& aOrder,
+                        const EndedRun& aEnd,
+                        std::string_view aReason,
+                        Millis aNow);
   // Proposes the ends as done that a worker reported before it was restarted.
   void RecordEarlierEnds(const Order& aOrder, const OrderResult& aResult);
   void RecordRunningRuns(const OrderResult& aResult,
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -35,6 +35,9 @@
 {
   const Worker* worker = mState.FindWorker(aOrder.worker);
   if (worker == nullptr) {
+    for (const EndedRun& it : aResult.ended) {
+      LogUnrecordedEnd(aOrder, it, "worker_removed", aNow);
+    }
     return;
   }
   if (worker->report.incarnation != aOrder.incarnation) {
@@ -42,6 +45,11 @@
     return;
   }
   WorkerLink& link = LinkOf(*worker, aNow);
+  bool failed = aResult.outcome != OrderResult::Outcome::kAnswered;
+  if (aOrder.kind == Order::Kind::kRenew &&
+      (link.gone || (link.draining && failed))) {
+    LogDepartingRenewal(aOrder, aResult, link.gone, aNow);
+  }
   if (aOrder.sentAt < link.CreatedAt()) {
     RecordEarlierEnds(aOrder, aResult);
     return;
@@ -198,6 +206,40 @@
   }
 }
 
+void
+Dispatcher::LogDepartingRenewal(const Order& aOrder,
+                                const OrderResult& aResult,
+                                bool aLeft,
+                                Millis aNow)
+{
+  mEvents.emplace_back("departing_worker_renewed")
+    .Add("worker", aOrder.worker)
+    .Add("left", aLeft)
+    .Add("outcome", OrderOutcomeName(aResult.outcome))
+    .Add("error", aResult.error ? aResult.error.message() : "")
+    .Add("sent_ms_ago", aNow - aOrder.sentAt)
+    .Add("acknowledged_ends", aOrder.acknowledgedEnds)
+    .Add("running", aResult.running.size())
+    .Add("ended", aResult.ended.size())
+    .Add("last_end", aResult.ended.empty() ? 0 : aResult.ended.back().number);
+}
+
+void
+Dispatcher::LogUnrecordedEnd(const Order& aOrder,
+                             const EndedRun& aEnd,
+                             std::string_view aReason,
+                             Millis aNow)
+{
+  if (aEnd.kind != EndKind::kDone) {
+    return;
+  }
+  LogRunEvent("end_not_recorded", aOrder.worker, aEnd.run)
+    .Add("reason", aReason)
+    .Add("number", aEnd.number)
+    .Add("sent_ms_ago", aNow - aOrder.sentAt)
+    .Add("acknowledged_ends", aOrder.acknowledgedEnds);
+}
+
 void
 Dispatcher::RecordEarlierEnds(const Order& aOrder, const OrderResult& aResult)
 {
@@ -338,6 +380,12 @@
                                 CrashEvidence::kNone,
                                 reason)) {
         aLink.uncommittedEnds.insert(it.run);
+      } else {
+        LogUnrecordedEnd(aOrder,
+                         it,
+                         mProposals.HasProposedEnd(it.run) ? "end_proposed"
+                                                           : "not_active",
+                         aNow);
       }
     }
   }
--- a/packages/fleet/order.cc
+++ b/packages/fleet/order.cc
@@ -26,4 +26,24 @@
   return "malformed";
 }
 
+std::string_view
+OrderOutcomeName(OrderResult::Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case OrderResult::Outcome::kAnswered:
+      return "answered";
+    case OrderResult::Outcome::kRefused:
+      return "refused";
+    case OrderResult::Outcome::kOtherIncarnation:
+      return "other_incarnation";
+    case OrderResult::Outcome::kNotSent:
+      return "not_sent";
+    case OrderResult::Outcome::kConnectionRefused:
+      return "connection_refused";
+    case OrderResult::Outcome::kNoAnswer:
+      break;
+  }
+  return "no_answer";
+}
+
 } // namespace limpetwood::fleet
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -106,6 +107,8 @@
 
   Outcome outcome = Outcome::kNotSent;
   OrderRefusal refusal = OrderRefusal::kNone;
+  // Why the order was not sent or not answered, for logs.
+  std::error_code error{};
   // Reading of the worker's monotonic clock, if it was received.
   std::optional<Millis> clock{};
   // Set for renewals.
@@ -116,4 +119,7 @@
   bool endsTruncated = false;
 };
 
+std::string_view
+OrderOutcomeName(OrderResult::Outcome aOutcome);
+
 } // namespace limpetwood::fleet
