Move runs off a draining worker before its process ends

Callers saw tasks run again that had been done: a run ended as done a few milliseconds before its drained worker left, the leader ended it as lost with the removal of the worker, and started the task once more.

Cause: runs stayed on a draining worker until its process ended, and the last list of ends was left to the answer of a process that was ending. The reports of a draining worker say when it ends, but the scheduler did not read that.

The restart is legitimate by all that the leader knows, so nothing after the departure can tell the two cases apart.

Reports carry the remaining time. The leader stops the runs that outlast it in time for the stop and the reading of its end, which saves a checkpoint where the task has any; runs that are expected to end before may do so. A next leader knows the time from the committed report and the worker's clock.

--- a/packages/fleet/codec.cc
+++ b/packages/fleet/codec.cc
@@ -256,6 +256,9 @@
   out.sequence = static_cast<int64_t>(aReport.sequence);
   out.clockMs = aReport.clock.Count();
   out.warmUpMs = aReport.coldRemaining.Count();
+  if (aReport.departsIn) {
+    out.__set_departsInMs(aReport.departsIn->Count());
+  }
   return out;
 }
 
@@ -276,6 +279,9 @@
   out.sequence = static_cast<uint64_t>(aReport.sequence);
   out.clock = Millis(aReport.clockMs);
   out.coldRemaining = Millis(aReport.warmUpMs);
+  if (aReport.__isset.departsInMs) {
+    out.departsIn = Millis(aReport.departsInMs);
+  }
   return out;
 }
 
--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -74,7 +74,7 @@
     return it->second;
   }
   WorkerLink added(report.incarnation, aNow, mOptions.leaseDuration);
-  added.draining = report.draining;
+  added.OnDrainState(report);
   added.sequence = report.sequence;
   added.capacity = report.capacity;
   added.coldUntil = aNow + report.coldRemaining;
@@ -146,7 +146,7 @@
       return false;
     }
     link.sequence = aReport.sequence;
-    link.draining = aReport.draining;
+    link.OnDrainState(aReport);
     // The report can make a silent worker usable again.
     mPlanDue = mPlanDue || !mPool.IsUsable(aReport.id, aNow);
     link.lastHeard = aNow;
@@ -353,6 +353,7 @@
     return;
   }
   EndExpiredRuns(aWorker, aLink, aNow);
+  EvictRuns(aWorker, aLink, aNow);
   StopRuns(aWorker, aLink, aNow);
   RenewWorker(aWorker, aLink, aNow);
   if (aWorker.active.empty() && aNow - aLink.lastHeard > kIdleWorkerTimeout) {
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -75,6 +75,8 @@
   // Runs stopped because a new run on another worker would end sooner
   // (`Pace::kTooSlow`).
   uint64_t laggingRuns = 0;
+  // Runs stopped because the process of their worker was about to end.
+  uint64_t evictedRuns = 0;
   // Orders that could not be sent or received no answer.
   uint64_t unansweredOrders = 0;
   // Starts that workers refused, indexed by `OrderRefusal`.
@@ -237,6 +239,14 @@
                    Millis aWait,
                    std::optional<Millis> aLeaseUntil,
                    Millis aNow);
+  // Whether the run must be stopped because the process of its worker ends too
+  // soon. Runs that are expected to end in time may do so.
+  bool MustEvict(const Worker& aWorker,
+                 const RunRef& aRun,
+                 const WorkerLink& aLink,
+                 Millis aNow) const;
+  // Requests the stop of the runs that must be evicted.
+  void EvictRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   void StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
   // Whether a run of the worker may still be in progress.
   bool MayRun(const Worker& aWorker,
--- a/packages/fleet/dispatcher_departure.cc
+++ b/packages/fleet/dispatcher_departure.cc
@@ -1,5 +1,9 @@
-// Handles workers that announce their end: renews them without a lease until
-// their runs have certainly ended, and removes them then.
+// Empties workers before their process ends as announced, renews those that
+// have left without a lease until their runs have certainly ended, and removes
+// them then.
+//
+// What a worker lists just before its process ends may never arrive, so no run
+// is left to end at that time.
 
 #include "fleet/dispatcher.h"
 
@@ -15,6 +19,12 @@
 constexpr Millis kLeaveRenewalWait(500);
 // Interval at which a worker that is not removed yet is checked.
 constexpr Millis kGoneWorkerCheckInterval(250);
+// Interval at which the runs of a worker that is about to depart are checked.
+constexpr Millis kEvictionCheckInterval(50);
+
+// Time before the departure of a worker by which its last run has ended, so
+// that the end is read while the worker still answers.
+constexpr Millis kDepartureMargin(500);
 
 // Why nothing can run on a worker that is gone.
 std::string_view
@@ -28,6 +38,47 @@
 
 } // namespace
 
+bool
+Dispatcher::MustEvict(const Worker& aWorker,
+                      const RunRef& aRun,
+                      const WorkerLink& aLink,
+                      Millis aNow) const
+{
+  auto untilDeparture = aLink.TimeToDeparture(aNow);
+  if (!untilDeparture ||
+      *untilDeparture > mOptions.maxStopTime + kDepartureMargin) {
+    return false;
+  }
+  const Job& job = *mState.FindJob(aRun.task.job);
+  return job.spec.steps[aRun.task.step].longRunning ||
+         mMonitor.RemainingTimeOf(aWorker.report.id, aRun, aNow) >
+           *untilDeparture - kDepartureMargin;
+}
+
+void
+Dispatcher::EvictRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
+{
+  for (auto& [run, view] : aLink.runs) {
+    if (mMonitor.MustStop(run, view) || mProposals.HasProposedEnd(run) ||
+        !MustEvict(aWorker, run, aLink, aNow)) {
+      continue;
+    }
+    view.stopRequested = true;
+    view.stopReason = StopReason::kWorkerDeparts;
+    ++mCounters.evictedRuns;
+    LogRunEvent("run_evicted", aWorker.report.id, run)
+      .Add("percent", view.progress.Percent())
+      .Add("departs_in_ms", *aLink.TimeToDeparture(aNow));
+  }
+  auto untilDeparture = aLink.TimeToDeparture(aNow);
+  if (untilDeparture && !aWorker.active.empty()) {
+    ScheduleWorker(
+      aWorker.report.id,
+      aNow + std::max(*untilDeparture - mOptions.maxStopTime - kDepartureMargin,
+                      kEvictionCheckInterval));
+  }
+}
+
 bool
 Dispatcher::OnLeave(const WorkerId& aWorker,
                     Incarnation aIncarnation,
--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -101,6 +101,8 @@
   12: string machine
   // Time for which the worker remains slow after its start; 0 if it is not slow.
   13: i64 warmUpMs
+  // Minimum time until the process ends; set while the worker drains, if known.
+  14: optional i64 departsInMs
 }
 
 struct WorkerGone {
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -1945,6 +1945,11 @@
 void WorkerReport::__set_warmUpMs(const int64_t val) {
   this->warmUpMs = val;
 }
+
+void WorkerReport::__set_departsInMs(const int64_t val) {
+  this->departsInMs = val;
+__isset.departsInMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerReport& obj)
 {
   obj.printTo(out);
@@ -2089,6 +2094,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->departsInMs);
+          this->__isset.departsInMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2166,6 +2179,11 @@
   xfer += oprot->writeI64(this->warmUpMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.departsInMs) {
+    xfer += oprot->writeFieldBegin("departsInMs", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->departsInMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2186,6 +2204,7 @@
   swap(a.clockMs, b.clockMs);
   swap(a.machine, b.machine);
   swap(a.warmUpMs, b.warmUpMs);
+  swap(a.departsInMs, b.departsInMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2203,6 +2222,7 @@
   clockMs = other68.clockMs;
   machine = other68.machine;
   warmUpMs = other68.warmUpMs;
+  departsInMs = other68.departsInMs;
   __isset = other68.__isset;
 }
 WorkerReport::WorkerReport(WorkerReport&& other69) noexcept {
@@ -2219,6 +2239,7 @@
   clockMs = other69.clockMs;
   machine = std::move(other69.machine);
   warmUpMs = other69.warmUpMs;
+  departsInMs = other69.departsInMs;
   __isset = other69.__isset;
 }
 WorkerReport& WorkerReport::operator=(const WorkerReport& other70) {
@@ -2235,6 +2256,7 @@
   clockMs = other70.clockMs;
   machine = other70.machine;
   warmUpMs = other70.warmUpMs;
+  departsInMs = other70.departsInMs;
   __isset = other70.__isset;
   return *this;
 }
@@ -2252,6 +2274,7 @@
   clockMs = other71.clockMs;
   machine = std::move(other71.machine);
   warmUpMs = other71.warmUpMs;
+  departsInMs = other71.departsInMs;
   __isset = other71.__isset;
   return *this;
 }
@@ -2271,6 +2294,7 @@
   out << ", " << "clockMs=" << to_string(clockMs);
   out << ", " << "machine=" << to_string(machine);
   out << ", " << "warmUpMs=" << to_string(warmUpMs);
+  out << ", " << "departsInMs="; (__isset.departsInMs ? (out << to_string(departsInMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -732,7 +732,7 @@
 std::ostream& operator<<(std::ostream& out, const SubmitJob& obj);
 
 typedef struct _WorkerReport__isset {
-  _WorkerReport__isset() : id(false), incarnation(false), address(false), serviceId(false), zone(false), capacity(false), labels(false), rack(false), draining(false), sequence(false), clockMs(false), machine(false), warmUpMs(false) {}
+  _WorkerReport__isset() : id(false), incarnation(false), address(false), serviceId(false), zone(false), capacity(false), labels(false), rack(false), draining(false), sequence(false), clockMs(false), machine(false), warmUpMs(false), departsInMs(false) {}
   bool id :1;
   bool incarnation :1;
   bool address :1;
@@ -746,6 +746,7 @@
   bool clockMs :1;
   bool machine :1;
   bool warmUpMs :1;
+  bool departsInMs :1;
 } _WorkerReport__isset;
 
 class WorkerReport : public virtual ::apache::thrift::TBase {
@@ -766,7 +767,8 @@
                  sequence(0),
                  clockMs(0),
                  machine(),
-                 warmUpMs(0) {
+                 warmUpMs(0),
+                 departsInMs(0) {
   }
 
   virtual ~WorkerReport() noexcept;
@@ -783,6 +785,7 @@
   int64_t clockMs;
   std::string machine;
   int64_t warmUpMs;
+  int64_t departsInMs;
 
   _WorkerReport__isset __isset;
 
@@ -812,6 +815,8 @@
 
   void __set_warmUpMs(const int64_t val);
 
+  void __set_departsInMs(const int64_t val);
+
   bool operator == (const WorkerReport & rhs) const
   {
     if (!(id == rhs.id))
@@ -840,6 +845,10 @@
       return false;
     if (!(warmUpMs == rhs.warmUpMs))
       return false;
+    if (__isset.departsInMs != rhs.__isset.departsInMs)
+      return false;
+    else if (__isset.departsInMs && !(departsInMs == rhs.departsInMs))
+      return false;
     return true;
   }
   bool operator != (const WorkerReport &rhs) const {
--- a/packages/fleet/state_test.cc
+++ b/packages/fleet/state_test.cc
@@ -295,6 +295,29 @@
   EXPECT_EQ(play(4, EndKind::kRejected), JobStatus::kRunning);
 }
 
+// Guards against a leader that learns from a snapshot that a worker drains, but
+// not when it departs.
+TEST(FleetState, SnapshotContainsTheDepartureOfAWorker)
+{
+  WorkerReport report;
+  report.id = WorkerId("w");
+  report.clock = Millis(7000);
+  FleetState state;
+  for (auto departsIn : { std::optional<Millis>(), std::optional(Millis(0)) }) {
+    report.draining = departsIn.has_value();
+    report.departsIn = departsIn;
+    ++report.sequence;
+    gen::Command command;
+    command.workers.push_back(ToWire(report));
+    state.Apply(command);
+    FleetState restored;
+    ASSERT_TRUE(restored.Restore(state.TakeSnapshot()));
+    const WorkerReport& read = restored.FindWorker(report.id)->report;
+    EXPECT_EQ(read.departsIn, departsIn);
+    EXPECT_EQ(read.clock, report.clock);
+  }
+}
+
 // Guards against a refusal that a snapshot loses, or that ends another
 // workspace's job when the snapshot is read.
 TEST(FleetState, SnapshotContainsRefusedJobs)
--- a/packages/fleet/testing/fleet_fixture.cc
+++ b/packages/fleet/testing/fleet_fixture.cc
@@ -57,10 +57,12 @@
 FleetFixture::Report(const std::string& aId,
                      Incarnation aIncarnation,
                      const std::string& aRack,
-                     bool aDraining)
+                     bool aDraining,
+                     std::optional<Millis> aDepartsIn)
 {
   WorkerReport report;
   report.draining = aDraining;
+  report.departsIn = aDepartsIn;
   report.id = WorkerId(aId);
   report.incarnation = aIncarnation;
   report.address = "127.0.0.1:1";
@@ -91,11 +93,11 @@
 }
 
 void
-FleetFixture::Drain(const std::string& aId)
+FleetFixture::Drain(const std::string& aId, std::optional<Millis> aDepartsIn)
 {
   const Worker* worker = mState.FindWorker(WorkerId(aId));
   ASSERT_NE(worker, nullptr);
-  Report(aId, Incarnation(1), worker->report.rack.Value(), true);
+  Report(aId, Incarnation(1), worker->report.rack.Value(), true, aDepartsIn);
 }
 
 void
--- a/packages/fleet/testing/fleet_fixture.h
+++ b/packages/fleet/testing/fleet_fixture.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,8 +37,9 @@
 
   // Sends a further report of the worker's first process.
   void Heartbeat(const std::string& aId);
-  // Reports that the worker's first process drains.
-  void Drain(const std::string& aId);
+  // Reports that the worker's first process drains, and after which time it
+  // ends at the earliest.
+  void Drain(const std::string& aId, std::optional<Millis> aDepartsIn = {});
   // Ends the process of a worker: renewals that it holds back, and all later
   // ones, get no answer.
   void Crash(const std::string& aId);
@@ -127,7 +129,8 @@
   void Report(const std::string& aId,
               Incarnation aIncarnation,
               const std::string& aRack,
-              bool aDraining = false);
+              bool aDraining = false,
+              std::optional<Millis> aDepartsIn = {});
   Millis WorkerClock() const { return mNow; }
 
   DispatcherOptions mOptions;
--- a/packages/fleet/types.cc
+++ b/packages/fleet/types.cc
@@ -67,6 +67,8 @@
       return "preempted";
     case StopReason::kUnanswered:
       return "unanswered";
+    case StopReason::kWorkerDeparts:
+      return "worker_departs";
     case StopReason::kEarlierLeader:
       break;
   }
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -245,9 +246,11 @@
   kUnanswered,
   // An earlier leader stopped it, for a reason that is not known.
   kEarlierLeader,
+  // The process of its worker was about to end.
+  kWorkerDeparts,
 };
 
-inline constexpr int kStopReasonCount = 6;
+inline constexpr int kStopReasonCount = 7;
 
 std::string_view
 StopReasonName(StopReason aReason);
@@ -291,6 +294,9 @@
   Millis clock{};
   // Time for which the worker remains slow after its start.
   Millis coldRemaining{};
+  // Minimum time until the process ends, counted from `clock`. Set only while
+  // the worker drains, if it is known.
+  std::optional<Millis> departsIn{};
 };
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/worker_link.cc
+++ b/packages/fleet/worker_link.cc
@@ -49,6 +49,26 @@
   return *mClockLowerBound + MinWorkerElapsed(aNow - mClockObservedAt);
 }
 
+void
+WorkerLink::OnDrainState(const WorkerReport& aReport)
+{
+  draining = aReport.draining;
+  departsAt.reset();
+  if (aReport.draining && aReport.departsIn) {
+    departsAt = aReport.clock + *aReport.departsIn;
+  }
+}
+
+std::optional<Millis>
+WorkerLink::TimeToDeparture(Millis aNow) const
+{
+  auto clock = ClockLowerBound(aNow);
+  if (!departsAt || !clock) {
+    return std::nullopt;
+  }
+  return *departsAt - *clock;
+}
+
 Millis
 WorkerLink::GrantLease(Millis aNow, Millis aLength)
 {
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -88,6 +88,11 @@
   // Whether every lease granted so far has certainly expired.
   bool HasLeaseExpired(Millis aNow) const;
 
+  void OnDrainState(const WorkerReport& aReport);
+  // Time until the process ends as planned at the earliest, which may have
+  // passed; empty if it is not known.
+  std::optional<Millis> TimeToDeparture(Millis aNow) const;
+
   // Time of the latest message from the worker.
   Millis lastHeard{};
   // The worker has seen the fencing token of this term.
@@ -108,6 +113,9 @@
   // The worker is slow until this time.
   Millis coldUntil{ -1'000'000 };
   bool draining = false;
+  // Time on the worker's clock before which its process does not end as
+  // planned; set only while it drains.
+  std::optional<Millis> departsAt{};
   // The worker has announced its end, or another one listens at its address.
   // Its removal is proposed once its runs have certainly ended and nothing is
   // outstanding that may report the end of a run, so that no end is proposed
--- a/packages/fleetd/metrics.cc
+++ b/packages/fleetd/metrics.cc
@@ -59,6 +59,7 @@
   addStoppedRuns("preempted", aCounters.preemptions);
   addStoppedRuns("stalled", aCounters.stalledRuns);
   addStoppedRuns("lagging", aCounters.laggingRuns);
+  addStoppedRuns("worker_departs", aCounters.evictedRuns);
   daemon::AddCounter(aFamilies,
                      "limpetwood_orders_unanswered_total",
                      "Orders without an answer, in this term",
