Count a stop as carried out only when the worker executed it

Callers saw a task run twice at the same time. A worker did not answer a start, refused the stop of that run with 429 or 503, and carried the start out seconds later, when the task was already running again.

Cause: the dispatcher took every answer to a stop for its execution. A worker that refuses an order has done nothing, so the start may still be carried out. The refused stop made the run confirmed, the next renewal that did not list it ended the run as rejected, and a start given up at lease expiry was taken off the list that keeps the worker from getting another lease, under which it would run.

Change: OrderResult::Executed is the one question whose yes proves something about a run, and only an executed stop resolves the run or frees the worker for a lease. A refused stop is repeated after the delay of an unanswered one, also for the starts given up at lease expiry, whose stops had no delay: they were repeated as fast as the worker answered. It no longer hurries the next renewal, which could prove nothing.

What ends the wait: an executed stop, a renewal or a list of ends that names the run, or the lease. A worker that has refused to stop a run for as long as a lease lasts is granted no further one, neither by a renewal nor by a start, so its last lease expires and the runs end as lost, at most two leases after the first refusal. A worker that still refuses then gets no tasks and holds none.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Delay before an unanswered stop is repeated.
+// Delay before a stop is repeated that was refused or not answered.
 constexpr Millis kRetryDelay(400);
 // A worker without runs that is silent for this long is removed.
 constexpr Millis kIdleWorkerTimeout = Seconds(20);
@@ -197,6 +197,10 @@
       if (run != aLink.runs.end()) {
         run->second.stopSentAt = aNow;
       }
+      auto unconfirmed = aLink.unconfirmedStarts.find(next->run);
+      if (unconfirmed != aLink.unconfirmedStarts.end()) {
+        unconfirmed->second = aNow;
+      }
     }
     next->sentAt = aNow;
     mOrders.push_back(std::move(*next));
@@ -367,7 +371,7 @@
                            WorkerLink& aLink,
                            Millis aNow)
 {
-  if (aWorker.active.empty() || aLink.reachable ||
+  if (aWorker.active.empty() || aLink.MayHoldLease() ||
       !aLink.HasLeaseExpired(aNow)) {
     return;
   }
@@ -389,7 +393,7 @@
     bool unresolved = run != aLink.runs.end() &&
                       run->second.phase == RunView::Phase::kUnresolved;
     if (unresolved && !mProposals.HasProposedEnd(it)) {
-      aLink.unconfirmedStarts.push_back(it);
+      aLink.unconfirmedStarts.emplace(it, run->second.stopSentAt);
     }
     if (run == aLink.runs.end()) {
       mProposals.ProposeEnd(aWorker.report.id, it, EndKind::kLost, {});
@@ -402,7 +406,11 @@
 void
 Dispatcher::StopRuns(const Worker& aWorker, WorkerLink& aLink, Millis aNow)
 {
+  aLink.refusesStops = false;
   for (auto& [run, view] : aLink.runs) {
+    bool refused = view.stopRefusedSince &&
+                   aNow - *view.stopRefusedSince >= mOptions.leaseDuration;
+    aLink.refusesStops = aLink.refusesStops || refused;
     if (mMonitor.HasStalled(run, view, aLink)) {
       view.stopRequested = true;
       view.stopReason = StopReason::kStalled;
@@ -416,20 +424,25 @@
     if (!mMonitor.MustStop(run, view) || mProposals.HasProposedEnd(run)) {
       continue;
     }
-    // An answered stop is repeated only when the run should have ended long
+    // An executed stop is repeated only when the run should have ended long
     // ago.
     Millis repeatInterval =
-      view.stopAnswered ? mOptions.maxStopTime * 2 : kRetryDelay;
+      view.stopExecuted ? mOptions.maxStopTime * 2 : kRetryDelay;
     if (aNow - view.stopSentAt >= repeatInterval) {
       view.stopSentAt = aNow;
       SendStop(aWorker, run, aNow);
     }
     ScheduleWorker(aWorker.report.id, view.stopSentAt + repeatInterval);
   }
-  for (const RunRef& it : aLink.unconfirmedStarts) {
-    if (aLink.reachable) {
-      SendStop(aWorker, it, aNow);
+  for (auto& [run, stopSentAt] : aLink.unconfirmedStarts) {
+    if (!aLink.reachable) {
+      break;
+    }
+    if (aNow - stopSentAt >= kRetryDelay) {
+      stopSentAt = aNow;
+      SendStop(aWorker, run, aNow);
     }
+    ScheduleWorker(aWorker.report.id, stopSentAt + kRetryDelay);
   }
 }
 
@@ -473,10 +486,10 @@
     }
   }
   // A lease may be in force from the moment it is sent. A worker that does not
-  // answer is sent none, because its runs could then never be treated as ended.
+  // answer, or refuses stops, is sent none, because its runs could then never
+  // be treated as ended.
   std::optional<Millis> leaseUntil;
-  if (aLink.ClockLowerBound(aNow) && aLink.unconfirmedStarts.empty() &&
-      aLink.reachable) {
+  if (aLink.ClockLowerBound(aNow) && aLink.MayHoldLease()) {
     leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
   }
   SendRenewal(aWorker, aLink, wait, leaseUntil, aNow);
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -171,6 +171,10 @@
                      const OrderResult& aResult,
                      WorkerLink& aLink,
                      Millis aNow);
+  void OnStopResult(const Order& aOrder,
+                    const OrderResult& aResult,
+                    WorkerLink& aLink,
+                    Millis aNow);
   void OnRenewResult(const Order& aOrder,
                      const OrderResult& aResult,
                      const Worker& aWorker,
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -105,25 +105,11 @@
       mCounters.startResponseTimes.Observe(aNow - aOrder.sentAt);
       OnStartResult(aOrder, aResult, link, aNow);
       break;
-    case Order::Kind::kStop: {
-      auto run = link.runs.find(aOrder.run);
-      if (!unanswered && run != link.runs.end()) {
-        RunView& view = run->second;
-        view.phase = RunView::Phase::kConfirmed;
-        view.stopAnswered = true;
-        // The time of the first answer is kept: a renewal sent after it lists
-        // the run if and only if the run exists. A later time would postpone
-        // that proof with each repeated stop.
-        view.conclusiveAfter = std::min(view.conclusiveAfter, aNow);
-        link.nextRenewalAt = aNow;
-      }
-      if (!unanswered) {
-        std::erase(link.unconfirmedStarts, aOrder.run);
-      }
+    case Order::Kind::kStop:
+      OnStopResult(aOrder, aResult, link, aNow);
       break;
-    }
     case Order::Kind::kRenew:
-      if (aResult.outcome == OrderResult::Outcome::kAnswered) {
+      if (aResult.Executed()) {
         OnRenewResult(aOrder, aResult, *worker, link, aNow);
       }
       break;
@@ -180,6 +166,37 @@
   }
 }
 
+void
+Dispatcher::OnStopResult(const Order& aOrder,
+                         const OrderResult& aResult,
+                         WorkerLink& aLink,
+                         Millis aNow)
+{
+  auto it = aLink.runs.find(aOrder.run);
+  RunView* run = it == aLink.runs.end() ? nullptr : &it->second;
+  if (aResult.Executed()) {
+    // The worker refuses a start of the run from now on.
+    aLink.unconfirmedStarts.erase(aOrder.run);
+    if (run == nullptr) {
+      return;
+    }
+    run->phase = RunView::Phase::kConfirmed;
+    run->stopExecuted = true;
+    run->stopRefusedSince.reset();
+    // The time of the first executed stop is kept: a renewal sent after it
+    // lists the run if and only if the run exists. A later time would postpone
+    // that proof with each repeated stop.
+    run->conclusiveAfter = std::min(run->conclusiveAfter, aNow);
+    aLink.nextRenewalAt = aNow;
+  } else if (aResult.outcome == OrderResult::Outcome::kRefused) {
+    LogRunEvent("stop_refused", aOrder.worker, aOrder.run)
+      .Add("reason", OrderRefusalName(aResult.refusal));
+    if (run != nullptr) {
+      run->stopRefusedSince = run->stopRefusedSince.value_or(aNow);
+    }
+  }
+}
+
 void
 Dispatcher::ProposeLostRun(const Worker& aWorker,
                            const RunRef& aRun,
--- a/packages/fleet/dispatcher_starts.cc
+++ b/packages/fleet/dispatcher_starts.cc
@@ -109,6 +109,9 @@
   if (!aLink.reachable) {
     return "worker_silent";
   }
+  if (!aLink.MayHoldLease()) {
+    return "no_lease";
+  }
   return FitsCapacity(*mState.FindWorker(aStart.worker), aLink) ? ""
                                                                 : "no_room";
 }
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -70,6 +70,162 @@
   EXPECT_FALSE(fleet.IsActive(start));
 }
 
+// Advances the time by `aTime` while the workers refuse stops and answer
+// renewals, after their maximum wait, with lists that name no run. Returns the
+// number of refused stops.
+size_t
+AdvanceWithRefusedStops(FleetFixture& aFleet,
+                        Millis aTime,
+                        OrderRefusal aRefusal = OrderRefusal::kUnhealthy)
+{
+  constexpr Millis kInterval(50);
+  size_t refused = 0;
+  for (Millis at; at < aTime; at += kInterval) {
+    aFleet.Advance(kInterval);
+    for (const auto& [id, worker] : aFleet.State().Workers()) {
+      aFleet.Heartbeat(id.Value());
+    }
+    for (const Order& it : aFleet.TakeOrders(Order::Kind::kStop)) {
+      aFleet.Refuse(it, aRefusal);
+      ++refused;
+    }
+    aFleet.AnswerDueRenewals();
+  }
+  return refused;
+}
+
+// Guards against a duplicate run: a worker that refused the stop, for whatever
+// reason, has done nothing, so the unanswered start may still be executed.
+TEST(Dispatcher, RefusedStopProvesNothingAboutAnUnansweredStart)
+{
+  for (auto refusal : { OrderRefusal::kUnhealthy,
+                        OrderRefusal::kFenced,
+                        OrderRefusal::kMalformed }) {
+    SCOPED_TRACE(OrderRefusalName(refusal));
+    FleetFixture fleet;
+    fleet.AddWorker("w1");
+    fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+    Order start = fleet.ExpectOrder(Order::Kind::kStart);
+    fleet.AddWorker("w2");
+    fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+    size_t refused = AdvanceWithRefusedStops(fleet, Seconds(3), refusal);
+    EXPECT_TRUE(fleet.IsActive(start));
+    EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+    // Repeated like an unanswered stop, and not at once.
+    EXPECT_GE(refused, 5U);
+    EXPECT_LE(refused, 9U);
+  }
+}
+
+// Guards against a run that is never resolved: a refused stop is repeated, and
+// once it is executed a renewal without the run ends it.
+TEST(Dispatcher, RepeatedStopResolvesTheStartOnceItIsExecuted)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  AdvanceWithRefusedStops(fleet, Seconds(2));
+  ASSERT_TRUE(fleet.IsActive(start));
+  for (int n = 0; n < 10 && fleet.IsActive(start); ++n) {
+    fleet.Advance(Millis(100));
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
+      fleet.Answer(it, OrderResult::Outcome::kAnswered);
+    }
+    fleet.AnswerDueRenewals();
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+  const DispatcherCounters& counters = fleet.GetDispatcher().Counters();
+  EXPECT_EQ(counters.ends[static_cast<size_t>(EndKind::kRejected)], 1U);
+}
+
+// Lets the start and all orders after it stay unanswered until the lease has
+// expired.
+void
+LoseUntilLeaseExpiry(FleetFixture& aFleet, const Order& aStart)
+{
+  aFleet.Answer(aStart, OrderResult::Outcome::kNoAnswer);
+  Millis limit = aFleet.Options().leaseDuration + Seconds(2);
+  for (Millis at; at < limit; at += Millis(100)) {
+    aFleet.Advance(Millis(100));
+    aFleet.Heartbeat("w1");
+    for (auto kind : { Order::Kind::kStop, Order::Kind::kRenew }) {
+      for (const Order& it : aFleet.TakeOrders(kind)) {
+        aFleet.Answer(it, OrderResult::Outcome::kNoAnswer);
+      }
+    }
+  }
+}
+
+// Guards against a duplicate run: a start that was given up at lease expiry
+// would run under the worker's next lease, so none is granted before the worker
+// has executed the stop.
+TEST(Dispatcher, RefusedStopOfAGivenUpStartGrantsNoLease)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  LoseUntilLeaseExpiry(fleet, start);
+  ASSERT_FALSE(fleet.IsActive(start));
+  size_t refused = 0;
+  auto advance = [&](bool aRefuse) {
+    fleet.Advance(Millis(100));
+    fleet.Heartbeat("w1");
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
+      if (aRefuse) {
+        fleet.Refuse(it, OrderRefusal::kUnhealthy);
+        ++refused;
+      } else {
+        fleet.Answer(it, OrderResult::Outcome::kAnswered);
+      }
+    }
+  };
+  for (Millis at; at < Seconds(3); at += Millis(100)) {
+    advance(true);
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      ASSERT_EQ(it.leaseUntil, Millis(0)) << "after " << at.Count() << " ms";
+      fleet.Deliver(it, fleet.EmptyRenewalResult());
+    }
+    ASSERT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  }
+  // Repeated like an unanswered stop, and not at once.
+  EXPECT_GE(refused, 5U);
+  EXPECT_LE(refused, 9U);
+  std::vector<Order> starts;
+  for (int n = 0; n < 10 && starts.empty(); ++n) {
+    advance(false);
+    fleet.AnswerDueRenewals();
+    starts = fleet.TakeOrders(Order::Kind::kStart);
+  }
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts.front().worker, WorkerId("w1"));
+}
+
+// Guards against a task that waits forever for a worker that refuses its stop:
+// after the time of a lease the worker gets no further one, and its runs end at
+// expiry.
+TEST(Dispatcher, WorkerThatKeepsRefusingAStopLosesItsLease)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.AddWorker("w2");
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  Millis lease = fleet.Options().leaseDuration;
+  AdvanceWithRefusedStops(fleet, lease);
+  EXPECT_TRUE(fleet.IsActive(start));
+  AdvanceWithRefusedStops(fleet, lease + Seconds(2));
+  EXPECT_FALSE(fleet.IsActive(start));
+  fleet.Heartbeat("w2");
+  fleet.Advance(Millis(100));
+  for (const Order& it : fleet.TakeOrders(Order::Kind::kStart)) {
+    EXPECT_EQ(it.worker, WorkerId("w2"));
+  }
+}
+
 // Guards against a queue length that leaves out jobs that have not begun,
 // because a start was sent, refused, withdrawn or not answered.
 TEST(Dispatcher, JobBeginsWhenAStartIsAnswered)
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -105,6 +105,10 @@
     kNoAnswer,
   };
 
+  // Whether the worker executed the order. A refusal answers the order and
+  // proves nothing about the runs on the worker.
+  bool Executed() const { return outcome == Outcome::kAnswered; }
+
   Outcome outcome = Outcome::kNotSent;
   OrderRefusal refusal = OrderRefusal::kNone;
   // Why the order was not sent or not answered, for logs.
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -15,7 +15,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <vector>
 
 namespace limpetwood::fleet {
 
@@ -26,7 +25,7 @@
   {
     // The start was queued or sent, and has no result yet.
     kStarting,
-    // The worker answered the start or listed the run.
+    // The worker executed the start or a stop, or listed the run.
     kConfirmed,
     // The start received no answer; the worker may still execute it.
     kUnresolved,
@@ -43,7 +42,10 @@
   bool stopRequested = false;
   // Why, unless the job or the gang cannot continue.
   StopReason stopReason = StopReason::kNone;
-  bool stopAnswered = false;
+  // The worker has executed a stop.
+  bool stopExecuted = false;
+  // Time of the first refused stop since the last executed one.
+  std::optional<Millis> stopRefusedSince{};
   // Time of the latest stop, on the leader's clock. The initial value is long
   // enough ago that the first stop is sent without delay.
   Millis stopSentAt{ -1'000'000 };
@@ -85,6 +87,11 @@
   // on the worker's clock; the end of an earlier lease if that is later.
   // Precondition: the clock is known.
   Millis GrantLease(Millis aNow, Millis aLength);
+  // Whether the worker may be granted a lease. Without, its runs end at expiry.
+  bool MayHoldLease() const
+  {
+    return reachable && !refusesStops && unconfirmedStarts.empty();
+  }
   // Whether every lease granted so far has certainly expired.
   bool HasLeaseExpired(Millis aNow) const;
 
@@ -152,9 +159,12 @@
   std::set<RunRef> uncommittedEnds{};
 
   std::map<RunRef, RunView> runs{};
+  // The worker has refused to stop one of them for as long as a lease lasts.
+  bool refusesStops = false;
   // Runs that were ended at lease expiry although their start received no
-  // answer. They must be stopped before the worker receives another lease.
-  std::vector<RunRef> unconfirmedStarts{};
+  // answer, with the time of their latest stop. The worker must execute their
+  // stops before it receives another lease.
+  std::map<RunRef, Millis> unconfirmedStarts{};
 
 private:
   Incarnation mIncarnation;
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -25,9 +25,8 @@
   const WorkerLink& link = it->second;
   const Worker* worker = mState.FindWorker(aWorker);
   return worker != nullptr && !mState.IsEvacuated(worker->report.zone) &&
-         link.tokenAcknowledged && link.reachable && !link.draining &&
-         !link.gone && link.unconfirmedStarts.empty() &&
-         aNow >= link.unhealthyUntil &&
+         link.tokenAcknowledged && link.MayHoldLease() && !link.draining &&
+         !link.gone && aNow >= link.unhealthyUntil &&
          aNow - link.lastHeard < mHeartbeatInterval * kMaxMissedReports &&
          aNow - link.reportedAt < mHeartbeatInterval * kMaxMissedReports &&
          link.ClockLowerBound(aNow).has_value();
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -45,9 +45,9 @@
   {
   }
 
-  // Whether the worker is reachable, healthy and not draining, is in a zone
-  // that is not evacuated, has seen the fencing token of this term, and has no
-  // unconfirmed starts. Does not consider its fault score.
+  // Whether the worker is healthy and not draining, may hold a lease, is in a
+  // zone that is not evacuated, and has seen the fencing token of this term.
+  // Does not consider its fault score.
   bool IsUsable(const WorkerId& aWorker, Millis aNow) const;
 
   // Number of accelerators of all usable workers.
