Grant no lease by renewals that a worker refuses

Callers saw a job that never went on: its worker answered every order with 429 or 503, its tasks had been killed there when their lease expired, and the leader waited for them as long as the worker refused. The worker meanwhile got a renewal for each answer, without a pause.

Cause: a refused renewal counted as contact like an executed one. The worker stayed reachable, so each further renewal recorded a new lease that no worker had accepted, and runs end at expiry only on a worker that may hold no lease. The time of the next renewal was set only by an executed renewal or a missing answer, so the next one was due at once, also for a worker that had announced its end.

Evidence: these tests failed before:

Dispatcher.RunsOfAWorkerThatRefusesRenewalsEndAtLeaseExpiry fleet.IsActive(start) Actual: true Expected: false Dispatcher.RefusedRenewalIsNotRepeatedAtOnce Expected: (renewals) <= (12U), actual: 100 vs 12 Dispatcher.RefusedRenewalOfALeavingWorkerIsNotRepeatedAtOnce Expected: (renewals) <= (12U), actual: 101 vs 12

(in one second of a virtual clock that ticks every 10 ms). A fourth test, OccasionallyRefusedRenewalsKeepTheLease, passed before; it fails if an executed renewal does not make the worker reachable again.

Change: a refused renewal makes the worker unreachable until it executes an order, as a missing answer does, so the next renewal carries no lease and starts go elsewhere. A refused start or stop changes nothing about that. The pause is that of renewals which workers answer without a wait. The fencing token and the ends count as acknowledged only by an executed renewal, as before; a refusal still counts as a sign of life (lastHeard).

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -486,8 +486,8 @@
     }
   }
   // A lease may be in force from the moment it is sent. A worker that does not
-  // answer, or refuses stops, is sent none, because its runs could then never
-  // be treated as ended.
+  // answer, or refuses renewals or stops, is sent none, because its runs could
+  // then never be treated as ended.
   std::optional<Millis> leaseUntil;
   if (aLink.ClockLowerBound(aNow) && aLink.MayHoldLease()) {
     leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -84,7 +84,17 @@
   bool unanswered = refused ||
                     aResult.outcome == OrderResult::Outcome::kNotSent ||
                     aResult.outcome == OrderResult::Outcome::kNoAnswer;
-  link.reachable = !unanswered;
+  // A refused renewal extended no lease.
+  bool notRenewed = aOrder.kind == Order::Kind::kRenew &&
+                    aResult.outcome == OrderResult::Outcome::kRefused;
+  if (unanswered || notRenewed) {
+    link.reachable = false;
+  } else if (aResult.Executed()) {
+    link.reachable = true;
+  }
+  if (notRenewed) {
+    link.nextRenewalAt = std::max(aNow, aOrder.sentAt + kMinRenewalInterval);
+  }
   if (unanswered) {
     ++mCounters.unansweredOrders;
     link.unreachableSince = link.unreachableSince.value_or(aNow);
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -226,6 +226,111 @@
   }
 }
 
+// Guards against flooding a worker that sheds load: a refused renewal comes
+// back at once, and is repeated at the pace of other renewals without a wait.
+TEST(Dispatcher, RefusedRenewalIsNotRepeatedAtOnce)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  size_t renewals = 0;
+  for (int n = 0; n < 100; ++n) {
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      fleet.Refuse(it, OrderRefusal::kUnhealthy);
+      ++renewals;
+    }
+    fleet.Advance(Millis(10));
+  }
+  EXPECT_GE(renewals, 5U);
+  EXPECT_LE(renewals, 12U);
+}
+
+// Guards against the same for a worker that has announced its end.
+TEST(Dispatcher, RefusedRenewalOfALeavingWorkerIsNotRepeatedAtOnce)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.Leave("w1");
+  size_t renewals = 0;
+  for (int n = 0; n < 100; ++n) {
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      fleet.Refuse(it, OrderRefusal::kUnhealthy);
+      ++renewals;
+    }
+    fleet.Advance(Millis(10));
+  }
+  EXPECT_GE(renewals, 5U);
+  EXPECT_LE(renewals, 12U);
+}
+
+// Guards against a task that waits forever for a worker that refuses all
+// orders: refused renewals grant no lease, so its runs end at expiry.
+TEST(Dispatcher, RunsOfAWorkerThatRefusesRenewalsEndAtLeaseExpiry)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  Millis limit = fleet.Options().leaseDuration + Seconds(2);
+  for (Millis at; at < limit; at += Millis(50)) {
+    fleet.Advance(Millis(50));
+    fleet.Heartbeat("w1");
+    for (auto kind : { Order::Kind::kRenew, Order::Kind::kStop }) {
+      for (const Order& it : fleet.TakeOrders(kind)) {
+        fleet.Refuse(it, OrderRefusal::kUnhealthy);
+      }
+    }
+    if (at < fleet.Options().leaseDuration) {
+      ASSERT_TRUE(fleet.IsActive(start)) << "after " << at.Count() << " ms";
+    }
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+  // It takes tasks again only when it executes a renewal.
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+  std::vector<Order> starts;
+  for (int n = 0; n < 10 && starts.empty(); ++n) {
+    fleet.Advance(Millis(100));
+    fleet.AnswerDueRenewals();
+    starts = fleet.TakeOrders(Order::Kind::kStart);
+  }
+  EXPECT_EQ(starts.size(), 1U);
+}
+
+// Guards against a run that is given up although its worker works: one refused
+// renewal among many that are executed costs no lease.
+TEST(Dispatcher, OccasionallyRefusedRenewalsKeepTheLease)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  int32_t renewals = 0;
+  Millis limit = fleet.Options().leaseDuration * 3;
+  for (Millis at; at < limit; at += Millis(50)) {
+    fleet.Advance(Millis(50));
+    fleet.Heartbeat("w1");
+    OrderResult result = fleet.EmptyRenewalResult();
+    result.running.push_back(
+      { .run = start.run,
+        .percent = static_cast<int32_t>(at.Count() * 90 / limit.Count()) });
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      if (++renewals % 2 == 0) {
+        fleet.Refuse(it, OrderRefusal::kUnhealthy);
+      } else {
+        fleet.Deliver(it, result);
+      }
+    }
+    ASSERT_TRUE(fleet.IsActive(start)) << "after " << at.Count() << " ms";
+  }
+}
+
 // Guards against a queue length that leaves out jobs that have not begun,
 // because a start was sent, refused, withdrawn or not answered.
 TEST(Dispatcher, JobBeginsWhenAStartIsAnswered)
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -104,7 +104,8 @@
   Millis lastHeard{};
   // The worker has seen the fencing token of this term.
   bool tokenAcknowledged = false;
-  // False after an unanswered order until the next answer.
+  // False after an unanswered order or a refused renewal until the worker
+  // executes an order.
   bool reachable = true;
   // Time of the first unanswered order since the last answer.
   std::optional<Millis> unreachableSince{};
