Keep executed events until the leader has applied their report

Callers saw a job run a second time from its start, while the run that a cut-off zone authority had started went on, or a result that it had reported was lost.

Cause: an instance that lost its authority reports the events which it had executed while cut off, and forgot them as soon as the command was committed. A committed command can still be rejected, such as by a leader that cannot decode it, and then nothing of it is in the state.

Evidence: ZoneEvents.AreReportedUntilTheLeaderAcceptsThem failed before:

zone.Job("a").attempt Which is: 4-byte object <01-00 00-00> Attempt(2)

Change: the events are forgotten only when the result says that the command was accepted. Events are idempotent by job, attempt and kind, so sending them again is safe.

--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -467,9 +467,15 @@
   mLeader.Propose(
     control::Encode(command), aNow, [this](const ProposeAnswer& aAnswer) {
       mUncommittedInFlight = false;
-      if (aAnswer.verdict == Verdict::kAnswered) {
-        mUncommittedEvents.clear();
+      if (aAnswer.verdict != Verdict::kAnswered) {
+        return;
+      }
+      if (!aAnswer.result.accepted) {
+        mEnvironment.Log(
+          LogEvent("journal_refused").Add("reason", aAnswer.result.reason));
+        return;
       }
+      mUncommittedEvents.clear();
     });
 }
 
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -210,6 +210,9 @@
     mCore->OnControl(kLeader, message, now);
   }
 
+  // The instance resigns as the zone's authority.
+  void Drain() { mCore->StartDrain(now); }
+
   // Number of active alarms of the zone authority.
   size_t Alarms() const { return mCore->Authority()->Alarms().size(); }
 
@@ -491,6 +494,33 @@
   }
 }
 
+// Guards against a job that starts again although it runs: the starts that an
+// authority executed while cut off must not be dropped when the leader commits
+// the report of them without applying it.
+TEST(ZoneEvents, AreReportedUntilTheLeaderAcceptsThem)
+{
+  Zone zone;
+  zone.workerAnnounced = true;
+  zone.Elect();
+  zone.SubmitAndAssign("a");
+  zone.RunFor(Seconds(5));
+  ASSERT_EQ(zone.Job("a").attempt, Attempt(1));
+  zone.leaderReachable = false;
+  zone.RunFor(Seconds(15));
+  // The worker restarts without its task. The job avoids it for a minute.
+  zone.workerIncarnation = 2;
+  zone.RunFor(Seconds(120));
+  ASSERT_EQ(zone.Calls("start"), 2U);
+  zone.Drain();
+  zone.rejectReason = "undecodable_command";
+  zone.leaderReachable = true;
+  zone.RunFor(Seconds(5));
+  ASSERT_EQ(zone.Job("a").attempt, Attempt(1));
+  zone.rejectReason = "";
+  zone.RunFor(Seconds(5));
+  EXPECT_EQ(zone.Job("a").attempt, Attempt(2));
+}
+
 // After its election, an authority must not start the jobs of a message that
 // may have been sent before the election, nor those of a leader that may not
 // have applied an evacuation yet.
