Acknowledge a fence only if the leader applied it

An operator who fenced a zone was told "fenced" although the leader had rejected the command: the zone's jobs stayed assigned to it, and the operator had no reason to send the order again.

Cause: the call took the commit of the command for its execution. A command that the leader does not know or cannot decode is committed and rejected.

Evidence: ZoneOrders.FenceThatTheLeaderRejectsIsNotAcknowledged failed before:

answer.status Which is: 200, expected 503

Change: a rejected fence is answered 503 with the verdict not_run and the leader's reason, as the orders to evacuate and restore a zone are.

--- a/packages/daemon/instance_api.cc
+++ b/packages/daemon/instance_api.cc
@@ -373,13 +373,18 @@
   }
   gen::Command command;
   command.__set_fenceZone(fence);
-  mLeader.Propose(control::Encode(command),
-                  aNow,
-                  [done = std::move(aDone)](const ProposeAnswer& aAnswer) {
-                    done(aAnswer.verdict == Verdict::kAnswered
-                           ? Ok({ { "fenced", true } })
-                           : ProposeFailed(aAnswer));
-                  });
+  mLeader.Propose(
+    control::Encode(command),
+    aNow,
+    [this, done = std::move(aDone)](const ProposeAnswer& aAnswer) {
+      if (aAnswer.verdict != Verdict::kAnswered) {
+        done(ProposeFailed(aAnswer));
+      } else if (aAnswer.result.accepted) {
+        done(Ok({ { "fenced", true } }));
+      } else {
+        done(Refuse(503, aAnswer.result.reason));
+      }
+    });
 }
 
 void
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -637,6 +637,22 @@
   EXPECT_NE(answer.body.find("not_run"), std::string::npos);
 }
 
+// Guards against an operator who relies on a fence that the leader did not
+// apply: the zone's jobs would wait for it, and it would not be sent again.
+TEST(ZoneOrders, FenceThatTheLeaderRejectsIsNotAcknowledged)
+{
+  Zone zone;
+  zone.RunFor(Seconds(1));
+  zone.rejectReason = "unknown_command";
+  ApiAnswer answer =
+    zone.Call("POST", "/v1/zones/fence", R"({"zone":"voss"})", "k1");
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(answer.body.find("not_run"), std::string::npos);
+  zone.rejectReason = "";
+  answer = zone.Call("POST", "/v1/zones/fence", R"({"zone":"voss"})", "k1");
+  EXPECT_EQ(answer.status, 200);
+}
+
 // The operator must see every fault of a malformed order at once, and a wrong
 // method must not be taken for an order.
 TEST(ZoneOrders, EveryFaultIsListed)
