Give up no run by a new process while the earlier one may still answer

Callers could see a done task run again when its worker's process ended and a new one began under the same id: the first list of the new process proved the loss of the run, and the answer in which the earlier process had listed its end as done arrived before the loss was committed and counted for nothing.

Cause: renewals to an earlier process were forgotten with its link, so nothing waited for their results, neither the proof by absence nor the removal of the worker.

The link of a new process carries the number of renewals to earlier ones that are in flight. Each has a result within its time limit, and until then the new process is asked without a wait.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -80,6 +80,10 @@
   added.coldUntil = aNow + report.coldRemaining;
   added.reportedAt = aNow;
   bool replaced = it != mLinks.end();
+  if (replaced) {
+    added.earlierRenewalsInFlight =
+      it->second.earlierRenewalsInFlight + it->second.renewalsInFlight;
+  }
   bool announced = replaced && (it->second.draining || it->second.leftAt);
   std::map<RunRef, CrashEvidence> evidence;
   if (replaced && !announced) {
@@ -473,7 +477,8 @@
       return mState.FindJob(aRun.task.job)->priority == 0;
     });
   bool mayWait = aLink.tokenAcknowledged && aLink.reachable &&
-                 !aWorker.active.empty() && !stopsRequested;
+                 !aWorker.active.empty() && !stopsRequested &&
+                 aLink.earlierRenewalsInFlight == 0;
   Millis wait;
   if (mayWait) {
     wait = urgent ? mOptions.maxUrgentRenewalWait : mOptions.maxRenewalWait;
--- a/packages/fleet/dispatcher_departure.cc
+++ b/packages/fleet/dispatcher_departure.cc
@@ -137,7 +137,8 @@
       return mProposals.HasProposedEnd(it);
     });
   if (MayRun(aWorker, aLink, aNow) || aLink.renewalsInFlight > 0 ||
-      aLink.leaveRenewalDue || endProposed) {
+      aLink.earlierRenewalsInFlight > 0 || aLink.leaveRenewalDue ||
+      endProposed) {
     return false;
   }
   if (!mProposals.HasProposedRemoval(aWorker.report.id)) {
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -330,6 +330,45 @@
   fleet.Advance(Millis(50));
 }
 
+// Guards against starting a done task again: the answer of the earlier process
+// is still on its way when the new one lists no run.
+TEST(DispatcherRemoval, NewProcessProvesNoLossWhileTheEarlierOneMayAnswer)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, { "w1" });
+  Order earlier = fleet.ExpectOrder(Order::Kind::kRenew);
+  fleet.Restart("w1", Incarnation(2));
+  fleet.HoldCommits(true);
+  for (int n = 0; n < 5; ++n) {
+    fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+    fleet.Advance(Millis(101));
+  }
+  fleet.Deliver(earlier, DoneResult(fleet, start.run));
+  fleet.HoldCommits(false);
+  fleet.Advance(Millis(101));
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+  EXPECT_TRUE(fleet.TakeOrders(Order::Kind::kStart).empty());
+}
+
+// Guards against a run that is never given up because the earlier process of
+// its worker did not answer.
+TEST(DispatcherRemoval, NewProcessProvesTheLossOnceTheEarlierOneCannotAnswer)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, { "w1" });
+  Order earlier = fleet.ExpectOrder(Order::Kind::kRenew);
+  fleet.Restart("w1", Incarnation(2));
+  fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+  fleet.Advance(Millis(101));
+  EXPECT_TRUE(fleet.IsActive(start));
+  fleet.Answer(earlier, OrderResult::Outcome::kNoAnswer);
+  for (int n = 0; n < 3; ++n) {
+    fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+    fleet.Advance(Millis(101));
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+}
+
 // Guards against treating a run as lost because a long list of ends was cut
 // off before it.
 TEST(DispatcherRemoval, IncompleteListOfEndsProvesNoLoss)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -40,11 +40,16 @@
     }
     return;
   }
+  WorkerLink& link = LinkOf(*worker, aNow);
   if (worker->report.incarnation != aOrder.incarnation) {
     RecordEarlierEnds(aOrder, aResult);
+    if (aOrder.kind == Order::Kind::kRenew &&
+        link.earlierRenewalsInFlight > 0) {
+      --link.earlierRenewalsInFlight;
+      ScheduleWorker(aOrder.worker, aNow);
+    }
     return;
   }
-  WorkerLink& link = LinkOf(*worker, aNow);
   bool failed = aResult.outcome != OrderResult::Outcome::kAnswered;
   if (aOrder.kind == Order::Kind::kRenew &&
       (link.gone || (link.draining && failed))) {
@@ -427,7 +432,7 @@
   for (const RunRef& it : aWorker.active) {
     auto run = aLink.runs.find(it);
     if (!listed.contains(it) && !aResult.endsTruncated &&
-        run != aLink.runs.end() &&
+        aLink.earlierRenewalsInFlight == 0 && run != aLink.runs.end() &&
         run->second.conclusiveAfter < aOrder.sentAt) {
       if (run->second.begun || run->second.crash) {
         ProposeLostRun(aWorker, it, run->second);
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -148,6 +148,10 @@
   // At most one, and beside it the first one after the worker announced its
   // end.
   int renewalsInFlight = 0;
+  // Renewals to earlier processes of the worker, whose answers may still list
+  // ends of its runs. Until these are resolved, no run is given up because the
+  // current process does not list it.
+  int earlierRenewalsInFlight = 0;
   Millis nextRenewalAt{};
   // Numbers of the last end in the replicated state, and of the last end
   // proposed to it.
