Acknowledge the end of a run only when the state has it

Callers could see a done task run again: its worker listed the end as done while the loss of the run was proposed and not committed. The end could not be proposed, so the dispatcher took it for one that changes nothing and acknowledged it at once, and the worker forgot it. The same for an end that a worker listed behind a later one. Both were found by reading; no play or interleaving of the protocol as given has shown them.

Cause: ends counted as handled by their number, not by what became of them.

Each end above the last committed number is looked at, and none is acknowledged while an end of a listed run is uncommitted, whichever it is. An end as done replaces one that has not been handed to the log.

--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -369,6 +369,56 @@
   EXPECT_FALSE(fleet.IsActive(start));
 }
 
+// Guards against an end that is acknowledged, and so forgotten by its worker,
+// before the state has it: another end of the run is already proposed.
+TEST(DispatcherRemoval, EndIsNotAcknowledgedBeforeItIsRecorded)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, { "w1" });
+  fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+  fleet.Advance(Millis(101));
+  fleet.HoldCommits(true);
+  fleet.AnswerRenewal("w1", fleet.EmptyRenewalResult());
+  fleet.Advance(Millis(101));
+  fleet.AnswerRenewal("w1", DoneResult(fleet, start.run));
+  for (int n = 0; n < 5; ++n) {
+    fleet.Advance(Millis(101));
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      EXPECT_EQ(it.acknowledgedEnds, 0U);
+    }
+  }
+  fleet.HoldCommits(false);
+  fleet.Advance(Millis(101));
+  // The end as done has replaced the loss, which was not proposed yet.
+  EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
+}
+
+// Guards against an end that is skipped because the worker listed a later one
+// before it.
+TEST(DispatcherRemoval, EndsThatAreNotListedInOrderAllCount)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  StepSpec half = FleetFixture::GangOf(1);
+  half.gang = false;
+  half.resources.accelerators = 4;
+  fleet.Submit(kJob, half);
+  fleet.Submit("00000000000000a2", half);
+  std::vector<Order> starts = fleet.TakeOrders(Order::Kind::kStart);
+  fleet.Answer(starts.at(0), OrderResult::Outcome::kAnswered);
+  if (starts.size() == 1) {
+    starts.push_back(fleet.ExpectOrder(Order::Kind::kStart));
+  }
+  fleet.Answer(starts.at(1), OrderResult::Outcome::kAnswered);
+  OrderResult result = fleet.EmptyRenewalResult();
+  result.ended.push_back({ 2, starts[1].run, EndKind::kDone, "" });
+  result.ended.push_back({ 1, starts[0].run, EndKind::kDone, "" });
+  fleet.AnswerRenewal("w1", result);
+  fleet.Advance(Millis(101));
+  EXPECT_FALSE(fleet.IsActive(starts[0]));
+  EXPECT_FALSE(fleet.IsActive(starts[1]));
+}
+
 // Guards against treating a run as lost because a long list of ends was cut
 // off before it.
 TEST(DispatcherRemoval, IncompleteListOfEndsProvesNoLoss)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -402,23 +402,24 @@
   std::set<RunRef> listed;
   for (const EndedRun& it : aResult.ended) {
     listed.insert(it.run);
-    if (it.number > aLink.endsProposed) {
-      aLink.endsProposed = it.number;
-      StopReason reason = StopReasonOf(it, aLink);
-      if (mProposals.ProposeEnd(aOrder.worker,
-                                it.run,
-                                it.kind,
-                                it.checkpoint,
-                                CrashEvidence::kNone,
-                                reason)) {
-        aLink.uncommittedEnds.insert(it.run);
-      } else {
-        LogUnrecordedEnd(aOrder,
-                         it,
-                         mProposals.HasProposedEnd(it.run) ? "end_proposed"
-                                                           : "not_active",
-                         aNow);
-      }
+    aLink.endsProposed = std::max(aLink.endsProposed, it.number);
+    if (it.number <= aLink.endsCommitted) {
+      continue;
+    }
+    StopReason reason = StopReasonOf(it, aLink);
+    bool proposed = mProposals.ProposeEnd(aOrder.worker,
+                                          it.run,
+                                          it.kind,
+                                          it.checkpoint,
+                                          CrashEvidence::kNone,
+                                          reason);
+    if (!mState.IsActive(it.run, aOrder.worker)) {
+      LogUnrecordedEnd(aOrder, it, "not_active", aNow);
+      continue;
+    }
+    bool added = aLink.uncommittedEnds.insert(it.run).second;
+    if (added && !proposed) {
+      LogUnrecordedEnd(aOrder, it, "end_proposed", aNow);
     }
   }
   size_t unknownRuns = 0;
--- a/packages/fleet/proposals.cc
+++ b/packages/fleet/proposals.cc
@@ -33,7 +33,7 @@
                       CrashEvidence aEvidence,
                       StopReason aReason)
 {
-  if (!mState.IsActive(aRun, aWorker) || !mProposedEnds.insert(aRun).second) {
+  if (!mState.IsActive(aRun, aWorker)) {
     return false;
   }
   gen::RunEnd end;
@@ -44,7 +44,18 @@
   end.checkpoint = aCheckpoint;
   end.evidence = static_cast<int32_t>(aEvidence);
   end.stopReason = static_cast<int32_t>(aReason);
-  mCommand.ends.push_back(std::move(end));
+  if (mProposedEnds.insert(aRun).second) {
+    mCommand.ends.push_back(std::move(end));
+    return true;
+  }
+  auto queued =
+    std::find_if(mCommand.ends.begin(), mCommand.ends.end(), [&](auto& it) {
+      return it.task == end.task && it.run == end.run;
+    });
+  if (aKind != EndKind::kDone || queued == mCommand.ends.end()) {
+    return false;
+  }
+  *queued = std::move(end);
   return true;
 }
 
--- a/packages/fleet/proposals.h
+++ b/packages/fleet/proposals.h
@@ -22,7 +22,9 @@
 
   void ProposeReport(const WorkerReport& aReport);
   void ProposeRemoval(const Worker& aWorker);
-  // Returns false if the run is not active or its end is already proposed.
+  // Returns false if the run is not active or its end is already proposed. An
+  // end as done replaces another one that `Take` has not returned yet, because
+  // a done task must not run again.
   bool ProposeEnd(const WorkerId& aWorker,
                   const RunRef& aRun,
                   EndKind aKind,
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -160,7 +160,8 @@
   // Number of the last end whose acknowledgement reached the worker.
   uint64_t endsAcknowledged = 0;
 
-  // Runs whose reported end has been proposed and is not committed yet.
+  // Runs whose reported end, or another end of theirs, has been proposed and is
+  // not committed yet. No end is acknowledged until there are none.
   std::set<RunRef> uncommittedEnds{};
 
   std::map<RunRef, RunView> runs{};
