Stop an unanswered start in the next process of its worker too

Callers could see a task run twice, again after it was done, or a worker above its capacity: a start got no answer, the worker's process executed its stop, so the run was given up and the task started elsewhere. That process ended, and a new one under the same id, which was told of no stop, executed the start when it arrived seconds later.

Cause: what one process of a worker executed was taken to bind the next one, because a start names the worker's id.

The link of a worker remembers the starts without an answer that the worker never listed. The next process gets no lease and no tasks before it has executed a stop for each. Not closed: a start that arrives before that stop, which nothing tells from one for the new process, and starts that an earlier leader sent or whose worker was removed meanwhile.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -83,6 +83,12 @@
   if (replaced) {
     added.earlierRenewalsInFlight =
       it->second.earlierRenewalsInFlight + it->second.renewalsInFlight;
+    added.unansweredStarts = it->second.unansweredStarts;
+    for (const RunRef& run : added.unansweredStarts) {
+      if (!aWorker.active.contains(run)) {
+        added.unconfirmedStarts.emplace(run, aNow - kRetryDelay);
+      }
+    }
   }
   bool announced = replaced && (it->second.draining || it->second.leftAt);
   std::map<RunRef, CrashEvidence> evidence;
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -312,6 +312,35 @@
   EXPECT_EQ(StatusOf(fleet), JobStatus::kCompleted);
 }
 
+// Guards against a start that gets no answer, is stopped in one process, and
+// runs in the next one under the same id, which knows nothing of the stop.
+TEST(DispatcherRemoval, UnansweredStartIsStoppedInTheNextProcessToo)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  fleet.Drain(start.worker.Value());
+  fleet.Answer(fleet.ExpectOrder(Order::Kind::kStop),
+               OrderResult::Outcome::kAnswered);
+  for (int n = 0; n < 5 && fleet.IsActive(start); ++n) {
+    fleet.Advance(Millis(100));
+    AnswerRenewals(fleet, start.worker, OrderResult::Outcome::kAnswered);
+  }
+  ASSERT_FALSE(fleet.IsActive(start));
+  fleet.Advance(Millis(20));
+  Order second = fleet.ExpectOrder(Order::Kind::kStart);
+  ASSERT_NE(second.worker, start.worker);
+  fleet.Answer(second, OrderResult::Outcome::kAnswered);
+  fleet.Restart(start.worker.Value(), Incarnation(2));
+  fleet.Advance(Millis(10));
+  Order stop = fleet.ExpectOrder(Order::Kind::kStop);
+  EXPECT_EQ(RunName(stop.run), RunName(start.run));
+  EXPECT_EQ(stop.incarnation, Incarnation(2));
+}
+
 // Guards against giving up the work of a restarted worker because the report
 // that its earlier process leaves arrives late.
 TEST(DispatcherRemoval, LateLeaveOfAnEarlierIncarnationIsIgnored)
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -171,6 +171,10 @@
   // answer, with the time of their latest stop. The worker must execute their
   // stops before it receives another lease.
   std::map<RunRef, Millis> unconfirmedStarts{};
+  // Runs whose start got no answer and that the worker has not listed. Whatever
+  // this process was told of them, a later one under the same id may execute
+  // the start.
+  std::set<RunRef> unansweredStarts{};
 
 private:
   Incarnation mIncarnation;
