Test that a stop refused as unhealthy does not count as carried out

Callers see a task that runs twice, again after it was done, or over a worker's capacity.

Cause: OnResult takes any result of a stop but silence for an execution, and with it the next renewal for a proof and the worker for one to lease again.

--- a/packages/fleet/dispatcher_interleaving_test.cc
+++ b/packages/fleet/dispatcher_interleaving_test.cc
@@ -455,5 +455,12 @@
   PlaySeeds(kCommonFaults, true, 300);
 }
 
+// Guards against a stop that an unhealthy worker refused and that counts as
+// carried out.
+TEST(DispatcherInterleaving, RefusedStopsAreNotCarriedOut)
+{
+  PlaySeeds(kUnhealthy | kLateOrders, false, 100);
+}
+
 } // namespace
 } // namespace limpetwood::fleet
