Test that an end listed by an earlier process is not lost

Cause: Proposals::ProposeEnd refuses a second end of a run, and the first renewal of a new process proves a loss although a renewal of the earlier one is unanswered.

--- a/packages/fleet/dispatcher_interleaving_test.cc
+++ b/packages/fleet/dispatcher_interleaving_test.cc
@@ -462,5 +462,12 @@
   PlaySeeds(kUnhealthy | kLateOrders, false, 100);
 }
 
+// Guards against giving up a task that was listed as done by an earlier process
+// after the renewal of the new one.
+TEST(DispatcherInterleaving, EndOfAnEarlierProcessIsNotLost)
+{
+  PlaySeeds(kCrashes | kRestarts | kFastRestarts | kLastAnswers, false, 200);
+}
+
 } // namespace
 } // namespace limpetwood::fleet
