Play several leaves at the same time and commits in batches

Replication applies all entries that it has learned of before it reports the first of them, and workers leave in groups; the interleavings had neither.

--- a/packages/fleet/dispatcher_interleaving_test.cc
+++ b/packages/fleet/dispatcher_interleaving_test.cc
@@ -32,6 +32,14 @@
 // All jobs end within this time once there are no more faults.
 constexpr Millis kRecoveryTime = Seconds(60);
 
+struct LogEntry
+{
+  uint64_t number = 0;
+  FencingToken term{};
+  Millis dueAt{};
+  gen::Command command{};
+};
+
 class Interleaving : private ModelNetwork
 {
 public:
@@ -212,28 +220,48 @@
     }
   }
 
-  // Entries are committed in their order. Those of an earlier leader are
-  // committed before the next one begins or not at all, but jobs and their
-  // cancellations are sent again.
   void Append(gen::Command aCommand)
   {
-    uint64_t entry = ++mAppended;
+    ++mAppended;
     mLastCommitAt =
       std::max({ mLastCommitAt, Now() + Between(0, 25), mCommitsHeldUntil });
-    After(mLastCommitAt - Now(),
-          [this, entry, term = mToken, command = std::move(aCommand)] {
-            if (term == mToken || !command.jobs.empty() ||
-                !command.cancelled.empty()) {
-              Commit(command, entry);
-            }
-          });
+    mLog.push_back({ .number = mAppended,
+                     .term = mToken,
+                     .dueAt = mLastCommitAt,
+                     .command = std::move(aCommand) });
+    After(mLastCommitAt - Now(), [this] { Commit(); });
   }
 
-  void Commit(gen::Command aCommand, uint64_t aEntry)
+  // All entries that are due are applied before any is reported. Those of an
+  // earlier leader are committed before the next one begins or not at all, but
+  // jobs and their cancellations are sent again.
+  void Commit()
+  {
+    std::vector<LogEntry> applied;
+    for (; !mLog.empty() && mLog.front().dueAt <= Now(); mLog.pop_front()) {
+      LogEntry& entry = mLog.front();
+      gen::Command& command = entry.command;
+      if (entry.term == mToken || !command.jobs.empty() ||
+          !command.cancelled.empty()) {
+        command.atMs = Now().Count();
+        mState.Apply(command);
+        applied.push_back(std::move(entry));
+      }
+    }
+    for (const LogEntry& it : applied) {
+      mDispatcher->OnCommitted(it.command, Now());
+    }
+    HandleChanges();
+    while (!applied.empty() && !mLeaves.empty() &&
+           mLeaves.begin()->first <= applied.back().number) {
+      auto [id, incarnation] = mLeaves.begin()->second;
+      mLeaves.erase(mLeaves.begin());
+      AcknowledgeLeave(id, incarnation);
+    }
+  }
+
+  void HandleChanges()
   {
-    aCommand.atMs = Now().Count();
-    mState.Apply(aCommand);
-    mDispatcher->OnCommitted(aCommand, Now());
     for (const Change& it : mState.TakeChanges()) {
       mDispatcher->OnChanged();
       if (it.kind == Change::Kind::kJobEnded) {
@@ -246,11 +274,6 @@
         Trace(it.worker, "is removed");
       }
     }
-    while (!mLeaves.empty() && mLeaves.begin()->first <= aEntry) {
-      auto [id, incarnation] = mLeaves.begin()->second;
-      mLeaves.erase(mLeaves.begin());
-      AcknowledgeLeave(id, incarnation);
-    }
   }
 
   void ChangeLeader()
@@ -384,6 +407,8 @@
   Millis mCommitsHeldUntil{};
   Millis mLastCommitAt{};
   uint64_t mAppended = 0;
+  // Not committed yet.
+  std::deque<LogEntry> mLog;
   // Leaves that wait for the commit of an entry.
   std::multimap<uint64_t, std::pair<WorkerId, Incarnation>> mLeaves;
   // The run of each task, or gang, that started last.
--- a/packages/fleet/testing/model_network.cc
+++ b/packages/fleet/testing/model_network.cc
@@ -77,11 +77,13 @@
   }
   auto n = static_cast<ptrdiff_t>(mRandom.Below(mHosts.size()));
   Host& host = std::next(mHosts.begin(), n)->second;
-  if (Strikes(kLeaves, 0.001) && !host.draining) {
-    host.draining = true;
-    host.reportAt = mNow;
-    host.leaveAt = mNow + Between(0, 4000);
-    Trace(host.worker.Id(), "drains");
+  if (Strikes(kLeaves, 0.001)) {
+    Drain(host);
+  }
+  if (Strikes(kLeaves, 0.0001)) {
+    for (auto& [address, each] : mHosts) {
+      Drain(each);
+    }
   }
   if (Strikes(kCrashes, 0.0005)) {
     host.endAt = mNow;
@@ -99,6 +101,17 @@
   }
 }
 
+void
+ModelNetwork::Drain(Host& aHost)
+{
+  if (!aHost.draining) {
+    aHost.draining = true;
+    aHost.reportAt = mNow;
+    aHost.leaveAt = mNow + Between(0, 4000);
+    Trace(aHost.worker.Id(), "drains");
+  }
+}
+
 void
 ModelNetwork::Send(Order aOrder)
 {
--- a/packages/fleet/testing/model_network.h
+++ b/packages/fleet/testing/model_network.h
@@ -146,6 +146,7 @@
   void AdvanceHost(Host& aHost);
   // Delivers a report to the leader, at times late or twice.
   void Deliver(const Host& aHost, const std::function<void()>& aCall);
+  void Drain(Host& aHost);
   void Leave(Host& aHost);
   void EndProcess(Host& aHost);
 
