Test that an end is not lost when another worker takes the address

Failed on: DispatcherInterleaving.EndOfACrashedWorkerIsNotLost, seeds 26 and 129 of 1 to 150, with crashes, other workers at the address, an end just before the crash, gangs and priorities; no order or answer is lost.

Seed 26: a run ends as done and its process ends; another worker takes the address. An order for the ended process is refused as one for another incarnation, so its runs are proposed as crashed. The renewal that it held lists the run as done, arrives 42 ms after that commit, and counts for nothing. Callers wait for a task that was done to run again.

Cause: Dispatcher::TickGoneWorker proposes the crashed runs without waiting for renewals in flight, as RemoveIfSettled does.

--- a/packages/fleet/dispatcher_interleaving_test.cc
+++ b/packages/fleet/dispatcher_interleaving_test.cc
@@ -503,5 +503,13 @@
   PlaySeeds(kCrashes | kRestarts | kFastRestarts | kLastAnswers, false, 200);
 }
 
+// Guards against the same when another worker takes the address of one that
+// crashed.
+TEST(DispatcherInterleaving, EndOfACrashedWorkerIsNotLost)
+{
+  PlaySeeds(
+    kCrashes | kTakeovers | kLastAnswers | kGangs | kPriorities, false, 150);
+}
+
 } // namespace
 } // namespace limpetwood::fleet
