Give up crashed runs only when no renewal is in flight

Callers waited for a task that was done to run again: its worker's process ended right after it had listed the end, another worker took the address, and the runs were given up as crashed before the answer with the list arrived.

Cause: the runs of a crashed worker were proposed as ended without a look at the renewals in flight, which the removal of a worker waits for.

Both wait now for all renewals to the worker, whichever of its processes they were sent to; each has a result within its time limit.

--- a/packages/fleet/dispatcher_departure.cc
+++ b/packages/fleet/dispatcher_departure.cc
@@ -136,9 +136,8 @@
     aWorker.active.begin(), aWorker.active.end(), [&](const RunRef& it) {
       return mProposals.HasProposedEnd(it);
     });
-  if (MayRun(aWorker, aLink, aNow) || aLink.renewalsInFlight > 0 ||
-      aLink.earlierRenewalsInFlight > 0 || aLink.leaveRenewalDue ||
-      endProposed) {
+  if (MayRun(aWorker, aLink, aNow) || aLink.MayAnswer() ||
+      aLink.leaveRenewalDue || endProposed) {
     return false;
   }
   if (!mProposals.HasProposedRemoval(aWorker.report.id)) {
@@ -166,7 +165,7 @@
              aNow >= aLink.nextRenewalAt) {
     SendRenewal(aWorker, aLink, kLeaveRenewalWait, std::nullopt, aNow);
   }
-  if (aLink.crashed) {
+  if (aLink.crashed && !aLink.MayAnswer()) {
     ProposeCrashedRuns(aWorker, aLink);
   }
   if (!RemoveIfSettled(aWorker, aLink, aNow)) {
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -92,6 +92,12 @@
   {
     return reachable && !refusesStops && unconfirmedStarts.empty();
   }
+  // Whether an answer of the worker or of an earlier process of it may still
+  // list ends.
+  bool MayAnswer() const
+  {
+    return renewalsInFlight > 0 || earlierRenewalsInFlight > 0;
+  }
   // Whether every lease granted so far has certainly expired.
   bool HasLeaseExpired(Millis aNow) const;
 
