Stop an unanswered start in the next process before its run is given up

A start got no answer, the worker's process executed its stop, and a new process began before a list without the run was read. The run counted as resolved, so the first list of the new process ended it, and a late start could run there.

Cause: as for runs that were given up already, what the earlier process executed was taken to bind the next one.

Renames unansweredStarts to startsWithoutAnswer, which unconfirmedStarts was too close to.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -83,8 +83,8 @@
   if (replaced) {
     added.earlierRenewalsInFlight =
       it->second.earlierRenewalsInFlight + it->second.renewalsInFlight;
-    added.unansweredStarts = it->second.unansweredStarts;
-    for (const RunRef& run : added.unansweredStarts) {
+    added.startsWithoutAnswer = it->second.startsWithoutAnswer;
+    for (const RunRef& run : added.startsWithoutAnswer) {
       if (!aWorker.active.contains(run)) {
         added.unconfirmedStarts.emplace(run, aNow - kRetryDelay);
       }
@@ -96,9 +96,11 @@
     evidence = JudgeCrash(aWorker, it->second, aNow);
   }
   for (const RunRef& run : aWorker.active) {
+    // What the earlier process executed does not bind the new one.
     bool startUnresolved =
       replaced && it->second.runs.contains(run) &&
-      it->second.runs[run].phase != RunView::Phase::kConfirmed;
+      (it->second.runs[run].phase != RunView::Phase::kConfirmed ||
+       it->second.startsWithoutAnswer.contains(run));
     // Runs of earlier leaders or of an earlier incarnation are resolved by the
     // first renewal. A start without a conclusive answer may still reach the
     // new incarnation, so it is resolved by a stop.
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -341,6 +341,41 @@
   EXPECT_EQ(stop.incarnation, Incarnation(2));
 }
 
+// Guards against the same if the new process begins before a list without the
+// run was read.
+TEST(DispatcherRemoval, StopExecutedByTheEarlierProcessResolvesNoStartInTheNext)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  fleet.Drain(start.worker.Value());
+  fleet.Answer(fleet.ExpectOrder(Order::Kind::kStop),
+               OrderResult::Outcome::kAnswered);
+  ASSERT_TRUE(fleet.IsActive(start));
+  std::vector<Order> earlier = fleet.TakeOrders(Order::Kind::kRenew);
+  fleet.Restart(start.worker.Value(), Incarnation(2));
+  for (const Order& it : earlier) {
+    fleet.Answer(it, OrderResult::Outcome::kNoAnswer);
+  }
+  bool stoppedInNext = false;
+  for (int n = 0; n < 20 && fleet.IsActive(start); ++n) {
+    fleet.Advance(Millis(100));
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
+      stoppedInNext = stoppedInNext || (it.incarnation == Incarnation(2) &&
+                                        RunName(it.run) == RunName(start.run));
+      fleet.Answer(it, OrderResult::Outcome::kAnswered);
+    }
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      fleet.Deliver(it, fleet.EmptyRenewalResult());
+    }
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+  EXPECT_TRUE(stoppedInNext);
+}
+
 // Guards against giving up the work of a restarted worker because the report
 // that its earlier process leaves arrives late.
 TEST(DispatcherRemoval, LateLeaveOfAnEarlierIncarnationIsIgnored)
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -172,7 +172,7 @@
       LogRunEvent("start_unanswered", aOrder.worker, aOrder.run)
         .Add("sent_ms_ago", aNow - aOrder.sentAt)
         .Add("heard_ms_ago", aNow - aLink.lastHeard);
-      aLink.unansweredStarts.insert(aOrder.run);
+      aLink.startsWithoutAnswer.insert(aOrder.run);
       run.phase = RunView::Phase::kUnresolved;
       run.stopRequested = true;
       run.stopReason = StopReason::kUnanswered;
@@ -403,7 +403,7 @@
   std::set<RunRef> listed;
   for (const EndedRun& it : aResult.ended) {
     listed.insert(it.run);
-    aLink.unansweredStarts.erase(it.run);
+    aLink.startsWithoutAnswer.erase(it.run);
     aLink.endsProposed = std::max(aLink.endsProposed, it.number);
     if (it.number <= aLink.endsCommitted) {
       continue;
@@ -427,7 +427,7 @@
   size_t unknownRuns = 0;
   for (const RunningRun& it : aResult.running) {
     listed.insert(it.run);
-    aLink.unansweredStarts.erase(it.run);
+    aLink.startsWithoutAnswer.erase(it.run);
     if (!aWorker.active.contains(it.run) &&
         ++unknownRuns <= kMaxUnknownRunsStopped) {
       SendStop(aWorker, it.run, aNow);
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -180,7 +180,7 @@
   // Runs whose start got no answer and that the worker has not listed. Whatever
   // this process was told of them, a later one under the same id may execute
   // the start.
-  std::set<RunRef> unansweredStarts{};
+  std::set<RunRef> startsWithoutAnswer{};
 
 private:
   Incarnation mIncarnation;
