Withdraw the lease of an order that a worker refused

Found by review: since a refused renewal granted no lease, the next one carried none either, so an extension took two executed renewals in a row. And a worker that executed stops and refused renewals still got a recorded lease with each renewal after an executed stop, so a run of a cancelled job stayed active for 60 s.

Cause: the lease of a refused order counted as in force, and the pause that was to prevent this fell on leases that the worker would have accepted.

A worker that refuses an order as unhealthy has done nothing, so the lease of that order is withdrawn, and renewals after a refusal carry one again.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -502,7 +502,7 @@
   // answer, or refuses renewals or stops, is sent none, because its runs could
   // then never be treated as ended.
   std::optional<Millis> leaseUntil;
-  if (aLink.ClockLowerBound(aNow) && aLink.MayHoldLease()) {
+  if (aLink.ClockLowerBound(aNow) && aLink.MaySendLease()) {
     leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
   }
   SendRenewal(aWorker, aLink, wait, leaseUntil, aNow);
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -89,6 +89,14 @@
   bool unanswered = refused ||
                     aResult.outcome == OrderResult::Outcome::kNotSent ||
                     aResult.outcome == OrderResult::Outcome::kNoAnswer;
+  bool unhealthy = aResult.outcome == OrderResult::Outcome::kRefused &&
+                   aResult.refusal == OrderRefusal::kUnhealthy;
+  if (unhealthy) {
+    link.WithdrawLease(aOrder.leaseUntil);
+  }
+  if (aOrder.kind == Order::Kind::kRenew) {
+    link.renewalRefused = unhealthy;
+  }
   // A refused renewal extended no lease.
   bool notRenewed = aOrder.kind == Order::Kind::kRenew &&
                     aResult.outcome == OrderResult::Outcome::kRefused;
--- a/packages/fleet/dispatcher_test.cc
+++ b/packages/fleet/dispatcher_test.cc
@@ -3,6 +3,7 @@
 
 #include "fleet/dispatcher.h"
 
+#include "base/random.h"
 #include "fleet/testing/fleet_fixture.h"
 
 #include <gtest/gtest.h>
@@ -331,6 +332,66 @@
   }
 }
 
+// Guards against runs that are killed by a worker that refuses most orders and
+// executes some: each executed renewal extends the lease.
+TEST(Dispatcher, WorkerThatRefusesMostRenewalsKeepsItsLease)
+{
+  constexpr Millis kStep(20);
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    Random random(seed);
+    FleetFixture fleet;
+    fleet.AddWorker("w1");
+    fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+    Order start = fleet.ExpectOrder(Order::Kind::kStart);
+    fleet.Answer(start, OrderResult::Outcome::kAnswered);
+    Millis leaseUntil = start.leaseUntil;
+    for (Millis at; at < Seconds(60); at += kStep) {
+      fleet.Advance(kStep);
+      if (at.Count() % 1000 == 0) {
+        fleet.Heartbeat("w1");
+      }
+      for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+        if (random.Below(10) < 8) {
+          fleet.Refuse(it, OrderRefusal::kUnhealthy);
+          continue;
+        }
+        leaseUntil = std::max(leaseUntil, it.leaseUntil);
+        OrderResult result = fleet.EmptyRenewalResult();
+        result.running.push_back(
+          { .run = start.run,
+            .percent = static_cast<int32_t>(at.Count() / 700) });
+        fleet.Deliver(it, result);
+      }
+      ASSERT_GT(leaseUntil, fleet.Now()) << "seed " << seed;
+    }
+    EXPECT_TRUE(fleet.IsActive(start)) << "seed " << seed;
+  }
+}
+
+// Guards against a run that is never given up because its worker refuses all
+// renewals and executes other orders.
+TEST(Dispatcher, WorkerThatExecutesOnlyStopsLosesItsLease)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.Submit("00000000000000a1", FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kAnswered);
+  fleet.Cancel("00000000000000a1");
+  Millis limit = fleet.Options().leaseDuration * 2;
+  for (Millis at; at < limit; at += Millis(50)) {
+    fleet.Advance(Millis(50));
+    fleet.Heartbeat("w1");
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kRenew)) {
+      fleet.Refuse(it, OrderRefusal::kUnhealthy);
+    }
+    for (const Order& it : fleet.TakeOrders(Order::Kind::kStop)) {
+      fleet.Answer(it, OrderResult::Outcome::kAnswered);
+    }
+  }
+  EXPECT_FALSE(fleet.IsActive(start));
+}
+
 // Guards against a queue length that leaves out jobs that have not begun,
 // because a start was sent, refused, withdrawn or not answered.
 TEST(Dispatcher, JobBeginsWhenAStartIsAnswered)
--- a/packages/fleet/worker_link.cc
+++ b/packages/fleet/worker_link.cc
@@ -72,9 +72,22 @@
 Millis
 WorkerLink::GrantLease(Millis aNow, Millis aLength)
 {
-  Millis until = ClockLowerBound(aNow).value_or(Millis(0)) + aLength;
-  mGrantedUntil = std::max(mGrantedUntil.value_or(until), until);
-  return *mGrantedUntil;
+  Millis clock = ClockLowerBound(aNow).value_or(Millis(0));
+  mGrants.erase(mGrants.begin(), mGrants.lower_bound(clock - kLeaseMargin));
+  Millis until = clock + aLength;
+  if (!mGrants.empty()) {
+    until = std::max(until, *mGrants.rbegin());
+  }
+  mGrants.insert(until);
+  return until;
+}
+
+void
+WorkerLink::WithdrawLease(Millis aUntil)
+{
+  if (auto it = mGrants.find(aUntil); it != mGrants.end()) {
+    mGrants.erase(it);
+  }
 }
 
 bool
@@ -83,11 +96,11 @@
   if (aNow < mEarlierLeasesEndAt) {
     return false;
   }
-  if (!mGrantedUntil) {
+  if (mGrants.empty()) {
     return true;
   }
   auto lowerBound = ClockLowerBound(aNow);
-  return lowerBound && *lowerBound > *mGrantedUntil + kLeaseMargin;
+  return lowerBound && *lowerBound > *mGrants.rbegin() + kLeaseMargin;
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -87,6 +87,9 @@
   // on the worker's clock; the end of an earlier lease if that is later.
   // Precondition: the clock is known.
   Millis GrantLease(Millis aNow, Millis aLength);
+  // The worker refused an order with this lease as unhealthy, and so has done
+  // nothing: the lease is not in force.
+  void WithdrawLease(Millis aUntil);
   // Whether the worker may be granted a lease. Without, its runs end at expiry.
   bool MayHoldLease() const
   {
@@ -98,6 +101,12 @@
   {
     return renewalsInFlight > 0 || earlierRenewalsInFlight > 0;
   }
+  // Whether orders may carry a lease. One that is refused is withdrawn.
+  bool MaySendLease() const
+  {
+    return (reachable || renewalRefused) && !refusesStops &&
+           unconfirmedStarts.empty();
+  }
   // Whether every lease granted so far has certainly expired.
   bool HasLeaseExpired(Millis aNow) const;
 
@@ -113,6 +122,8 @@
   // False after an unanswered order or a refused renewal until the worker
   // executes an order.
   bool reachable = true;
+  // The worker refused the latest renewal as unhealthy.
+  bool renewalRefused = false;
   // Time of the first unanswered order since the last answer.
   std::optional<Millis> unreachableSince{};
   // The worker reported itself unhealthy and receives no tasks before this
@@ -189,8 +200,8 @@
   // which it held.
   std::optional<Millis> mClockLowerBound;
   Millis mClockObservedAt;
-  // Latest end of all leases that were sent, on the worker's clock.
-  std::optional<Millis> mGrantedUntil;
+  // Ends of the leases that may be in force, on the worker's clock.
+  std::multiset<Millis> mGrants;
   // Time at which all leases of earlier leaders have expired, on the leader's
   // clock.
   Millis mEarlierLeasesEndAt;
