Let a next leader know that a worker's departure moved

Found by review: only the first announcement of a departure was committed, so after a change of leader runs were stopped by it until the worker's next report, although the worker had said meanwhile that it stays longer.

Evidence: DispatcherDeparture.NextLeaderKnowsThatTheDepartureMoved failed before. A report whose departure appears, disappears or moves by 500 ms is committed. Tests for tasks that last and for workers that stop draining are added; they passed before. Ends that the state has are no longer logged as not recorded, and some comments say more exactly what holds.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -3,6 +3,7 @@
 #include "fleet/crash_evidence.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace limpetwood::fleet {
 
@@ -18,6 +19,19 @@
 constexpr Millis kTrialRenewalWait(300);
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
+// Change of a worker's departure that a next leader must know.
+constexpr Millis kMinDepartureChange(500);
+
+bool
+DepartureMoved(const WorkerReport& aStored, const WorkerReport& aReport)
+{
+  if (!aStored.departsIn || !aReport.departsIn) {
+    return aStored.departsIn.has_value() != aReport.departsIn.has_value();
+  }
+  Millis change =
+    (aReport.clock + *aReport.departsIn) - (aStored.clock + *aStored.departsIn);
+  return std::abs(change.Count()) >= kMinDepartureChange.Count();
+}
 
 } // namespace
 
@@ -168,6 +182,7 @@
     link.OnClock(aReport.clock, aNow);
     const WorkerReport& stored = known->report;
     if (stored.draining == aReport.draining &&
+        !DepartureMoved(stored, aReport) &&
         stored.capacity == aReport.capacity &&
         stored.address == aReport.address &&
         stored.service == aReport.service && stored.zone == aReport.zone &&
--- a/packages/fleet/dispatcher_departure.cc
+++ b/packages/fleet/dispatcher_departure.cc
@@ -22,8 +22,8 @@
 // Interval at which the runs of a worker that is about to depart are checked.
 constexpr Millis kEvictionCheckInterval(50);
 
-// Time before the departure of a worker by which its last run has ended, so
-// that the end is read while the worker still answers.
+// Time before the departure of a worker by which its last run should have
+// ended, so that the end is read while the worker still answers.
 constexpr Millis kDepartureMargin(500);
 
 // Why nothing can run on a worker that is gone.
--- a/packages/fleet/dispatcher_departure_test.cc
+++ b/packages/fleet/dispatcher_departure_test.cc
@@ -211,5 +211,80 @@
   EXPECT_GT(*played.restartedBefore, Millis(0));
 }
 
+// Starts one task on "w1" and returns its answered start.
+Order
+StartOneRun(FleetFixture& aFleet, bool aLongRunning = false)
+{
+  aFleet.AddWorker("w1");
+  StepSpec step = FleetFixture::GangOf(1);
+  step.gang = false;
+  step.longRunning = aLongRunning;
+  aFleet.Submit(kJob, step);
+  Order start = aFleet.ExpectOrder(Order::Kind::kStart);
+  aFleet.Answer(start, OrderResult::Outcome::kAnswered);
+  return start;
+}
+
+// Answers renewals for at most `aTime` with lists of the run, which progresses
+// from `aPercent`. Returns the time after which it was stopped, if it was.
+std::optional<Millis>
+AdvanceUntilStopped(FleetFixture& aFleet,
+                    const Order& aStart,
+                    Millis aTime,
+                    int32_t aPercent)
+{
+  constexpr Millis kStep(50);
+  for (Millis at; at < aTime; at += kStep) {
+    for (const Order& it : aFleet.TakeOrders(Order::Kind::kRenew)) {
+      OrderResult result = aFleet.EmptyRenewalResult();
+      auto progress = static_cast<int32_t>(at.Count() / 100);
+      result.running.push_back(
+        { .run = aStart.run, .percent = std::min(aPercent + progress, 100) });
+      aFleet.Deliver(it, result);
+    }
+    if (!aFleet.TakeOrders(Order::Kind::kStop).empty()) {
+      return at;
+    }
+    aFleet.Advance(kStep);
+  }
+  return std::nullopt;
+}
+
+// Guards against a task that lasts and is stopped too late: its percentage is
+// no progress towards an end.
+TEST(DispatcherDeparture, TaskThatLastsIsStoppedInTime)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet, true);
+  fleet.Drain("w1", kNotice);
+  auto stopped = AdvanceUntilStopped(fleet, start, kNotice, 100);
+  ASSERT_TRUE(stopped);
+  EXPECT_LT(*stopped, kNotice - fleet.Options().maxStopTime);
+}
+
+// Guards against a run that is stopped although its worker stays.
+TEST(DispatcherDeparture, WorkerThatStopsDrainingKeepsItsRuns)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet);
+  fleet.Drain("w1", kNotice);
+  fleet.Advance(Millis(1000));
+  fleet.Heartbeat("w1");
+  EXPECT_FALSE(AdvanceUntilStopped(fleet, start, kNotice, 10));
+}
+
+// Guards against a next leader that stops runs by an earlier announcement.
+TEST(DispatcherDeparture, NextLeaderKnowsThatTheDepartureMoved)
+{
+  FleetFixture fleet;
+  Order start = StartOneRun(fleet);
+  fleet.Drain("w1", kNotice);
+  fleet.Advance(Millis(3000));
+  fleet.Drain("w1", Seconds(60));
+  fleet.Advance(Millis(500));
+  fleet.ChangeLeader();
+  EXPECT_FALSE(AdvanceUntilStopped(fleet, start, Millis(1000), 10));
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -271,7 +271,9 @@
                              std::string_view aReason,
                              Millis aNow)
 {
-  if (aEnd.kind != EndKind::kDone) {
+  const Task* task = mState.FindTask(aEnd.run.task);
+  bool recorded = task != nullptr && task->phase == Task::Phase::kDone;
+  if (aEnd.kind != EndKind::kDone || recorded) {
     return;
   }
   LogRunEvent("end_not_recorded", aOrder.worker, aEnd.run)
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -246,7 +246,7 @@
   kUnanswered,
   // An earlier leader stopped it, for a reason that is not known.
   kEarlierLeader,
-  // The process of its worker was about to end.
+  // The process of its worker was about to end. Added later, so it is the last.
   kWorkerDeparts,
 };
 
--- a/packages/fleet/worker_link.h
+++ b/packages/fleet/worker_link.h
@@ -111,8 +111,9 @@
   bool HasLeaseExpired(Millis aNow) const;
 
   void OnDrainState(const WorkerReport& aReport);
-  // Time until the process ends as planned at the earliest, which may have
-  // passed; empty if it is not known.
+  // Time until the process may end as planned, at most: shorter by what the
+  // worker's clock is ahead of its lower bound. Negative once it has passed;
+  // empty if it is not known.
   std::optional<Millis> TimeToDeparture(Millis aNow) const;
 
   // Time of the latest message from the worker.
