Say when a renewal carries no lease

The comment still said that a worker which refuses renewals is sent no lease; since the lease of a refused order is withdrawn, it is.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -513,9 +513,9 @@
       wait = std::min(wait, std::max(delay, kMinRenewalWait));
     }
   }
-  // A lease may be in force from the moment it is sent. A worker that does not
-  // answer, or refuses renewals or stops, is sent none, because its runs could
-  // then never be treated as ended.
+  // A lease may be in force from the moment it is sent, until the worker
+  // refuses it. A worker that does not answer, or refuses stops, is sent none,
+  // because its runs could then never be treated as ended.
   std::optional<Millis> leaseUntil;
   if (aLink.ClockLowerBound(aNow) && aLink.MaySendLease()) {
     leaseUntil = aLink.GrantLease(aNow, mOptions.leaseDuration);
