Log what keeps the tasks of a waiting step from each worker

Cause: a job that waits left no trace after its last run. Change: the planner reports a step that has waited for 1 s, then after twice the time, with the rule that keeps its tasks from each worker with room, for whom a worker is kept and until when, and why others take no tasks. `limpetctl log explain` shows the last report of each step that waits. One report in 250 ms at most, because each examines all workers.

--- a/packages/ctl/request_timeline.cc
+++ b/packages/ctl/request_timeline.cc
@@ -90,6 +90,27 @@
   }
 }
 
+// One step of the request that waits: where its tasks could run, and what keeps
+// them from there.
+std::string
+WaitingText(const Json& aFields)
+{
+  std::string out = "step " + FieldOf(aFields, "step") + " has waited " +
+                    FieldOf(aFields, "waited_ms") + " ms: of " +
+                    FieldOf(aFields, "matching_workers") + " workers, " +
+                    FieldOf(aFields, "without_room") + " have no room";
+  auto add = [&](const char* aCount, const char* aList, const char* aWhat) {
+    std::string count = FieldOf(aFields, aCount);
+    if (!count.empty()) {
+      out += "; " + count + " " + aWhat + " (" + FieldOf(aFields, aList) + ")";
+    }
+  };
+  add("with_room", "obstacles", "have room but are ruled out");
+  add("held", "held_workers", "are kept");
+  add("unusable", "unusable_workers", "take no tasks");
+  return out;
+}
+
 std::string
 DetailsOf(const Json& aFields)
 {
@@ -199,6 +220,24 @@
   return out;
 }
 
+std::map<std::string, const RequestTimeline::Line*>
+RequestTimeline::WaitingSteps() const
+{
+  std::map<std::string, const Line*> out;
+  for (const Line* it : SelectedLines()) {
+    std::string step = FieldOf(it->fields, "step");
+    if (it->event == "job_waiting" && step.starts_with(mId)) {
+      out[step] = it;
+    } else if (it->event == "runs_started") {
+      std::string first = FieldOf(it->fields, "first");
+      std::erase_if(out, [&](const auto& aEntry) {
+        return first.starts_with(aEntry.first + ".");
+      });
+    }
+  }
+  return out;
+}
+
 void
 RequestTimeline::Print(std::ostream& aOut) const
 {
@@ -270,6 +309,11 @@
   for (const std::string& it : crashes) {
     aOut << it << '\n';
   }
+  if (!ended) {
+    for (const auto& [step, report] : WaitingSteps()) {
+      aOut << WaitingText(report->fields) << ", at " << report->time << '\n';
+    }
+  }
   if (!reason.empty()) {
     aOut << "ended because " << reason << '\n';
   }
--- a/packages/ctl/request_timeline.h
+++ b/packages/ctl/request_timeline.h
@@ -18,6 +18,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <map>
 #include <ostream>
 #include <set>
 #include <string>
@@ -63,6 +64,9 @@
   // Lines that belong to the timeline (see the head of this file), sorted by
   // time.
   std::vector<const Line*> SelectedLines() const;
+  // The latest report of each step of the request that has waited since its
+  // last start, by the step's name.
+  std::map<std::string, const Line*> WaitingSteps() const;
   // Workers named in lines that contain the request's id.
   std::set<std::string> WorkersOf() const;
   // Times of the first and last line that contain the request's id, extended
--- a/packages/fleet/dispatcher_planning.cc
+++ b/packages/fleet/dispatcher_planning.cc
@@ -3,6 +3,8 @@
 
 #include "fleet/dispatcher.h"
 
+#include "fleet/wait_report.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -47,6 +49,10 @@
                     [&](const WorkerId& aWorker, const RunRef& aRun) {
                       return mMonitor.RemainingTimeOf(aWorker, aRun, aNow);
                     },
+                  .unusableReasonOf =
+                    [&](const WorkerId& aWorker) {
+                      return mPool.ReasonNotCandidate(aWorker, aNow);
+                    },
                   .isOnTrial =
                     [&](const WorkerId& aWorker, const RunRef& aRun) {
                       auto link = mLinks.find(aWorker);
@@ -72,6 +78,9 @@
   }
   mStartsProposed = !plan.starts.empty();
   LogStarts(plan);
+  for (const WaitReport& it : plan.waits) {
+    mEvents.push_back(LogEventFor(it));
+  }
   for (const PlannedStop& it : plan.stops) {
     Preempt(it, aNow);
   }
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -243,13 +243,16 @@
     return aEntry.second.expiresAt <= aView.now || job == nullptr ||
            job->Ended();
   });
-  std::map<UnitKey, Millis> waiting;
+  std::map<UnitKey, Waiting> waiting;
   for (const Unit& it : units) {
-    auto since = mWaitingSince.find(KeyOf(it));
+    auto known = mWaiting.find(KeyOf(it));
     waiting[KeyOf(it)] =
-      since == mWaitingSince.end() ? aView.now : since->second;
+      known == mWaiting.end()
+        ? Waiting{ .since = aView.now,
+                   .nextReportAt = aView.now + mOptions.minReportDelay }
+        : known->second;
   }
-  mWaitingSince = std::move(waiting);
+  mWaiting = std::move(waiting);
   mTotalWeight = 0;
   mReservedWeight = 0;
   for (const auto& [id, worker] : aView.state->Workers()) {
@@ -266,6 +269,7 @@
       continue;
     }
     ++plan.blockedUnits;
+    ReportIfDue(it, aView, plan);
     // Whether there are idle workers says nothing about other units, and
     // nothing is stopped or reserved to get one.
     bool needsIdleWorkers = NeedsIdleWorkers(it, aView);
@@ -279,8 +283,15 @@
       continue;
     }
     ++handledUnits;
+    auto holdPending = [&] {
+      HoldWorkers(pending->second.workers,
+                  it,
+                  HeldWorker::Reason::kPreemption,
+                  pending->second.expiresAt - aView.now,
+                  aView);
+    };
     if (pending != mPendingPreemptions.end()) {
-      ExcludeWorkers(pending->second.workers, aView);
+      holdPending();
       continue;
     }
     std::optional<ReservationChoice> choice =
@@ -291,12 +302,13 @@
       pending = mPendingPreemptions.find(it.job->id);
     }
     if (pending != mPendingPreemptions.end()) {
-      ExcludeWorkers(pending->second.workers, aView);
+      holdPending();
     } else if (mOptions.reservationsEnabled) {
       Reserve(it, choice, aView);
     }
   }
   mUnplaceable.clear();
+  mHeldWorkers.clear();
   return plan;
 }
 
@@ -342,14 +354,42 @@
 }
 
 void
-Planner::ExcludeWorkers(std::vector<WorkerId> aWorkers, FleetView& aView)
+Planner::HoldWorkers(std::vector<WorkerId> aWorkers,
+                     const Unit& aUnit,
+                     HeldWorker::Reason aReason,
+                     Millis aRemaining,
+                     FleetView& aView)
 {
   std::sort(aWorkers.begin(), aWorkers.end());
   std::erase_if(aView.candidates, [&](const Candidate& aCandidate) {
-    return std::binary_search(aWorkers.begin(), aWorkers.end(), aCandidate.id);
+    bool held =
+      std::binary_search(aWorkers.begin(), aWorkers.end(), aCandidate.id);
+    if (held) {
+      mHeldWorkers.push_back({ .candidate = aCandidate,
+                               .beneficiary = aUnit.Ref(),
+                               .reason = aReason,
+                               .remaining = aRemaining });
+    }
+    return held;
   });
 }
 
+void
+Planner::ReportIfDue(const Unit& aUnit, const FleetView& aView, Plan& aPlan)
+{
+  Waiting& waiting = mWaiting.at(KeyOf(aUnit));
+  if (aView.now < waiting.nextReportAt || aView.now < mNextReportAt) {
+    return;
+  }
+  Millis waited = aView.now - waiting.since;
+  waiting.nextReportAt = aView.now + std::min(waited, mOptions.maxReportDelay);
+  mNextReportAt = aView.now + mOptions.minReportInterval;
+  WaitReport report = ReportWait(RequestFor(aUnit, aView), aView, mHeldWorkers);
+  report.step = aUnit.Ref();
+  report.waited = waited;
+  aPlan.waits.push_back(std::move(report));
+}
+
 bool
 Planner::WillFitInTime(const Unit& aUnit,
                        const std::optional<ReservationChoice>& aChoice,
@@ -371,7 +411,11 @@
     return;
   }
   mReservedWeight += aChoice->weight;
-  ExcludeWorkers(aChoice->workers, aView);
+  HoldWorkers(aChoice->workers,
+              aUnit,
+              HeldWorker::Reason::kReservation,
+              aChoice->wait,
+              aView);
 }
 
 Millis
@@ -478,8 +522,9 @@
 Millis
 Planner::WaitingTime(const Unit& aUnit, const FleetView& aView) const
 {
-  auto since = mWaitingSince.find(KeyOf(aUnit));
-  return since == mWaitingSince.end() ? Millis(0) : aView.now - since->second;
+  auto waiting = mWaiting.find(KeyOf(aUnit));
+  return waiting == mWaiting.end() ? Millis(0)
+                                   : aView.now - waiting->second.since;
 }
 
 bool
@@ -568,7 +613,8 @@
     for (size_t it : chosen) {
       used.push_back(aView.candidates[it].id);
     }
-    ExcludeWorkers(std::move(used), aView);
+    HoldWorkers(
+      std::move(used), aUnit, HeldWorker::Reason::kTrial, Millis::Max(), aView);
   }
   return complete;
 }
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -16,12 +16,14 @@
 #include "fleet/forecast.h"
 #include "fleet/placement.h"
 #include "fleet/state.h"
+#include "fleet/wait_report.h"
 
 #include <limits>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -74,6 +76,13 @@
   // unit, for units beyond their workspace's guarantee. Above 1 because an
   // urgent result is worth several times more per accelerator second.
   double maxPreemptionCostRatio = 2;
+  // A unit that has waited this long is reported; then again after twice the
+  // time since its last report, at most `maxReportDelay`.
+  Millis minReportDelay = Seconds(1);
+  Millis maxReportDelay = Minutes(1);
+  // Minimum time between two reports of waiting units, because each examines
+  // all workers.
+  Millis minReportInterval = Millis(250);
   // See `DispatcherOptions::callerCost`.
   bool callerCost = false;
   // With `callerCost`, the time for which a guaranteed unit waits for room that
@@ -116,6 +125,8 @@
   std::function<RunCost(const WorkerId&, const RunRef&)> costOf{};
   // Returns the expected remaining time of a run; `Millis::Max()` if unknown.
   std::function<Millis(const WorkerId&, const RunRef&)> remainingTimeOf{};
+  // Why a worker that is not among the candidates takes no tasks; may be empty.
+  std::function<std::string_view(const WorkerId&)> unusableReasonOf{};
   // Whether a run is suspected of crashing its worker and not cleared yet; may
   // be empty.
   std::function<bool(const WorkerId&, const RunRef&)> isOnTrial{};
@@ -161,6 +172,8 @@
 {
   std::vector<PlannedStart> starts{};
   std::vector<PlannedStop> stops{};
+  // Reports of units that wait, at most one for each `minReportInterval`.
+  std::vector<WaitReport> waits{};
   // Number of units that do not fit.
   size_t blockedUnits = 0;
   // Earliest due time of a future occurrence (wall clock); `Millis::Max()` if
@@ -185,6 +198,7 @@
   bool onTrial = false;
 
   const StepSpec& Spec() const { return job->spec.steps[step]; }
+  StepRef Ref() const { return { job->id, occurrence, step }; }
 };
 
 class Planner
@@ -259,7 +273,11 @@
                      const FleetView& aView) const;
   // Removes the workers from the candidates of the pass, so that later units do
   // not use them.
-  static void ExcludeWorkers(std::vector<WorkerId> aWorkers, FleetView& aView);
+  void HoldWorkers(std::vector<WorkerId> aWorkers,
+                   const Unit& aUnit,
+                   HeldWorker::Reason aReason,
+                   Millis aRemaining,
+                   FleetView& aView);
   // Reserves the chosen workers for a gang that does not fit, so that later
   // units do not use them, unless all reservations of the pass would exceed
   // `maxReservedShare`.
@@ -267,6 +285,9 @@
                const std::optional<ReservationChoice>& aChoice,
                FleetView& aView);
 
+  // Adds a report of the unit if one is due.
+  void ReportIfDue(const Unit& aUnit, const FleetView& aView, Plan& aPlan);
+
   // Time for which the unit has been startable.
   Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
   // Whether the unit is on trial and has not waited for `maxTrialWait`.
@@ -295,8 +316,16 @@
   std::vector<UnplaceableUnit> mUnplaceable;
   // Workers on which runs of a live job failed.
   std::map<JobId, std::set<WorkerId>> mWorkersWithFailures;
-  // Time since which each startable unit has waited.
-  std::map<UnitKey, Millis> mWaitingSince;
+  // Workers that the current pass keeps for units; empty between passes.
+  std::vector<HeldWorker> mHeldWorkers;
+  struct Waiting
+  {
+    Millis since;
+    Millis nextReportAt;
+  };
+  // The startable units.
+  std::map<UnitKey, Waiting> mWaiting;
+  Millis mNextReportAt{};
 };
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -123,6 +123,12 @@
 
   Plan Decide() { return mPlanner.Decide(View()); }
 
+  // The worker is not a candidate, for this reason.
+  void MakeUnusable(const std::string& aId, std::string_view aReason)
+  {
+    mUnusable[WorkerId(aId)] = aReason;
+  }
+
   FleetView View()
   {
     FleetView view{ .state = &mState,
@@ -135,10 +141,17 @@
                       [this](const WorkerId&, const RunRef& aRun) {
                         return mRemaining[aRun];
                       },
+                    .unusableReasonOf =
+                      [this](const WorkerId& aWorker) {
+                        return mUnusable.at(aWorker);
+                      },
                     .forecast = &mForecast,
                     .now = mNow,
                     .wallNow = mNow };
     for (const auto& [id, worker] : mState.Workers()) {
+      if (mUnusable.contains(id)) {
+        continue;
+      }
       view.candidates.push_back(
         { .id = id,
           .service = worker.report.service,
@@ -159,6 +172,7 @@
   int64_t mAccelerators = 8;
   std::map<RunRef, Millis> mLostWork;
   std::map<RunRef, Millis> mRemaining;
+  std::map<WorkerId, std::string_view> mUnusable;
 };
 
 StepSpec
@@ -503,6 +517,72 @@
   EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
+// Guards against a wait that the log does not explain: for whom a worker is
+// kept and for how long, and why others take no tasks.
+TEST(WaitReport, NamesTheUnitForWhichAWorkerIsKept)
+{
+  Fleet fleet;
+  fleet.Guarantee(8);
+  fleet.AddWorker("w1", "r1");
+  fleet.AddWorker("w2", "r1");
+  fleet.MakeUnusable("w2", "draining");
+  fleet.Submit(JobName(1), StepOf(1, 6, false), 2);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(0), Minutes(1));
+  fleet.Submit(JobName(2), StepOf(1, 8, false), 0);
+  fleet.Submit(JobName(3), StepOf(1, 2, false), 1);
+  EXPECT_TRUE(fleet.Decide().waits.empty());
+  fleet.Advance(Millis(1000));
+  Plan first = fleet.Decide();
+  ASSERT_EQ(first.waits.size(), 1U);
+  EXPECT_EQ(first.waits[0].step.job.Value(), JobName(2));
+  fleet.Advance(Millis(300));
+  Plan second = fleet.Decide();
+  ASSERT_EQ(second.waits.size(), 1U);
+  EXPECT_NE(LogEventFor(second.waits[0])
+              .JsonMembers()
+              .find("w1 for " + JobName(2) + ".0.0 by preemption for 200 ms"),
+            std::string::npos);
+  EXPECT_NE(LogEventFor(second.waits[0]).JsonMembers().find("\"w2 draining\""),
+            std::string::npos);
+}
+
+// Guards against a wait for a rule that the log does not name.
+TEST(WaitReport, NamesTheRuleThatKeepsTasksFromAWorkerWithRoom)
+{
+  StepSpec oneRack = StepOf(2, 8, false);
+  oneRack.prefersOneRack = true;
+  StepSpec limited = StepOf(3, 1, false);
+  limited.perWorkerLimit = 1;
+  std::vector<std::pair<StepSpec, Obstacle>> cases{
+    { StepOf(3, 8, true), Obstacle::kGangSize },
+    { oneRack, Obstacle::kOneRack },
+    { limited, Obstacle::kWorkerLimit },
+  };
+  for (const auto& [step, obstacle] : cases) {
+    Fleet fleet;
+    for (int n = 1; n <= 2; ++n) {
+      std::string rack = "r" + std::to_string(n);
+      fleet.AddWorker("w" + std::to_string(n), rack);
+      fleet.AddWorker("full" + std::to_string(n), rack);
+    }
+    fleet.Submit(JobName(1), StepOf(2, 8, false), 1);
+    fleet.StartRun(JobName(1), 0, "full1", Millis(0), Minutes(1));
+    fleet.StartRun(JobName(1), 1, "full2", Millis(0), Minutes(1));
+    fleet.Submit(JobName(2), step, 1);
+    for (uint32_t n = 0; n < 2 && step.perWorkerLimit > 0; ++n) {
+      std::string worker = "w" + std::to_string(n + 1);
+      fleet.StartRun(JobName(2), n, worker, Millis(0), Minutes(1));
+    }
+    fleet.Decide();
+    fleet.Advance(Millis(1000));
+    Plan plan = fleet.Decide();
+    ASSERT_EQ(plan.waits.size(), 1U);
+    EXPECT_EQ(plan.waits[0].withoutRoom, 2U);
+    ASSERT_EQ(plan.waits[0].withRoom.size(), 2U);
+    EXPECT_EQ(plan.waits[0].withRoom[0].second, obstacle);
+  }
+}
+
 // Guards against using up a job's attempts on one faulty worker: a worker on
 // which the job failed is avoided while another has enough free resources.
 TEST(Planner, FailedTaskGoesToAnotherWorker)
--- a/packages/fleet/types.cc
+++ b/packages/fleet/types.cc
@@ -2,13 +2,18 @@
 
 namespace limpetwood::fleet {
 
+std::string
+StepName(const StepRef& aStep)
+{
+  return aStep.job.Value() + "." + std::to_string(aStep.occurrence) + "." +
+         std::to_string(aStep.step);
+}
+
 std::string
 RunName(const RunRef& aRun)
 {
-  return aRun.task.job.Value() + "." + std::to_string(aRun.task.occurrence) +
-         "." + std::to_string(aRun.task.step) + "." +
-         std::to_string(aRun.task.index) + "#" +
-         std::to_string(aRun.attempt.Value());
+  return StepName(StepOf(aRun.task)) + "." + std::to_string(aRun.task.index) +
+         "#" + std::to_string(aRun.attempt.Value());
 }
 
 std::string_view
--- a/packages/fleet/types.h
+++ b/packages/fleet/types.h
@@ -192,6 +192,26 @@
   auto operator<=>(const TaskRef&) const = default;
 };
 
+// One step of one occurrence of a job.
+struct StepRef
+{
+  JobId job{};
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+
+  auto operator<=>(const StepRef&) const = default;
+};
+
+inline StepRef
+StepOf(const TaskRef& aTask)
+{
+  return { aTask.job, aTask.occurrence, aTask.step };
+}
+
+// Formats a step as "JOB.OCCURRENCE.STEP" for logs.
+std::string
+StepName(const StepRef& aStep);
+
 // One attempt to run a task.
 struct RunRef
 {
--- a/packages/fleet/worker_pool.cc
+++ b/packages/fleet/worker_pool.cc
@@ -15,21 +15,62 @@
 
 } // namespace
 
-bool
-WorkerPool::IsUsable(const WorkerId& aWorker, Millis aNow) const
+std::string_view
+WorkerPool::ReasonNotUsable(const WorkerId& aWorker, Millis aNow) const
 {
   auto it = mLinks.find(aWorker);
-  if (it == mLinks.end()) {
-    return false;
+  const Worker* worker = mState.FindWorker(aWorker);
+  if (it == mLinks.end() || worker == nullptr) {
+    return "unknown";
   }
   const WorkerLink& link = it->second;
-  const Worker* worker = mState.FindWorker(aWorker);
-  return worker != nullptr && !mState.IsEvacuated(worker->report.zone) &&
-         link.tokenAcknowledged && link.MayHoldLease() && !link.draining &&
-         !link.gone && aNow >= link.unhealthyUntil &&
-         aNow - link.lastHeard < mHeartbeatInterval * kMaxMissedReports &&
-         aNow - link.reportedAt < mHeartbeatInterval * kMaxMissedReports &&
-         link.ClockLowerBound(aNow).has_value();
+  if (mState.IsEvacuated(worker->report.zone)) {
+    return "zone_evacuated";
+  }
+  if (link.gone) {
+    return "gone";
+  }
+  if (link.draining) {
+    return "draining";
+  }
+  if (!link.tokenAcknowledged || !link.ClockLowerBound(aNow)) {
+    return "not_answered_yet";
+  }
+  if (!link.MayHoldLease()) {
+    return "no_lease";
+  }
+  if (aNow < link.unhealthyUntil) {
+    return "unhealthy";
+  }
+  Millis maxSilence = mHeartbeatInterval * kMaxMissedReports;
+  bool silent =
+    aNow - link.lastHeard >= maxSilence || aNow - link.reportedAt >= maxSilence;
+  return silent ? "silent" : "";
+}
+
+std::string_view
+WorkerPool::ReasonTakesNoTasks(const WorkerId& aWorker, Millis aNow) const
+{
+  std::string_view reason = ReasonNotUsable(aWorker, aNow);
+  if (!reason.empty()) {
+    return reason;
+  }
+  const Worker& worker = *mState.FindWorker(aWorker);
+  if (worker.report.draining) {
+    return "draining";
+  }
+  if (mProposals.HasProposedRemoval(aWorker)) {
+    return "gone";
+  }
+  return HasRunOnTrial(worker) ? "task_on_trial" : "";
+}
+
+std::string_view
+WorkerPool::ReasonNotCandidate(const WorkerId& aWorker, Millis aNow) const
+{
+  std::string_view reason = ReasonTakesNoTasks(aWorker, aNow);
+  bool faulty = reason.empty() && mHealth.IsExcluded(aWorker, aNow);
+  return faulty ? "fault_score" : reason;
 }
 
 Resources
@@ -63,9 +104,7 @@
   std::vector<Candidate> out;
   std::vector<Candidate> excluded;
   for (const auto& [id, worker] : mState.Workers()) {
-    bool usable = IsUsable(id, aNow) && !worker.report.draining &&
-                  !mProposals.HasProposedRemoval(id) && !HasRunOnTrial(worker);
-    if (!usable) {
+    if (!ReasonTakesNoTasks(id, aNow).empty()) {
       continue;
     }
     auto& into = mHealth.IsExcluded(id, aNow) ? excluded : out;
--- a/packages/fleet/worker_pool.h
+++ b/packages/fleet/worker_pool.h
@@ -16,6 +16,7 @@
 #include "fleet/worker_link.h"
 #include "fleet/worker_speeds.h"
 
+#include <string_view>
 #include <vector>
 
 namespace limpetwood::fleet {
@@ -48,7 +49,15 @@
   // Whether the worker is healthy and not draining, may hold a lease, is in a
   // zone that is not evacuated, and has seen the fencing token of this term.
   // Does not consider its fault score.
-  bool IsUsable(const WorkerId& aWorker, Millis aNow) const;
+  bool IsUsable(const WorkerId& aWorker, Millis aNow) const
+  {
+    return ReasonNotUsable(aWorker, aNow).empty();
+  }
+
+  // Why `Candidates` leaves the worker out, as a word for the log; empty if it
+  // does not.
+  std::string_view ReasonNotCandidate(const WorkerId& aWorker,
+                                      Millis aNow) const;
 
   // Number of accelerators of all usable workers.
   Resources UsableResources(Millis aNow) const;
@@ -59,6 +68,11 @@
   std::vector<Candidate> Candidates(Millis aNow) const;
 
 private:
+  // Why the worker is not usable; empty if it is.
+  std::string_view ReasonNotUsable(const WorkerId& aWorker, Millis aNow) const;
+  // The same for a worker that takes no new tasks, whatever its fault score is.
+  std::string_view ReasonTakesNoTasks(const WorkerId& aWorker,
+                                      Millis aNow) const;
   bool HasRunOnTrial(const Worker& aWorker) const;
 
   const FleetState& mState;
