Count a step's limit wherever room is looked for

Seen: two workers of one kind each ran a task of an urgent job that lasts, at most one on a worker. One was lost. Cause: placement counts the step's tasks on a worker against its limit; the choice of runs to preempt (reclaim.cc) and the expected opening (reservation.cc) did not. Each pass found room for the lost task on the worker that was left, with nothing to stop, and kept it from all other jobs; when the hold ended, the next pass did the same. Change: WorkerRoom counts what a worker has left for a step, now and after runs have ended. Placement, preemption and reservation use it. A preemption for which nothing ends keeps no worker.

--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -22,21 +22,9 @@
          const std::vector<Candidate>& aCandidates)
 {
   std::vector<Fit> out;
-  const StepSpec& step = *aRequest.step;
   for (size_t n = 0; n < aCandidates.size(); ++n) {
-    const Candidate& it = aCandidates[n];
-    if (!MayRun(step, *aRequest.service, *it.report) ||
-        (aRequest.onIdleWorkers && !it.idle)) {
-      continue;
-    }
-    uint32_t limit = aRequest.onTrial && !step.gang ? 1 : aRequest.tasks;
-    if (step.perWorkerLimit > 0) {
-      uint32_t placed =
-        aRequest.activeTasksOn ? aRequest.activeTasksOn(it.id) : 0;
-      limit = std::min(
-        limit, step.perWorkerLimit - std::min(step.perWorkerLimit, placed));
-    }
-    uint32_t tasks = TasksThatFit(step, it.available, limit);
+    auto room = WorkerRoom::On(aRequest, aCandidates[n]);
+    uint32_t tasks = room ? room->Tasks() : 0;
     if (tasks > 0) {
       out.push_back({ .candidate = n, .tasks = tasks });
     }
@@ -253,6 +241,60 @@
   return bound(resources.accelerators, aAvailable.accelerators, out);
 }
 
+bool
+NeedsOneRack(const PlacementRequest& aRequest)
+{
+  return aRequest.step->prefersOneRack && aRequest.tasks > 1 &&
+         !aRequest.maySpanRacks;
+}
+
+std::optional<WorkerRoom>
+WorkerRoom::On(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  const StepSpec& step = *aRequest.step;
+  if (!MayRun(step, *aRequest.service, *aCandidate.report) ||
+      (aRequest.onIdleWorkers && !aCandidate.idle)) {
+    return std::nullopt;
+  }
+  uint32_t active = 0;
+  if (step.perWorkerLimit > 0) {
+    auto it = aRequest.activeTasks.find(aCandidate.id);
+    active = it == aRequest.activeTasks.end() ? 0 : it->second;
+  }
+  return WorkerRoom(aRequest, aCandidate.available, active);
+}
+
+uint32_t
+WorkerRoom::Tasks() const
+{
+  const StepSpec& step = *mRequest->step;
+  uint32_t limit = mRequest->onTrial && !step.gang ? 1 : mRequest->tasks;
+  if (step.perWorkerLimit > 0) {
+    uint32_t allowed =
+      step.perWorkerLimit - std::min(step.perWorkerLimit, mActiveTasks);
+    limit = std::min(limit, allowed);
+  }
+  return TasksThatFit(step, mAvailable, limit);
+}
+
+void
+WorkerRoom::Release(const TaskRef& aTask, const Resources& aResources)
+{
+  mAvailable += aResources;
+  if (mActiveTasks > 0 && StepOf(aTask) == mRequest->ref) {
+    --mActiveTasks;
+  }
+}
+
+void
+WorkerRoom::Retake(const TaskRef& aTask, const Resources& aResources)
+{
+  mAvailable -= aResources;
+  if (mRequest->step->perWorkerLimit > 0 && StepOf(aTask) == mRequest->ref) {
+    ++mActiveTasks;
+  }
+}
+
 std::vector<size_t>
 Place(const PlacementRequest& aRequest,
       const std::vector<Candidate>& aCandidates)
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -11,6 +11,7 @@
 #include "fleet/types.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -59,11 +60,13 @@
 struct PlacementRequest
 {
   const StepSpec* step = nullptr;
+  // Identifies the step among those whose runs end; see `WorkerRoom::Release`.
+  StepRef ref{};
   const ServiceId* service = nullptr;
   uint32_t tasks = 0;
-  // Returns the number of active tasks of the step on a worker. Used only with
-  // `perWorkerLimit`; may be empty.
-  std::function<uint32_t(const WorkerId&)> activeTasksOn{};
+  // Active and planned tasks of the step by worker. Used only with
+  // `perWorkerLimit`.
+  std::map<WorkerId, uint32_t> activeTasks{};
   // Returns whether a worker is used only if the others do not suffice; may be
   // empty.
   std::function<bool(const WorkerId&)> isAvoided{};
@@ -101,4 +104,44 @@
 uint32_t
 TasksThatFit(const StepSpec& aStep, Resources aAvailable, uint32_t aLimit);
 
+// Whether the tasks are placed in one rack or not at all.
+bool
+NeedsOneRack(const PlacementRequest& aRequest);
+
+// What a worker has left for a request, now or after some of its runs have
+// ended. All decisions about workers for a request count tasks by this class:
+// workers that one decision keeps or empties for a request must be workers on
+// which another one places its tasks.
+class WorkerRoom
+{
+public:
+  // Returns nothing if the worker may not run the request's tasks, whatever
+  // ends there. `aRequest` must outlive the result.
+  static std::optional<WorkerRoom> On(const PlacementRequest& aRequest,
+                                      const Candidate& aCandidate);
+
+  // Number of tasks of the request that the worker can take.
+  uint32_t Tasks() const;
+
+  // Adds what the end of a run frees, or takes it away again.
+  void Release(const TaskRef& aTask, const Resources& aResources);
+  void Retake(const TaskRef& aTask, const Resources& aResources);
+
+private:
+  WorkerRoom(const PlacementRequest& aRequest,
+             const Resources& aAvailable,
+             uint32_t aActiveTasks)
+    : mRequest(&aRequest)
+    , mAvailable(aAvailable)
+    , mActiveTasks(aActiveTasks)
+  {
+  }
+
+  const PlacementRequest* mRequest;
+  Resources mAvailable;
+  // Tasks of the request's step that are active on the worker; 0 if the step
+  // has no limit.
+  uint32_t mActiveTasks;
+};
+
 } // namespace limpetwood::fleet
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -63,28 +63,25 @@
   return aUnit.Spec().gang ? step.lastAttempt : step.tasks[aTask].attempt;
 }
 
-uint32_t
-TasksOn(const Unit& aUnit, const WorkerId& aWorker)
+// Active tasks of the unit's step, and those that the pass starts, by worker.
+std::map<WorkerId, uint32_t>
+ActiveTasksOf(const Unit& aUnit, const Plan& aPlan)
 {
-  if (aUnit.occurrence >= aUnit.job->occurrences.size()) {
-    return 0;
+  std::map<WorkerId, uint32_t> out;
+  if (aUnit.occurrence < aUnit.job->occurrences.size()) {
+    const Occurrence& occurrence = aUnit.job->occurrences[aUnit.occurrence];
+    for (const Task& it : occurrence.steps[aUnit.step].tasks) {
+      if (it.phase == Task::Phase::kActive) {
+        ++out[it.worker];
+      }
+    }
   }
-  const Step& step = aUnit.job->occurrences[aUnit.occurrence].steps[aUnit.step];
-  return static_cast<uint32_t>(
-    std::count_if(step.tasks.begin(), step.tasks.end(), [&](const Task& aTask) {
-      return aTask.phase == Task::Phase::kActive && aTask.worker == aWorker;
-    }));
-}
-
-uint32_t
-PlannedTasksOn(const Unit& aUnit, const WorkerId& aWorker, const Plan& aPlan)
-{
-  return static_cast<uint32_t>(std::count_if(
-    aPlan.starts.begin(), aPlan.starts.end(), [&](const PlannedStart& it) {
-      const TaskRef& task = it.run.task;
-      return it.worker == aWorker && task.job == aUnit.job->id &&
-             task.occurrence == aUnit.occurrence && task.step == aUnit.step;
-    }));
+  for (const PlannedStart& it : aPlan.starts) {
+    if (StepOf(it.run.task) == aUnit.Ref()) {
+      ++out[it.worker];
+    }
+  }
+  return out;
 }
 
 } // namespace
@@ -264,12 +261,13 @@
   mUnplaceable.clear();
   for (const Unit& it : units) {
     bool knownNotToFit = IsKnownNotToFit(it, aView);
-    if (!knownNotToFit && PlaceUnit(it, aView, plan)) {
+    size_t placed = knownNotToFit ? 0 : PlaceUnit(it, aView, plan);
+    if (placed == it.tasks.size()) {
       mPendingPreemptions.erase(it.job->id);
       continue;
     }
     ++plan.blockedUnits;
-    ReportIfDue(it, aView, plan);
+    ReportIfDue(it, placed, aView, plan);
     // Whether there are idle workers says nothing about other units, and
     // nothing is stopped or reserved to get one.
     bool needsIdleWorkers = NeedsIdleWorkers(it, aView);
@@ -294,11 +292,11 @@
       holdPending();
       continue;
     }
-    std::optional<ReservationChoice> choice =
-      ChooseReservation(RequestFor(it, aView), aView);
+    PlacementRequest request = RequestFor(it, aView, plan, 0);
+    std::optional<ReservationChoice> choice = ChooseReservation(request, aView);
     if (mOptions.preemptionEnabled && it.job->priority == 0 &&
         !WillFitInTime(it, choice, aView)) {
-      PreemptFor(it, aView, plan);
+      PreemptFor(it, std::move(request), aView, plan);
       pending = mPendingPreemptions.find(it.job->id);
     }
     if (pending != mPendingPreemptions.end()) {
@@ -375,7 +373,10 @@
 }
 
 void
-Planner::ReportIfDue(const Unit& aUnit, const FleetView& aView, Plan& aPlan)
+Planner::ReportIfDue(const Unit& aUnit,
+                     size_t aPlaced,
+                     const FleetView& aView,
+                     Plan& aPlan)
 {
   Waiting& waiting = mWaiting.at(KeyOf(aUnit));
   if (aView.now < waiting.nextReportAt || aView.now < mNextReportAt) {
@@ -384,7 +385,8 @@
   Millis waited = aView.now - waiting.since;
   waiting.nextReportAt = aView.now + std::min(waited, mOptions.maxReportDelay);
   mNextReportAt = aView.now + mOptions.minReportInterval;
-  WaitReport report = ReportWait(RequestFor(aUnit, aView), aView, mHeldWorkers);
+  WaitReport report =
+    ReportWait(RequestFor(aUnit, aView, aPlan, aPlaced), aView, mHeldWorkers);
   report.step = aUnit.Ref();
   report.waited = waited;
   aPlan.waits.push_back(std::move(report));
@@ -491,14 +493,19 @@
 }
 
 PlacementRequest
-Planner::RequestFor(const Unit& aUnit, const FleetView& aView) const
+Planner::RequestFor(const Unit& aUnit,
+                    const FleetView& aView,
+                    const Plan& aPlan,
+                    size_t aPlaced) const
 {
+  bool limited = aUnit.Spec().perWorkerLimit > 0;
   return {
     .step = &aUnit.Spec(),
+    .ref = aUnit.Ref(),
     .service = &aUnit.job->service,
-    .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
-    .activeTasksOn =
-      [&aUnit](const WorkerId& aWorker) { return TasksOn(aUnit, aWorker); },
+    .tasks = static_cast<uint32_t>(aUnit.tasks.size() - aPlaced),
+    .activeTasks =
+      limited ? ActiveTasksOf(aUnit, aPlan) : std::map<WorkerId, uint32_t>(),
     .isAvoided =
       [this, &job = aUnit.job->id](const WorkerId& aWorker) {
         auto failed = mWorkersWithFailures.find(job);
@@ -582,15 +589,11 @@
   return WaitingTime(aUnit, aView) >= mOptions.maxRackWait;
 }
 
-bool
+size_t
 Planner::PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan)
 {
   const StepSpec& step = aUnit.Spec();
-  PlacementRequest request = RequestFor(aUnit, aView);
-  // Another part of the step may have been placed in this pass.
-  request.activeTasksOn = [&](const WorkerId& aWorker) {
-    return TasksOn(aUnit, aWorker) + PlannedTasksOn(aUnit, aWorker, aPlan);
-  };
+  PlacementRequest request = RequestFor(aUnit, aView, aPlan, 0);
   std::vector<size_t> chosen = Place(request, aView.candidates);
   for (size_t n = 0; n < chosen.size(); ++n) {
     Candidate& it = aView.candidates[chosen[n]];
@@ -606,7 +609,6 @@
                              .incarnation = it.report->incarnation,
                              .speed = it.speed });
   }
-  bool complete = chosen.size() == aUnit.tasks.size();
   if (aUnit.onTrial) {
     std::vector<WorkerId> used;
     used.reserve(chosen.size());
@@ -616,7 +618,7 @@
     HoldWorkers(
       std::move(used), aUnit, HeldWorker::Reason::kTrial, Millis::Max(), aView);
   }
-  return complete;
+  return chosen.size();
 }
 
 bool
@@ -656,12 +658,13 @@
 }
 
 void
-Planner::PreemptFor(const Unit& aUnit, FleetView& aView, Plan& aPlan)
+Planner::PreemptFor(const Unit& aUnit,
+                    PlacementRequest aRequest,
+                    FleetView& aView,
+                    Plan& aPlan)
 {
   const StepSpec& step = aUnit.Spec();
-  ReclaimRequest request{ .step = &step,
-                          .service = &aUnit.job->service,
-                          .tasks = static_cast<uint32_t>(aUnit.tasks.size()),
+  ReclaimRequest request{ .placement = std::move(aRequest),
                           .priority = aUnit.job->priority };
   bool guaranteed = IsGuaranteed(aUnit, aView);
   if (!guaranteed && aView.wallNow > LatestStart(aUnit, aView)) {
@@ -684,6 +687,10 @@
   if (!choice || choice->victims.size() > mOptions.maxVictims) {
     return;
   }
+  // Workers are kept only while something ends on them.
+  if (choice->victims.empty() && choice->runsStopping == 0) {
+    return;
+  }
   mPendingPreemptions[aUnit.job->id] = {
     .workers = choice->workers, .expiresAt = aView.now + mOptions.reclaimTimeout
   };
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -238,13 +238,18 @@
   static void AddUnit(Unit aUnit,
                       const FleetView& aView,
                       std::vector<Unit>& aUnits);
-  // Returns false if some tasks did not fit.
-  bool PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+  // Returns the number of tasks that fit; they are the unit's first ones.
+  size_t PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
   // Whether a unit with no greater requirements already failed to fit in this
   // pass. Free resources only shrink during a pass, so this unit cannot fit
   // either.
   bool IsKnownNotToFit(const Unit& aUnit, const FleetView& aView) const;
-  void PreemptFor(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+  // Stops runs so that the request for tasks of the unit fits, if it is worth
+  // that.
+  void PreemptFor(const Unit& aUnit,
+                  PlacementRequest aRequest,
+                  FleetView& aView,
+                  Plan& aPlan);
   // Whether all urgent jobs of the unit's workspace together are within its
   // guarantee.
   static bool IsGuaranteed(const Unit& aUnit, const FleetView& aView);
@@ -261,7 +266,12 @@
   using Rank = std::tuple<int, int32_t, Millis, std::string>;
   Rank RankOf(const Unit& aUnit, const FleetView& aView) const;
   void SortByRank(std::vector<Unit>& aUnits, const FleetView& aView) const;
-  PlacementRequest RequestFor(const Unit& aUnit, const FleetView& aView) const;
+  // The request for the unit's tasks without the first `aPlaced`, which the
+  // pass has placed.
+  PlacementRequest RequestFor(const Unit& aUnit,
+                              const FleetView& aView,
+                              const Plan& aPlan,
+                              size_t aPlaced) const;
   // Latest start of the unit (wall clock) that still meets the latency
   // objective of its job.
   Millis LatestStart(const Unit& aUnit, const FleetView& aView) const;
@@ -285,8 +295,11 @@
                const std::optional<ReservationChoice>& aChoice,
                FleetView& aView);
 
-  // Adds a report of the unit if one is due.
-  void ReportIfDue(const Unit& aUnit, const FleetView& aView, Plan& aPlan);
+  // Adds a report of the unit if one is due. `aPlaced` as in `RequestFor`.
+  void ReportIfDue(const Unit& aUnit,
+                   size_t aPlaced,
+                   const FleetView& aView,
+                   Plan& aPlan);
 
   // Time for which the unit has been startable.
   Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -517,6 +517,82 @@
   EXPECT_TRUE(fleet.Decide().stops.empty());
 }
 
+// A step whose tasks need `aAccelerators` each, with at most one on a worker.
+StepSpec
+OneTaskPerWorker(uint32_t aTasks, int64_t aAccelerators)
+{
+  StepSpec step = StepOf(aTasks, aAccelerators, false);
+  step.perWorkerLimit = 1;
+  step.longRunning = true;
+  return step;
+}
+
+// Guards against a worker that is kept without end for an urgent task whose
+// step has as many tasks there as it allows, while another job could run.
+TEST(Planner, WorkerIsNotKeptForAnUrgentTaskBeyondTheLimitOfItsStep)
+{
+  Fleet fleet;
+  fleet.Guarantee(8);
+  fleet.AddWorker("w1", "r1");
+  fleet.Submit(JobName(1), OneTaskPerWorker(2, 1), 0);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(0), Millis(0));
+  fleet.Decide();
+  // Later than the latest start of the second task.
+  fleet.Advance(Seconds(6));
+  fleet.Submit(JobName(2), StepOf(1, 2, false), 2);
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), 1U);
+}
+
+// Guards against the same on all workers at once.
+TEST(Planner, WideUrgentStepWithALimitLeavesRoomForOthers)
+{
+  Fleet fleet;
+  fleet.Guarantee(80);
+  fleet.Submit(JobName(1), OneTaskPerWorker(20, 1), 0);
+  for (uint32_t n = 0; n < 10; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r1");
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Millis(0));
+  }
+  fleet.Decide();
+  fleet.Advance(Seconds(6));
+  fleet.Submit(JobName(2), StepOf(70, 1, false), 2);
+  EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), 70U);
+}
+
+// Guards against work that is stopped in vain: the task could not start on its
+// worker.
+TEST(Planner, NothingIsStoppedForAnUrgentTaskBeyondTheLimitOfItsStep)
+{
+  Fleet fleet;
+  fleet.Guarantee(16);
+  fleet.AddWorker("w1", "r1");
+  fleet.Submit(JobName(1), OneTaskPerWorker(2, 1), 0);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(0), Millis(0));
+  fleet.Submit(JobName(2), StepOf(1, 7, false), 2);
+  fleet.StartRun(JobName(2), 0, "w1", Millis(0), Minutes(1));
+  EXPECT_TRUE(fleet.Decide().stops.empty());
+  fleet.Advance(Seconds(6));
+  EXPECT_TRUE(fleet.Decide().stops.empty());
+}
+
+// Guards against an urgent task that waits for room which its step may not use,
+// instead of getting room on another worker.
+TEST(Planner, UrgentTaskBeyondTheLimitOnOneWorkerPreemptsOnAnother)
+{
+  Fleet fleet;
+  fleet.Guarantee(16);
+  fleet.AddWorker("w1", "r1");
+  fleet.AddWorker("w2", "r1");
+  fleet.Submit(JobName(1), OneTaskPerWorker(2, 1), 0);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(0), Millis(0));
+  fleet.Submit(JobName(2), StepOf(1, 8, false), 2);
+  fleet.StartRun(JobName(2), 0, "w2", Millis(0), Minutes(1));
+  Plan plan = fleet.Decide();
+  ASSERT_EQ(plan.stops.size(), 1U);
+  EXPECT_EQ(plan.stops[0].worker, WorkerId("w2"));
+}
+
 // Guards against a wait that the log does not explain: for whom a worker is
 // kept and for how long, and why others take no tasks.
 TEST(WaitReport, NamesTheUnitForWhichAWorkerIsKept)
@@ -659,7 +735,8 @@
   fleet.StartRun(JobName(2), 0, "w3", Millis(3900), Millis(9000));
   fleet.StartRun(JobName(2), 1, "w4", Millis(3900), Millis(9000));
   StepSpec step = StepOf(2, 8, true);
-  ReclaimRequest request{ .step = &step, .service = &kService, .tasks = 2 };
+  ReclaimRequest request{ .placement = {
+                            .step = &step, .service = &kService, .tasks = 2 } };
   auto choice = ChooseVictims(request, fleet.View());
   ASSERT_TRUE(choice);
   ASSERT_EQ(choice->victims.size(), 2U);
@@ -691,5 +768,25 @@
   EXPECT_EQ(choice->workers, (std::vector{ WorkerId("w3"), WorkerId("w4") }));
 }
 
+// Guards against a worker that counts as open while the tasks of the step that
+// run there leave no room by its limit, and as closed once they end.
+TEST(Reservation, WorkerOpensWhenATaskOfTheStepEndsThere)
+{
+  Fleet fleet;
+  fleet.AddWorker("w1", "r1");
+  StepSpec step = StepOf(2, 1, false);
+  step.perWorkerLimit = 1;
+  fleet.Submit(JobName(1), step, 1);
+  fleet.StartRun(JobName(1), 0, "w1", Millis(0), Millis(700));
+  PlacementRequest request{ .step = &step,
+                            .ref = { .job = JobId(JobName(1)) },
+                            .service = &kService,
+                            .tasks = 1,
+                            .activeTasks = { { WorkerId("w1"), 1 } } };
+  auto choice = ChooseReservation(request, fleet.View());
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->wait, Millis(700));
+}
+
 } // namespace
 } // namespace limpetwood::fleet
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -128,20 +128,18 @@
            const Candidate& aCandidate,
            const FleetView& aView)
 {
-  PreemptionOption out{ .worker = &aCandidate };
-  Resources available = aCandidate.available;
-  uint32_t limit = aRequest.tasks;
-  if (aRequest.step->perWorkerLimit > 0) {
-    limit = std::min(limit, aRequest.step->perWorkerLimit);
+  auto room = WorkerRoom::On(aRequest.placement, aCandidate);
+  if (!room) {
+    return std::nullopt;
   }
-  out.tasks = TasksThatFit(*aRequest.step, available, limit);
+  PreemptionOption out{ .worker = &aCandidate, .tasks = room->Tasks() };
   if (out.tasks > 0) {
     return out;
   }
   for (const Victim& it : VictimsOn(aCandidate, aRequest.priority, aView)) {
-    available += it.run->resources;
+    room->Release(it.run->run.task, it.run->resources);
     out.victims.push_back(it);
-    out.tasks = TasksThatFit(*aRequest.step, available, limit);
+    out.tasks = room->Tasks();
     if (out.tasks > 0) {
       break;
     }
@@ -151,10 +149,12 @@
   }
   // Later victims can make earlier ones unnecessary.
   for (size_t n = out.victims.size(); n-- > 0;) {
-    Resources without = available - out.victims[n].run->resources;
-    if (TasksThatFit(*aRequest.step, without, limit) > 0) {
-      available = without;
+    const RunEstimate& run = *out.victims[n].run;
+    room->Retake(run.run.task, run.resources);
+    if (room->Tasks() > 0) {
       out.victims.erase(out.victims.begin() + static_cast<ptrdiff_t>(n));
+    } else {
+      room->Release(run.run.task, run.resources);
     }
   }
   return out;
@@ -191,7 +191,9 @@
     out.cost += groups.CostOf(option);
     out.workers.push_back(option.worker->id);
     for (const Victim& it : option.victims) {
-      if (!it.stopping) {
+      if (it.stopping) {
+        ++out.runsStopping;
+      } else {
         out.victims.emplace_back(option.worker->id, it.run->run);
       }
     }
@@ -208,19 +210,17 @@
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
-  bool oneRack = aRequest.step->prefersOneRack && aRequest.tasks > 1;
+  const PlacementRequest& placement = aRequest.placement;
+  bool oneRack = placement.step->prefersOneRack && placement.tasks > 1;
   std::map<uint32_t, std::vector<PreemptionOption>> groups;
   for (const Candidate& it : aView.candidates) {
-    if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
-      continue;
-    }
     if (auto option = FindOption(aRequest, it, aView)) {
       groups[oneRack ? it.rack : 0].push_back(std::move(*option));
     }
   }
   std::optional<ReclaimChoice> best;
   for (auto& [rack, options] : groups) {
-    auto choice = CombineOptions(std::move(options), aRequest.tasks);
+    auto choice = CombineOptions(std::move(options), aRequest.placement.tasks);
     if (choice && choice->cost <= aRequest.maxCost &&
         (!best || choice->cost < best->cost)) {
       best = std::move(choice);
--- a/packages/fleet/reclaim.h
+++ b/packages/fleet/reclaim.h
@@ -16,9 +16,7 @@
 
 struct ReclaimRequest
 {
-  const StepSpec* step = nullptr;
-  const ServiceId* service = nullptr;
-  uint32_t tasks = 0;
+  PlacementRequest placement{};
   // Only runs of jobs with a higher priority number are stopped.
   int32_t priority = 0;
   // Maximum cost of a choice, in the unit of `ReclaimChoice::cost`.
@@ -28,6 +26,8 @@
 struct ReclaimChoice
 {
   std::vector<std::pair<WorkerId, RunRef>> victims{};
+  // Number of runs that are being stopped already and free room as well.
+  size_t runsStopping = 0;
   // The workers on which the step fits after the stops.
   std::vector<WorkerId> workers{};
   // Work that is lost: the sum of run time in seconds times `ResourceWeight`.
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -23,13 +23,11 @@
             const Candidate& aCandidate,
             const FleetView& aView)
 {
-  uint32_t limit = aRequest.tasks;
-  if (aRequest.step->perWorkerLimit > 0) {
-    limit = std::min(limit, aRequest.step->perWorkerLimit);
+  auto room = WorkerRoom::On(aRequest, aCandidate);
+  if (!room) {
+    return std::nullopt;
   }
-  WorkerOpening out{ .worker = &aCandidate };
-  Resources available = aCandidate.available;
-  out.tasks = TasksThatFit(*aRequest.step, available, limit);
+  WorkerOpening out{ .worker = &aCandidate, .tasks = room->Tasks() };
   if (out.tasks > 0) {
     return out;
   }
@@ -39,9 +37,9 @@
     if (lasts && !it.cost.stopping) {
       continue;
     }
-    available += it.resources;
+    room->Release(it.run.task, it.resources);
     out.wait = it.remaining;
-    out.tasks = TasksThatFit(*aRequest.step, available, limit);
+    out.tasks = room->Tasks();
     if (out.tasks > 0) {
       return out;
     }
@@ -54,13 +52,9 @@
 std::optional<ReservationChoice>
 ChooseReservation(const PlacementRequest& aRequest, const FleetView& aView)
 {
-  bool oneRack = aRequest.step->prefersOneRack && aRequest.tasks > 1 &&
-                 !aRequest.maySpanRacks;
+  bool oneRack = NeedsOneRack(aRequest);
   std::map<uint32_t, std::vector<WorkerOpening>> groups;
   for (const Candidate& it : aView.candidates) {
-    if (!MayRun(*aRequest.step, *aRequest.service, *it.report)) {
-      continue;
-    }
     if (auto opening = FindOpening(aRequest, it, aView)) {
       groups[oneRack ? it.rack : 0].push_back(*opening);
     }
--- a/packages/fleet/wait_report.cc
+++ b/packages/fleet/wait_report.cc
@@ -55,14 +55,15 @@
 ObstacleOn(const PlacementRequest& aRequest, const Candidate& aCandidate)
 {
   const StepSpec& step = *aRequest.step;
-  if (step.perWorkerLimit > 0 && aRequest.activeTasksOn &&
-      aRequest.activeTasksOn(aCandidate.id) >= step.perWorkerLimit) {
+  auto active = aRequest.activeTasks.find(aCandidate.id);
+  if (step.perWorkerLimit > 0 && active != aRequest.activeTasks.end() &&
+      active->second >= step.perWorkerLimit) {
     return Obstacle::kWorkerLimit;
   }
   if (aRequest.onIdleWorkers && !aCandidate.idle) {
     return Obstacle::kNotIdle;
   }
-  if (step.prefersOneRack && aRequest.tasks > 1 && !aRequest.maySpanRacks) {
+  if (NeedsOneRack(aRequest)) {
     return Obstacle::kOneRack;
   }
   return step.gang ? Obstacle::kGangSize : Obstacle::kUnknown;
