Make room on several racks for an urgent step that may span them

Seen: an urgent gang within its workspace's guarantee that is wider than any rack never got room while less urgent runs filled the workers. Cause: a step that prefers one rack may span racks if none can hold it, and placement and reservation follow that. The choice of runs to preempt looked in one rack in any case and found none. Change: all three ask NeedsOneRack.

--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -704,6 +704,24 @@
   EXPECT_EQ(fleet.Decide().stops.size(), 1U);
 }
 
+// Guards against a guarantee that is never met: an urgent gang wider than any
+// rack may span racks, so room is made for it on several.
+TEST(Planner, UrgentGangWiderThanAnyRackPreemptsOnSeveralRacks)
+{
+  Fleet fleet;
+  fleet.Guarantee(16);
+  fleet.Submit(JobName(1), StepOf(2, 8, false), 2);
+  for (uint32_t n = 0; n < 2; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r" + std::to_string(n));
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Minutes(1));
+  }
+  StepSpec gang = StepOf(2, 8, true);
+  gang.prefersOneRack = true;
+  fleet.Submit(JobName(2), gang, 0);
+  EXPECT_EQ(fleet.Decide().stops.size(), 2U);
+}
+
 // Guards against losing more work than the urgent job is worth when its
 // workspace exceeds its guarantee.
 TEST(Planner, UrgentGangBeyondGuaranteeDoesNotPreemptCostlyRuns)
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -210,8 +210,7 @@
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
-  const PlacementRequest& placement = aRequest.placement;
-  bool oneRack = placement.step->prefersOneRack && placement.tasks > 1;
+  bool oneRack = NeedsOneRack(aRequest.placement);
   std::map<uint32_t, std::vector<PreemptionOption>> groups;
   for (const Candidate& it : aView.candidates) {
     if (auto option = FindOption(aRequest, it, aView)) {
