Preempt only for the tasks that the pass has not placed

Seen: an urgent step of two tasks, one of which fits, had two runs stopped, one of them in vain. Cause: room was looked for for all waiting tasks of the unit, also for those that the same pass had just placed. Change: the request that preemption and reservation get leaves the placed tasks out and counts them as active. Measured: the new test saw 2 stops instead of 1 before the change.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -292,7 +292,7 @@
       holdPending();
       continue;
     }
-    PlacementRequest request = RequestFor(it, aView, plan, 0);
+    PlacementRequest request = RequestFor(it, aView, plan, placed);
     std::optional<ReservationChoice> choice = ChooseReservation(request, aView);
     if (mOptions.preemptionEnabled && it.job->priority == 0 &&
         !WillFitInTime(it, choice, aView)) {
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -722,6 +722,24 @@
   EXPECT_EQ(fleet.Decide().stops.size(), 2U);
 }
 
+// Guards against stopping runs for tasks that the same pass has placed.
+TEST(Planner, UrgentStepPreemptsOnlyForTheTasksThatDoNotFit)
+{
+  Fleet fleet;
+  fleet.Guarantee(16);
+  fleet.Submit(JobName(1), StepOf(2, 8, false), 2);
+  fleet.AddWorker("w1", "r1");
+  for (uint32_t n = 0; n < 2; ++n) {
+    std::string worker = "w" + std::to_string(n + 2);
+    fleet.AddWorker(worker, "r1");
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Minutes(1));
+  }
+  fleet.Submit(JobName(2), StepOf(2, 8, false), 0);
+  Plan plan = fleet.Decide();
+  EXPECT_EQ(plan.starts.size(), 1U);
+  EXPECT_EQ(plan.stops.size(), 1U);
+}
+
 // Guards against losing more work than the urgent job is worth when its
 // workspace exceeds its guarantee.
 TEST(Planner, UrgentGangBeyondGuaranteeDoesNotPreemptCostlyRuns)
