Make room for several tasks of an urgent step on one worker

Seen: an urgent gang whose members would share a worker got no room, although stopping less urgent runs there would have made enough. Cause: for each worker, runs were chosen until one task fits, and only that many tasks counted. The number of tasks also counted runs that were dropped from the choice again. Change: if one task on each worker is not enough, the choice is made again with as many tasks as each worker can hold. Runs are dropped only if the tasks still fit. Measured: the new test, a gang of two and a step of two single tasks on one worker, found no choice before the change.

--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -781,6 +781,27 @@
   }
 }
 
+// Guards against a gang for which no room is made on a worker that could hold
+// several of its members.
+TEST(Reclaim, MakesRoomForSeveralTasksOnOneWorker)
+{
+  for (bool gang : { false, true }) {
+    Fleet fleet;
+    fleet.AddWorker("w1", "r1");
+    fleet.Submit(JobName(1), StepOf(4, 2, false), 2);
+    for (uint32_t n = 0; n < 4; ++n) {
+      fleet.StartRun(JobName(1), n, "w1", Millis(100), Minutes(1));
+    }
+    StepSpec step = StepOf(2, 3, gang);
+    ReclaimRequest request{
+      .placement = { .step = &step, .service = &kService, .tasks = 2 }
+    };
+    auto choice = ChooseVictims(request, fleet.View());
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->victims.size(), 3U);
+  }
+}
+
 // Guards against choosing the rack with the first free worker instead of the
 // rack in which the whole gang fits earliest.
 TEST(Reservation, ChoosesTheRackThatBecomesFreeFirst)
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -120,12 +120,20 @@
   std::vector<bool> mEnded;
 };
 
-// Selects runs by ascending cost until at least one task fits on the candidate;
-// selects none if one fits already. Returns nothing if no task fits even when
-// all runs that may be stopped have ended.
+// How many tasks of a request are to fit on each worker.
+enum class Fill
+{
+  kOneTask,
+  kMostTasks,
+};
+
+// Selects runs by ascending cost until the tasks fit on the candidate; selects
+// none if one task fits already and `kOneTask` asks for no more. Returns
+// nothing if no task fits even when all runs that may be stopped have ended.
 std::optional<PreemptionOption>
 FindOption(const ReclaimRequest& aRequest,
            const Candidate& aCandidate,
+           Fill aFill,
            const FleetView& aView)
 {
   auto room = WorkerRoom::On(aRequest.placement, aCandidate);
@@ -133,14 +141,15 @@
     return std::nullopt;
   }
   PreemptionOption out{ .worker = &aCandidate, .tasks = room->Tasks() };
-  if (out.tasks > 0) {
+  uint32_t wanted = aFill == Fill::kOneTask ? 1 : aRequest.placement.tasks;
+  if (out.tasks >= wanted) {
     return out;
   }
   for (const Victim& it : VictimsOn(aCandidate, aRequest.priority, aView)) {
     room->Release(it.run->run.task, it.run->resources);
     out.victims.push_back(it);
     out.tasks = room->Tasks();
-    if (out.tasks > 0) {
+    if (out.tasks >= wanted) {
       break;
     }
   }
@@ -151,7 +160,7 @@
   for (size_t n = out.victims.size(); n-- > 0;) {
     const RunEstimate& run = *out.victims[n].run;
     room->Retake(run.run.task, run.resources);
-    if (room->Tasks() > 0) {
+    if (room->Tasks() >= out.tasks) {
       out.victims.erase(out.victims.begin() + static_cast<ptrdiff_t>(n));
     } else {
       room->Release(run.run.task, run.resources);
@@ -211,21 +220,27 @@
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
   bool oneRack = NeedsOneRack(aRequest.placement);
-  std::map<uint32_t, std::vector<PreemptionOption>> groups;
-  for (const Candidate& it : aView.candidates) {
-    if (auto option = FindOption(aRequest, it, aView)) {
-      groups[oneRack ? it.rack : 0].push_back(std::move(*option));
+  for (Fill fill : { Fill::kOneTask, Fill::kMostTasks }) {
+    std::map<uint32_t, std::vector<PreemptionOption>> groups;
+    for (const Candidate& it : aView.candidates) {
+      if (auto option = FindOption(aRequest, it, fill, aView)) {
+        groups[oneRack ? it.rack : 0].push_back(std::move(*option));
+      }
     }
-  }
-  std::optional<ReclaimChoice> best;
-  for (auto& [rack, options] : groups) {
-    auto choice = CombineOptions(std::move(options), aRequest.placement.tasks);
-    if (choice && choice->cost <= aRequest.maxCost &&
-        (!best || choice->cost < best->cost)) {
-      best = std::move(choice);
+    std::optional<ReclaimChoice> best;
+    for (auto& [rack, options] : groups) {
+      auto choice =
+        CombineOptions(std::move(options), aRequest.placement.tasks);
+      if (choice && choice->cost <= aRequest.maxCost &&
+          (!best || choice->cost < best->cost)) {
+        best = std::move(choice);
+      }
+    }
+    if (best) {
+      return best;
     }
   }
-  return best;
+  return std::nullopt;
 }
 
 } // namespace limpetwood::fleet
