Make room for those tasks of an urgent step that can run

Seen: an urgent step of single tasks got no room at all if not all of its waiting tasks could get some at once, for instance with more tasks than workers and one task on a worker. If what fills the workers lasts, it never started. Cause: a choice of runs to preempt counted only if it made room for all tasks. Change: for single tasks that may use any rack, room for as many as the workers can hold suffices. Gangs and steps that need one rack still get room as a whole or not at all. Measured: the new test found no choice for three single tasks on two workers, with and without a limit, before the change, and finds two runs now.

--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -802,6 +802,30 @@
   }
 }
 
+// Guards against an urgent step that waits as a whole because not all of its
+// tasks can run at once, though each could run alone.
+TEST(Reclaim, MakesRoomForThoseSingleTasksThatCanRun)
+{
+  for (uint32_t limit : { 0, 1 }) {
+    for (bool gang : { false, true }) {
+      Fleet fleet;
+      fleet.Submit(JobName(1), StepOf(2, 8, false), 2);
+      for (uint32_t n = 0; n < 2; ++n) {
+        std::string worker = "w" + std::to_string(n);
+        fleet.AddWorker(worker, "r1");
+        fleet.StartRun(JobName(1), n, worker, Millis(100), Minutes(1));
+      }
+      StepSpec step = StepOf(3, limit == 0 ? 8 : 1, gang);
+      step.perWorkerLimit = limit;
+      ReclaimRequest request{
+        .placement = { .step = &step, .service = &kService, .tasks = 3 }
+      };
+      auto choice = ChooseVictims(request, fleet.View());
+      EXPECT_EQ(choice ? choice->victims.size() : 0, gang ? 0U : 2U);
+    }
+  }
+}
+
 // Guards against choosing the rack with the first free worker instead of the
 // rack in which the whole gang fits earliest.
 TEST(Reservation, ChoosesTheRackThatBecomesFreeFirst)
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <tuple>
 
 namespace limpetwood::fleet {
@@ -169,6 +170,16 @@
   return out;
 }
 
+uint32_t
+TasksOf(const std::vector<PreemptionOption>& aOptions)
+{
+  return std::accumulate(
+    aOptions.begin(),
+    aOptions.end(),
+    uint32_t{ 0 },
+    [](uint32_t aSum, const PreemptionOption& it) { return aSum + it.tasks; });
+}
+
 // Repeatedly chooses the option with the lowest shared cost per task until all
 // tasks are placed. Returns nothing if the options do not fit all tasks.
 std::optional<ReclaimChoice>
@@ -220,6 +231,7 @@
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
   bool oneRack = NeedsOneRack(aRequest.placement);
+  bool mayStartInParts = !oneRack && !aRequest.placement.step->gang;
   for (Fill fill : { Fill::kOneTask, Fill::kMostTasks }) {
     std::map<uint32_t, std::vector<PreemptionOption>> groups;
     for (const Candidate& it : aView.candidates) {
@@ -229,8 +241,11 @@
     }
     std::optional<ReclaimChoice> best;
     for (auto& [rack, options] : groups) {
-      auto choice =
-        CombineOptions(std::move(options), aRequest.placement.tasks);
+      uint32_t tasks = aRequest.placement.tasks;
+      if (mayStartInParts && fill == Fill::kMostTasks) {
+        tasks = std::min(tasks, TasksOf(options));
+      }
+      auto choice = CombineOptions(std::move(options), tasks);
       if (choice && choice->cost <= aRequest.maxCost &&
           (!best || choice->cost < best->cost)) {
         best = std::move(choice);
--- a/packages/fleet/reclaim.h
+++ b/packages/fleet/reclaim.h
@@ -36,7 +36,8 @@
 };
 
 // Returns nothing if stopping all less urgent runs does not suffice or costs
-// more than `maxCost`.
+// more than `maxCost`. For single tasks that may use any rack, room for some of
+// them suffices if there can be none for all.
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView);
 
