End the wait for one rack where no rack will have room

Seen: a job of four tasks that prefer one rack lost its worker. Cause: such a step could span racks if no rack could ever hold it, or after 1.5 s if more than half of the matching accelerators were idle. Where jobs that last fill more, neither becomes true. Change: after 1.5 s the planner asks when one rack will have room by the expected ends of its runs. The step may span racks if none will, if it would have waited for more than 20 s or twice its run time in total, or if most of its service is idle, it fits and no rack has room soon. Whether a rack could hold it also counts its limit for each worker. job_waiting shows the expected wait.

--- a/packages/ctl/request_timeline.cc
+++ b/packages/ctl/request_timeline.cc
@@ -106,6 +106,10 @@
     }
   };
   add("with_room", "obstacles", "have room but are ruled out");
+  std::string rackWait = FieldOf(aFields, "rack_wait_ms");
+  if (!rackWait.empty()) {
+    out += "; one rack is expected to have room in " + rackWait + " ms";
+  }
   add("held", "held_workers", "are kept");
   add("unusable", "unusable_workers", "take no tasks");
   return out;
--- a/packages/ctl/request_timeline_test.cc
+++ b/packages/ctl/request_timeline_test.cc
@@ -137,14 +137,16 @@
     "core-1",
     R"("event":"job_waiting","step":"00000000000000a1.0.0","tasks":2,)"
     R"("waited_ms":1000,"matching_workers":5,"without_room":2,"with_room":1,)"
-    R"("obstacles":"w3 worker_limit","held":1,"held_workers":)"
+    R"("obstacles":"w3 one_rack","rack_wait_ms":700,"held":1,"held_workers":)"
     R"("w4 for 00000000000000b7.0.0 by preemption for 900 ms","unusable":1,)"
     R"("unusable_workers":"w5 draining")");
   std::string summary =
     "step 00000000000000a1.0.0 has waited 1000 ms: of 5 workers, 2 have no "
-    "room; 1 have room but are ruled out (w3 worker_limit); 1 are kept (w4 for "
-    "00000000000000b7.0.0 by preemption for 900 ms); 1 take no tasks (w5 "
-    "draining), at 2026-12-04T10:00:05.000Z";
+    "room; 1 have room but are ruled out (w3 one_rack); one rack is expected "
+    "to "
+    "have room in 700 ms; 1 are kept (w4 for 00000000000000b7.0.0 by "
+    "preemption for 900 ms); 1 take no tasks (w5 draining), at "
+    "2026-12-04T10:00:05.000Z";
   EXPECT_NE(FormatTimeline(kAccepted + waiting).find(summary),
             std::string::npos);
   std::string started =
--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -264,6 +264,17 @@
   return WorkerRoom(aRequest, aCandidate.available, active);
 }
 
+std::optional<WorkerRoom>
+WorkerRoom::OnIdle(const PlacementRequest& aRequest,
+                   const Candidate& aCandidate)
+{
+  const WorkerReport& report = *aCandidate.report;
+  if (!MayRun(*aRequest.step, *aRequest.service, report)) {
+    return std::nullopt;
+  }
+  return WorkerRoom(aRequest, report.capacity, 0);
+}
+
 uint32_t
 WorkerRoom::Tasks() const
 {
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -120,6 +120,10 @@
   static std::optional<WorkerRoom> On(const PlacementRequest& aRequest,
                                       const Candidate& aCandidate);
 
+  // The same for a worker on which nothing runs.
+  static std::optional<WorkerRoom> OnIdle(const PlacementRequest& aRequest,
+                                          const Candidate& aCandidate);
+
   // Number of tasks of the request that the worker can take.
   uint32_t Tasks() const;
 
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -84,6 +84,28 @@
   return out;
 }
 
+// Idle and total resources of some workers.
+class Usage
+{
+public:
+  void Add(const Candidate& aWorker)
+  {
+    mIdle += aWorker.available;
+    mTotal += aWorker.report->capacity;
+  }
+  // Counts processors if the workers have no accelerators.
+  bool MoreThanHalfIdle() const
+  {
+    return mTotal.accelerators > 0
+             ? mIdle.accelerators * 2 > mTotal.accelerators
+             : mIdle.cpu * 2 > mTotal.cpu;
+  }
+
+private:
+  Resources mIdle;
+  Resources mTotal;
+};
+
 } // namespace
 
 void
@@ -260,7 +282,7 @@
   size_t handledUnits = 0;
   mUnplaceable.clear();
   for (const Unit& it : units) {
-    bool knownNotToFit = IsKnownNotToFit(it, aView);
+    bool knownNotToFit = IsKnownNotToFit(it, aView, plan);
     size_t placed = knownNotToFit ? 0 : PlaceUnit(it, aView, plan);
     if (placed == it.tasks.size()) {
       mPendingPreemptions.erase(it.job->id);
@@ -273,7 +295,7 @@
     bool needsIdleWorkers = NeedsIdleWorkers(it, aView);
     if (!knownNotToFit && !needsIdleWorkers) {
       mUnplaceable.push_back(
-        { .unit = &it, .needsOneRack = NeedsOneRack(it, aView) });
+        { .unit = &it, .needsOneRack = NeedsOneRack(it, aView, plan) });
     }
     auto pending = mPendingPreemptions.find(it.job->id);
     if (pending == mPendingPreemptions.end() &&
@@ -311,7 +333,9 @@
 }
 
 bool
-Planner::IsKnownNotToFit(const Unit& aUnit, const FleetView& aView) const
+Planner::IsKnownNotToFit(const Unit& aUnit,
+                         const FleetView& aView,
+                         const Plan& aPlan) const
 {
   const StepSpec& step = aUnit.Spec();
   // Evaluated only if a comparable unit failed, since it visits all candidates.
@@ -322,12 +346,12 @@
     }
     // With equal requirements, only the waiting times can make a difference.
     const StepSpec& failed = aFailed.unit->Spec();
-    bool equal = step.prefersOneRack &&
+    bool equal = step.prefersOneRack && step.perWorkerLimit == 0 &&
                  aUnit.tasks.size() == aFailed.unit->tasks.size() &&
                  step.CountedResources() == failed.CountedResources() &&
                  step.label == failed.label && !WaitedForRack(aUnit, aView);
     if (!equal && !needsOneRack) {
-      needsOneRack = NeedsOneRack(aUnit, aView);
+      needsOneRack = NeedsOneRack(aUnit, aView, aPlan);
     }
     return equal || *needsOneRack;
   };
@@ -385,8 +409,11 @@
   Millis waited = aView.now - waiting.since;
   waiting.nextReportAt = aView.now + std::min(waited, mOptions.maxReportDelay);
   mNextReportAt = aView.now + mOptions.minReportInterval;
-  WaitReport report =
-    ReportWait(RequestFor(aUnit, aView, aPlan, aPlaced), aView, mHeldWorkers);
+  PlacementRequest request = RequestFor(aUnit, aView, aPlan, aPlaced);
+  WaitReport report = ReportWait(request, aView, mHeldWorkers);
+  if (fleet::NeedsOneRack(request)) {
+    report.rackWait = ExpectedRackWait(request, aView, mHeldWorkers);
+  }
   report.step = aUnit.Ref();
   report.waited = waited;
   aPlan.waits.push_back(std::move(report));
@@ -499,7 +526,7 @@
                     size_t aPlaced) const
 {
   bool limited = aUnit.Spec().perWorkerLimit > 0;
-  return {
+  PlacementRequest out{
     .step = &aUnit.Spec(),
     .ref = aUnit.Ref(),
     .service = &aUnit.job->service,
@@ -513,11 +540,12 @@
                failed->second.contains(aWorker);
       },
     .speed = SpeedFor(aUnit, aView),
-    .maySpanRacks = MaySpanRacks(aUnit, aView),
     .onTrial = aUnit.onTrial,
     .onIdleWorkers = NeedsIdleWorkers(aUnit, aView),
     .bestFit = mOptions.bestFit,
   };
+  out.maySpanRacks = MaySpanRacks(aUnit, out, aView);
+  return out;
 }
 
 Planner::UnitKey
@@ -541,46 +569,85 @@
 }
 
 bool
-Planner::MaySpanRacks(const Unit& aUnit, const FleetView& aView) const
+Planner::MaySpanRacks(const Unit& aUnit,
+                      const PlacementRequest& aRequest,
+                      const FleetView& aView) const
 {
   const StepSpec& step = aUnit.Spec();
-  if (!step.prefersOneRack || aUnit.tasks.size() < 2) {
+  if (!step.prefersOneRack || aRequest.tasks < 2) {
     return false;
   }
-  auto tasks = static_cast<uint32_t>(aUnit.tasks.size());
+  // Tasks that each rack could hold if nothing else ran there.
   std::vector<uint32_t> tasksByRack;
   uint64_t tasksThatFit = 0;
-  Resources idle;
-  Resources total;
-  for (const Candidate& it : aView.candidates) {
-    if (!MayRun(step, aUnit.job->service, *it.report)) {
-      continue;
+  Usage matching;
+  Usage service;
+  auto add = [&](const Candidate& aWorker, bool aHeld) {
+    if (aWorker.report->service != aUnit.job->service) {
+      return;
+    }
+    service.Add(aWorker);
+    auto idle = WorkerRoom::OnIdle(aRequest, aWorker);
+    if (!idle) {
+      return;
     }
-    tasksByRack.resize(std::max<size_t>(tasksByRack.size(), it.rack + 1));
-    tasksByRack[it.rack] += TasksThatFit(step, it.report->capacity, tasks);
-    tasksThatFit += TasksThatFit(step, it.available, tasks);
-    idle += it.available;
-    total += it.report->capacity;
-  }
-  // No rack could hold all tasks even if it were idle.
-  bool neverFits = std::all_of(tasksByRack.begin(),
-                               tasksByRack.end(),
-                               [&](uint32_t it) { return it < tasks; });
-  bool halfIdle = total.accelerators > 0
-                    ? idle.accelerators * 2 > total.accelerators
-                    : idle.cpu * 2 > total.cpu;
+    tasksByRack.resize(std::max<size_t>(tasksByRack.size(), aWorker.rack + 1));
+    tasksByRack[aWorker.rack] += idle->Tasks();
+    if (aHeld) {
+      return;
+    }
+    matching.Add(aWorker);
+    auto room = WorkerRoom::On(aRequest, aWorker);
+    tasksThatFit += room ? room->Tasks() : 0;
+  };
+  for (const Candidate& it : aView.candidates) {
+    add(it, false);
+  }
+  for (const HeldWorker& it : mHeldWorkers) {
+    add(it.candidate, true);
+  }
+  bool neverFits =
+    std::all_of(tasksByRack.begin(), tasksByRack.end(), [&](uint32_t it) {
+      return it < aRequest.tasks;
+    });
+  if (neverFits || !WaitedForRack(aUnit, aView)) {
+    return neverFits;
+  }
   // A step that lasts must not stand still while there is room. Others would
   // only run slower for having started earlier.
-  bool ampleRoom =
-    halfIdle || (step.longRunning && tasksThatFit >= uint64_t{ tasks } * 2);
-  return neverFits || (ampleRoom && WaitedForRack(aUnit, aView));
+  bool lastsWithRoom =
+    step.longRunning && tasksThatFit >= uint64_t{ aRequest.tasks } * 2;
+  if (matching.MoreThanHalfIdle() || lastsWithRoom) {
+    return true;
+  }
+  // Nothing would start on several racks either, and no room is made or
+  // reserved there.
+  if (tasksThatFit == 0 && !step.gang && aUnit.job->priority > 0) {
+    return false;
+  }
+  std::optional<Millis> rackWait =
+    ExpectedRackWait(aRequest, aView, mHeldWorkers);
+  if (!rackWait) {
+    return true;
+  }
+  Millis waited = WaitingTime(aUnit, aView);
+  bool soon =
+    waited < mOptions.maxRackWait * 2 && *rackWait <= mOptions.maxRackWait;
+  if (service.MoreThanHalfIdle() && tasksThatFit >= aRequest.tasks && !soon) {
+    return true;
+  }
+  Millis taskTime =
+    aView.forecast->ExpectedTime(aUnit.job->queue, step.estimate);
+  return waited + *rackWait > std::max(mOptions.maxTotalRackWait, taskTime * 2);
 }
 
 bool
-Planner::NeedsOneRack(const Unit& aUnit, const FleetView& aView) const
+Planner::NeedsOneRack(const Unit& aUnit,
+                      const FleetView& aView,
+                      const Plan& aPlan) const
 {
-  return aUnit.Spec().prefersOneRack && aUnit.tasks.size() > 1 &&
-         !MaySpanRacks(aUnit, aView);
+  return aUnit.Spec().prefersOneRack &&
+         fleet::NeedsOneRack(RequestFor(aUnit, aView, aPlan, 0));
 }
 
 bool
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -56,10 +56,13 @@
   // Maximum number of runs to stop for one unit.
   size_t maxVictims = 128;
   // A step that prefers one rack may be placed on several after this time if
-  // more than half of the matching accelerators (processors, if there are none)
-  // are idle, because waiting longer is then unlikely to free a whole rack; a
-  // step that lasts also if there is room for twice its tasks.
+  // waiting longer is of no use: see `MaySpanRacks`.
   Millis maxRackWait = Millis(1500);
+  // Maximum time for which such a step waits in total for a rack that is
+  // expected to have room, with the time until then; at least twice the
+  // expected time of its tasks, which would run several times as long on
+  // several racks.
+  Millis maxTotalRackWait = Seconds(20);
   // A task on trial that has waited this long for an idle worker shares one.
   Millis maxTrialWait = Millis(1500);
   // Maximum fraction of all resources, by weight, that is reserved for gangs
@@ -243,7 +246,9 @@
   // Whether a unit with no greater requirements already failed to fit in this
   // pass. Free resources only shrink during a pass, so this unit cannot fit
   // either.
-  bool IsKnownNotToFit(const Unit& aUnit, const FleetView& aView) const;
+  bool IsKnownNotToFit(const Unit& aUnit,
+                       const FleetView& aView,
+                       const Plan& aPlan) const;
   // Stops runs so that the request for tasks of the unit fits, if it is worth
   // that.
   void PreemptFor(const Unit& aUnit,
@@ -305,10 +310,22 @@
   Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
   // Whether the unit is on trial and has not waited for `maxTrialWait`.
   bool NeedsIdleWorkers(const Unit& aUnit, const FleetView& aView) const;
-  // Whether a unit that prefers one rack may be placed on several.
-  bool MaySpanRacks(const Unit& aUnit, const FleetView& aView) const;
+  // Whether a unit that prefers one rack may be placed on several. It may
+  // - if no rack could hold all tasks even if nothing else ran there,
+  // and, once it has waited for `maxRackWait`,
+  // - if more than half of the matching workers' resources are idle, because a
+  //   whole rack is then unlikely to become free,
+  // - if it lasts and there is room for twice its tasks,
+  // - if more than half of its service is idle and there is room for its tasks,
+  //   unless one rack will have room soon,
+  // - if no rack is expected to have room, or none in time.
+  bool MaySpanRacks(const Unit& aUnit,
+                    const PlacementRequest& aRequest,
+                    const FleetView& aView) const;
   // Whether the unit is placed in one rack or not at all.
-  bool NeedsOneRack(const Unit& aUnit, const FleetView& aView) const;
+  bool NeedsOneRack(const Unit& aUnit,
+                    const FleetView& aView,
+                    const Plan& aPlan) const;
   // Whether the unit has waited for `maxRackWait`.
   bool WaitedForRack(const Unit& aUnit, const FleetView& aView) const;
 
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -24,14 +24,16 @@
   {
   }
 
-  void AddWorker(const std::string& aId, const std::string& aRack)
+  void AddWorker(const std::string& aId,
+                 const std::string& aRack,
+                 const std::string& aKind = "a")
   {
     WorkerReport report;
     report.id = WorkerId(aId);
     report.incarnation = Incarnation(1);
     report.service = kService;
     report.rack = RackId(aRack);
-    report.labels = { "a", aRack };
+    report.labels = { aKind, aRack };
     report.capacity = { .cpu = 64'000,
                         .memoryMb = 64'000,
                         .accelerators = mAccelerators };
@@ -400,6 +402,125 @@
   }
 }
 
+// A step of four tasks that prefer one rack.
+StepSpec
+FourInOneRack()
+{
+  StepSpec step = StepOf(4, 1, false);
+  step.prefersOneRack = true;
+  return step;
+}
+
+// Fills six of eight accelerators of one worker in each of four racks with runs
+// of the job; returns the number of tasks of `FourInOneRack` that start after
+// the wait.
+size_t
+StartsBesideRuns(const StepSpec& aFilling,
+                 const StepSpec& aStep,
+                 Millis aRemaining,
+                 Millis aWait)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), aFilling, 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string worker = "w" + std::to_string(n);
+    fleet.AddWorker(worker, "r" + std::to_string(n));
+    fleet.StartRun(JobName(1), n, worker, Millis(0), aRemaining);
+  }
+  fleet.Submit(JobName(2), aStep, 1);
+  EXPECT_TRUE(fleet.Decide().starts.empty());
+  fleet.Advance(aWait);
+  return StartsOf(fleet.Decide(), JobName(2));
+}
+
+// Guards against a step that waits without end for one rack, because runs that
+// last, whose end is not known, or that end only after minutes fill more than
+// half of its workers, although there is room on several racks.
+TEST(Planner, StepSpansRacksIfNoneIsExpectedToHaveRoom)
+{
+  StepSpec lasting = StepOf(4, 6, false);
+  lasting.longRunning = true;
+  StepSpec finite = StepOf(4, 6, false);
+  StepSpec step = FourInOneRack();
+  StepSpec gang = step;
+  gang.gang = true;
+  for (const StepSpec& it : { step, gang }) {
+    EXPECT_EQ(StartsBesideRuns(lasting, it, Millis(0), Seconds(2)), 4U);
+    EXPECT_EQ(StartsBesideRuns(finite, it, Millis::Max(), Seconds(2)), 4U);
+    EXPECT_EQ(StartsBesideRuns(finite, it, Minutes(10), Seconds(2)), 4U);
+    // A rack that has room soon is worth the wait.
+    EXPECT_EQ(StartsBesideRuns(finite, it, Seconds(3), Seconds(2)), 0U);
+    // Runs that do not end as expected do not prolong the wait for ever.
+    EXPECT_EQ(StartsBesideRuns(finite, it, Seconds(3), Seconds(20)), 4U);
+  }
+}
+
+// Guards against the same where there is not room for all tasks at once.
+TEST(Planner, TasksThatFitOnSeveralRacksStartIfNoRackIsExpectedToHaveRoom)
+{
+  StepSpec lasting = StepOf(4, 7, false);
+  lasting.longRunning = true;
+  StepSpec step = FourInOneRack();
+  step.tasks = 6;
+  EXPECT_EQ(StartsBesideRuns(lasting, step, Millis(0), Seconds(2)), 4U);
+}
+
+// Guards against the same for a step that allows fewer tasks on a worker than
+// each rack would need.
+TEST(Planner, StepSpansRacksIfItsLimitLetsNoRackHoldIt)
+{
+  Fleet fleet;
+  for (uint32_t n = 0; n < 4; ++n) {
+    fleet.AddWorker("w" + std::to_string(n), "r" + std::to_string(n));
+  }
+  StepSpec step = FourInOneRack();
+  step.perWorkerLimit = 1;
+  fleet.Submit(JobName(1), step, 1);
+  EXPECT_EQ(fleet.Decide().starts.size(), 4U);
+}
+
+// Guards against a step that waits for one rack of a kind that is in use while
+// most of its service is idle.
+TEST(Planner, StepSpansRacksOfAKindInUseIfMostOfItsServiceIsIdle)
+{
+  for (uint32_t others : { 0U, 8U }) {
+    Fleet fleet;
+    fleet.Submit(JobName(1), StepOf(4, 6, false), 1);
+    for (uint32_t n = 0; n < 4; ++n) {
+      std::string worker = "w" + std::to_string(n);
+      fleet.AddWorker(worker, "r" + std::to_string(n), "b");
+      fleet.StartRun(JobName(1), n, worker, Millis(0), Seconds(6));
+    }
+    for (uint32_t n = 0; n < others; ++n) {
+      fleet.AddWorker("other" + std::to_string(n), "r9");
+    }
+    StepSpec step = FourInOneRack();
+    step.label = "b";
+    fleet.Submit(JobName(2), step, 1);
+    EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), 0U);
+    fleet.Advance(Seconds(2));
+    EXPECT_EQ(StartsOf(fleet.Decide(), JobName(2)), others > 0 ? 4U : 0U);
+  }
+}
+
+// Guards against a log that does not say until when a step waits for one rack.
+TEST(WaitReport, SaysWhenOneRackIsExpectedToHaveRoom)
+{
+  Fleet fleet;
+  fleet.AddWorker("w1", "r1");
+  fleet.Submit(JobName(1), StepOf(4, 2, false), 1);
+  for (uint32_t n = 0; n < 4; ++n) {
+    fleet.StartRun(JobName(1), n, "w1", Millis(0), Seconds(n + 1));
+  }
+  fleet.Submit(JobName(2), FourInOneRack(), 1);
+  fleet.Decide();
+  fleet.Advance(Seconds(1));
+  Plan plan = fleet.Decide();
+  ASSERT_EQ(plan.waits.size(), 1U);
+  // Two runs have to end to make room for four tasks on this worker.
+  EXPECT_EQ(plan.waits[0].rackWait, Seconds(2));
+}
+
 // Guards against an urgent suspect that waits for ever in a full fleet: when it
 // has waited for an idle worker, other runs are stopped for it.
 TEST(Planner, SuspectInAFullFleetIsTreatedLikeOtherWorkInTheEnd)
--- a/packages/fleet/reservation.h
+++ b/packages/fleet/reservation.h
@@ -28,4 +28,13 @@
 std::optional<ReservationChoice>
 ChooseReservation(const PlacementRequest& aRequest, const FleetView& aView);
 
+// Expected time until one rack has room for all tasks of the request, if
+// nothing else starts there; nothing if no rack is expected to have it, however
+// many of its runs end. `aHeld` are workers that are not candidates only
+// because the pass keeps them for other units.
+std::optional<Millis>
+ExpectedRackWait(const PlacementRequest& aRequest,
+                 const FleetView& aView,
+                 const std::vector<HeldWorker>& aHeld);
+
 } // namespace limpetwood::fleet
--- a/packages/fleet/wait_report.cc
+++ b/packages/fleet/wait_report.cc
@@ -155,6 +155,9 @@
                     std::string(ObstacleName(it.second));
            }));
   }
+  if (aReport.rackWait) {
+    event.Add("rack_wait_ms", *aReport.rackWait);
+  }
   if (!aReport.held.empty()) {
     event.Add("held", aReport.held.size())
       .Add("held_workers", Listed(aReport.held, HoldText));
--- a/packages/fleet/wait_report.h
+++ b/packages/fleet/wait_report.h
@@ -9,6 +9,7 @@
 #include "fleet/placement.h"
 #include "fleet/types.h"
 
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -59,6 +60,9 @@
   StepRef step{};
   size_t tasks = 0;
   Millis waited{};
+  // For a unit that waits for room in one rack: the expected time until there
+  // is some, if any is expected.
+  std::optional<Millis> rackWait{};
   // Workers that may run the step at all, and those of them that take tasks but
   // have no room for one more.
   size_t matching = 0;
