Let tasks that end in time use the workers reserved for a gang

Cause: a reservation kept every later task off its workers until the gang fits, however far off that was, and also if it was not known. Change: it is kept only from tasks that would not end before it, with a margin of half of their run time. It keeps no task waiting if it is further off than 30 s, and none that lasts if it is further off than 1.5 s. Nothing is reserved behind a run whose end is not known. Measured: two new tests failed before and pass.

--- a/packages/fleet/placement.cc
+++ b/packages/fleet/placement.cc
@@ -241,6 +241,13 @@
   return bound(resources.accelerators, aAvailable.accelerators, out);
 }
 
+bool
+IsReservedAgainst(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  return aCandidate.reservation &&
+         aRequest.duration > aCandidate.reservation->startsIn;
+}
+
 bool
 NeedsOneRack(const PlacementRequest& aRequest)
 {
@@ -253,7 +260,8 @@
 {
   const StepSpec& step = *aRequest.step;
   if (!MayRun(step, *aRequest.service, *aCandidate.report) ||
-      (aRequest.onIdleWorkers && !aCandidate.idle)) {
+      (aRequest.onIdleWorkers && !aCandidate.idle) ||
+      IsReservedAgainst(aRequest, aCandidate)) {
     return std::nullopt;
   }
   uint32_t active = 0;
--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -34,6 +34,14 @@
   kSlow,
 };
 
+// A worker is kept for a unit that is expected to fit later.
+struct Reservation
+{
+  StepRef beneficiary{};
+  // Expected time until the unit starts. Until then, others may use the worker.
+  Millis startsIn{};
+};
+
 // A worker that can take new tasks.
 struct Candidate
 {
@@ -55,6 +63,7 @@
   SpeedClass speed = SpeedClass::kNormal;
   // Higher is worse; 0 for a worker without faults.
   int faultScore = 0;
+  std::optional<Reservation> reservation{};
 };
 
 struct PlacementRequest
@@ -64,6 +73,9 @@
   StepRef ref{};
   const ServiceId* service = nullptr;
   uint32_t tasks = 0;
+  // Time for which the tasks are expected to use their workers. They use no
+  // worker that is reserved from an earlier time on.
+  Millis duration{};
   // Active and planned tasks of the step by worker. Used only with
   // `perWorkerLimit`.
   std::map<WorkerId, uint32_t> activeTasks{};
@@ -104,6 +116,11 @@
 uint32_t
 TasksThatFit(const StepSpec& aStep, Resources aAvailable, uint32_t aLimit);
 
+// Whether the worker is reserved for another unit before the tasks would end.
+bool
+IsReservedAgainst(const PlacementRequest& aRequest,
+                  const Candidate& aCandidate);
+
 // Whether the tasks are placed in one rack or not at all.
 bool
 NeedsOneRack(const PlacementRequest& aRequest);
@@ -116,11 +133,11 @@
 {
 public:
   // Returns nothing if the worker may not run the request's tasks, whatever
-  // ends there. `aRequest` must outlive the result.
+  // ends there, or is reserved against it. `aRequest` must outlive the result.
   static std::optional<WorkerRoom> On(const PlacementRequest& aRequest,
                                       const Candidate& aCandidate);
 
-  // The same for a worker on which nothing runs.
+  // The same for a worker that nothing runs on or is reserved for.
   static std::optional<WorkerRoom> OnIdle(const PlacementRequest& aRequest,
                                           const Candidate& aCandidate);
 
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -14,6 +14,9 @@
 
 // Additional time of a task on a slow worker, in percent of its expected time.
 constexpr int64_t kMaxSlowdownPercent = 125;
+// Time within which a task must end on a worker that is reserved, in percent of
+// its expected time.
+constexpr int64_t kBackfillPercent = 150;
 
 // Returns the tasks of one step of an occurrence that can start now.
 // A gang starts only as a whole, so none of its tasks can start while one is
@@ -323,8 +326,8 @@
     }
     if (pending != mPendingPreemptions.end()) {
       holdPending();
-    } else if (mOptions.reservationsEnabled) {
-      Reserve(it, choice, aView);
+    } else if (mOptions.reservationsEnabled && it.Spec().gang && choice) {
+      Reserve(it, *std::move(choice), aView);
     }
   }
   mUnplaceable.clear();
@@ -369,9 +372,12 @@
                           aUnit.tasks.size() >= aFailed.unit->tasks.size());
       bool labelCovered = failed.label.empty() || failed.label == step.label;
       bool unlimited = failed.perWorkerLimit == 0;
+      bool reservationsCovered =
+        mReservedWeight == 0 ||
+        DurationOf(*aFailed.unit, aView) <= DurationOf(aUnit, aView);
       return aFailed.unit->job->service == aUnit.job->service &&
              resourcesCovered && sizeCovered && labelCovered && unlimited &&
-             rackCovered(aFailed);
+             reservationsCovered && rackCovered(aFailed);
     });
 }
 
@@ -428,23 +434,34 @@
 }
 
 void
-Planner::Reserve(const Unit& aUnit,
-                 const std::optional<ReservationChoice>& aChoice,
-                 FleetView& aView)
+Planner::Reserve(const Unit& aUnit, ReservationChoice aChoice, FleetView& aView)
 {
-  if (!aUnit.Spec().gang || !aChoice) {
-    return;
-  }
   double limit = mTotalWeight * mOptions.maxReservedShare;
-  if (mReservedWeight + aChoice->weight > limit) {
+  if (mReservedWeight + aChoice.weight > limit) {
     return;
   }
-  mReservedWeight += aChoice->weight;
-  HoldWorkers(aChoice->workers,
-              aUnit,
-              HeldWorker::Reason::kReservation,
-              aChoice->wait,
-              aView);
+  mReservedWeight += aChoice.weight;
+  std::sort(aChoice.workers.begin(), aChoice.workers.end());
+  for (Candidate& it : aView.candidates) {
+    bool earlier = !it.reservation || aChoice.wait < it.reservation->startsIn;
+    if (earlier && std::binary_search(
+                     aChoice.workers.begin(), aChoice.workers.end(), it.id)) {
+      it.reservation = { .beneficiary = aUnit.Ref(), .startsIn = aChoice.wait };
+    }
+  }
+}
+
+Millis
+Planner::DurationOf(const Unit& aUnit, const FleetView& aView) const
+{
+  const StepSpec& step = aUnit.Spec();
+  if (step.longRunning) {
+    return mOptions.maxLastingDelay;
+  }
+  Millis expected =
+    aView.forecast->ExpectedTime(aUnit.job->queue, step.estimate);
+  return std::min(expected * kBackfillPercent / 100,
+                  mOptions.maxReservationDelay);
 }
 
 Millis
@@ -531,6 +548,7 @@
     .ref = aUnit.Ref(),
     .service = &aUnit.job->service,
     .tasks = static_cast<uint32_t>(aUnit.tasks.size() - aPlaced),
+    .duration = DurationOf(aUnit, aView),
     .activeTasks =
       limited ? ActiveTasksOf(aUnit, aPlan) : std::map<WorkerId, uint32_t>(),
     .isAvoided =
@@ -593,7 +611,7 @@
     }
     tasksByRack.resize(std::max<size_t>(tasksByRack.size(), aWorker.rack + 1));
     tasksByRack[aWorker.rack] += idle->Tasks();
-    if (aHeld) {
+    if (aHeld || IsReservedAgainst(aRequest, aWorker)) {
       return;
     }
     matching.Add(aWorker);
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -68,6 +68,11 @@
   // Maximum fraction of all resources, by weight, that is reserved for gangs
   // that do not fit.
   double maxReservedShare = 0.4;
+  // A reservation keeps no task waiting for longer than this. Tasks that last
+  // have no end before which they could use a reserved worker, so they do not
+  // wait for a reservation that is further off than `maxLastingDelay`.
+  Millis maxReservationDelay = Seconds(30);
+  Millis maxLastingDelay = Millis(1500);
   // Maximum number of blocked units for which one pass starts preemptions or
   // reservations; bounds the cost of a pass. Later units have a lower rank and
   // wait behind these anyway.
@@ -277,6 +282,9 @@
                               const FleetView& aView,
                               const Plan& aPlan,
                               size_t aPlaced) const;
+  // Time for which the unit's tasks use their workers, as far as reservations
+  // of other units have to respect it.
+  Millis DurationOf(const Unit& aUnit, const FleetView& aView) const;
   // Latest start of the unit (wall clock) that still meets the latency
   // objective of its job.
   Millis LatestStart(const Unit& aUnit, const FleetView& aView) const;
@@ -294,11 +302,9 @@
                    Millis aRemaining,
                    FleetView& aView);
   // Reserves the chosen workers for a gang that does not fit, so that later
-  // units do not use them, unless all reservations of the pass would exceed
-  // `maxReservedShare`.
-  void Reserve(const Unit& aUnit,
-               const std::optional<ReservationChoice>& aChoice,
-               FleetView& aView);
+  // units use them only if they end in time, unless all reservations of the
+  // pass would exceed `maxReservedShare`.
+  void Reserve(const Unit& aUnit, ReservationChoice aChoice, FleetView& aView);
 
   // Adds a report of the unit if one is due. `aPlaced` as in `RequestFor`.
   void ReportIfDue(const Unit& aUnit,
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -587,6 +587,68 @@
   EXPECT_EQ(StartsOf(fleet.Decide(), JobName(3)), 1U);
 }
 
+// A gang of two whole workers waits for a run that has `aRemaining` left, while
+// another worker is idle; returns the jobs of which a task starts on that one.
+// The jobs have one task each, with these expected times.
+std::vector<std::string>
+StartsBesideReservation(Millis aRemaining,
+                        const std::vector<Millis>& aTimes,
+                        bool aLast = false)
+{
+  Fleet fleet;
+  for (uint32_t n = 0; n < 5; ++n) {
+    fleet.AddWorker("w" + std::to_string(n), "r1", n < 2 ? "b" : "a");
+  }
+  fleet.Submit(JobName(1), StepOf(1, 8, false), 2);
+  fleet.StartRun(JobName(1), 0, "w0", Millis(0), aRemaining);
+  StepSpec gang = StepOf(2, 8, true);
+  gang.label = "b";
+  fleet.Submit(JobName(2), gang, 1);
+  for (size_t n = 0; n < aTimes.size(); ++n) {
+    StepSpec step = StepOf(1, 4, false);
+    step.label = "b";
+    step.estimate = aTimes[n];
+    step.longRunning = aLast;
+    fleet.Submit(JobName(static_cast<int>(n) + 3), step, 2);
+  }
+  std::vector<std::string> out;
+  for (const PlannedStart& it : fleet.Decide().starts) {
+    out.push_back(it.run.task.job.Value());
+  }
+  return out;
+}
+
+// Guards against workers that stand idle for as long as a gang waits for
+// others, and against a gang that is delayed by what is started there
+// meanwhile.
+TEST(Planner, TasksThatEndBeforeAGangStartsUseItsWorkers)
+{
+  using Jobs = std::vector<std::string>;
+  EXPECT_EQ(StartsBesideReservation(Minutes(10), { Seconds(4) }),
+            Jobs{ JobName(3) });
+  EXPECT_EQ(StartsBesideReservation(Seconds(7), { Seconds(4) }),
+            Jobs{ JobName(3) });
+  EXPECT_EQ(StartsBesideReservation(Seconds(5), { Seconds(4) }), Jobs{});
+  // A task that does not end in time says nothing about one that does.
+  EXPECT_EQ(StartsBesideReservation(Seconds(7), { Seconds(8), Seconds(4) }),
+            Jobs{ JobName(4) });
+}
+
+// Guards against work that waits for many minutes, or without end, beside idle
+// workers because a gang waits.
+TEST(Planner, LongTasksAreNotKeptFromWorkersThatAreReservedFarAhead)
+{
+  using Jobs = std::vector<std::string>;
+  EXPECT_EQ(StartsBesideReservation(Minutes(10), { Hours(1) }),
+            Jobs{ JobName(3) });
+  EXPECT_EQ(StartsBesideReservation(Seconds(20), { Hours(1) }), Jobs{});
+  EXPECT_EQ(StartsBesideReservation(Millis::Max(), { Hours(1) }),
+            Jobs{ JobName(3) });
+  EXPECT_EQ(StartsBesideReservation(Seconds(4), { Seconds(1) }, true),
+            Jobs{ JobName(3) });
+  EXPECT_EQ(StartsBesideReservation(Seconds(1), { Seconds(1) }, true), Jobs{});
+}
+
 // Guards against one gang that holds a whole service back: where workers have
 // no accelerators, a reservation must count what they have.
 TEST(Planner, ReservationsOfWorkersWithoutAcceleratorsAreLimited)
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -18,6 +18,15 @@
   uint32_t tasks = 0;
 };
 
+// Whether the run ends without being stopped, at a time that can be expected.
+bool
+IsExpectedToEnd(const RunEstimate& aRun)
+{
+  // The progress of a run that lasts says when it serves, not when it ends.
+  bool lasts = aRun.job->spec.steps[aRun.run.task.step].longRunning;
+  return (!lasts || aRun.cost.stopping) && aRun.remaining != Millis::Max();
+}
+
 std::optional<WorkerOpening>
 FindOpening(const PlacementRequest& aRequest,
             const Candidate& aCandidate,
@@ -32,9 +41,7 @@
     return out;
   }
   for (const RunEstimate& it : aView.RunsOf(aCandidate)) {
-    // Its progress says when it serves, not when it ends.
-    bool lasts = it.job->spec.steps[it.run.task.step].longRunning;
-    if (lasts && !it.cost.stopping) {
+    if (!IsExpectedToEnd(it)) {
       continue;
     }
     room->Release(it.run.task, it.resources);
@@ -71,15 +78,6 @@
   return tasks >= aTasks ? std::optional(std::move(out)) : std::nullopt;
 }
 
-// Whether the run ends without being stopped, at a time that can be expected.
-bool
-IsExpectedToEnd(const RunEstimate& aRun)
-{
-  // The progress of a run that lasts says when it serves, not when it ends.
-  bool lasts = aRun.job->spec.steps[aRun.run.task.step].longRunning;
-  return (!lasts || aRun.cost.stopping) && aRun.remaining != Millis::Max();
-}
-
 // Expected time until the workers together have room for all tasks of the
 // request; nothing if they will not by the ends of their runs.
 std::optional<Millis>
@@ -151,10 +149,12 @@
 }
 
 std::optional<Millis>
-ExpectedRackWait(const PlacementRequest& aRequest,
+ExpectedRackWait(PlacementRequest aRequest,
                  const FleetView& aView,
                  const std::vector<HeldWorker>& aHeld)
 {
+  // Reservations are as temporary as what the pass holds.
+  aRequest.duration = {};
   std::map<uint32_t, std::vector<const Candidate*>> racks;
   for (const Candidate& it : aView.candidates) {
     racks[it.rack].push_back(&it);
--- a/packages/fleet/reservation.h
+++ b/packages/fleet/reservation.h
@@ -1,9 +1,10 @@
 // Selects the workers to reserve for a step that does not fit at present.
 //
-// Without reservations, small tasks take all capacity as it becomes free, and a
-// gang never finds enough workers free at the same time. The choice is the set
-// of workers on which the step fits earliest, by the expected ends of their
-// runs.
+// Until a step is expected to start, other tasks that end before may use the
+// workers. Without reservations, small tasks take all capacity as it becomes
+// free, and a gang never finds enough workers free at the same time. The choice
+// is the set of workers on which the step fits earliest, by the expected ends
+// of their runs.
 
 #pragma once
 
@@ -33,7 +34,7 @@
 // many of its runs end. `aHeld` are workers that are not candidates only
 // because the pass keeps them for other units.
 std::optional<Millis>
-ExpectedRackWait(const PlacementRequest& aRequest,
+ExpectedRackWait(PlacementRequest aRequest,
                  const FleetView& aView,
                  const std::vector<HeldWorker>& aHeld);
 
--- a/packages/fleet/wait_report.cc
+++ b/packages/fleet/wait_report.cc
@@ -109,10 +109,15 @@
       continue;
     }
     ++out.matching;
-    if (HasRoom(aRequest, it)) {
-      out.withRoom.emplace_back(it.id, ObstacleOn(aRequest, it));
-    } else {
+    if (!HasRoom(aRequest, it)) {
       ++out.withoutRoom;
+    } else if (IsReservedAgainst(aRequest, it)) {
+      out.held.push_back({ .candidate = it,
+                           .beneficiary = it.reservation->beneficiary,
+                           .reason = HeldWorker::Reason::kReservation,
+                           .remaining = it.reservation->startsIn });
+    } else {
+      out.withRoom.emplace_back(it.id, ObstacleOn(aRequest, it));
     }
   }
   for (const HeldWorker& it : aHeld) {
--- a/packages/fleet/wait_report.h
+++ b/packages/fleet/wait_report.h
@@ -25,7 +25,8 @@
   {
     // Runs are being stopped there.
     kPreemption,
-    // The unit is expected to fit later.
+    // The unit is expected to fit later, but before the tasks would end that
+    // the worker is kept from.
     kReservation,
     // A task on trial starts there.
     kTrial,
