Let urgent steps behind those that fit nowhere have their turn

Seen: with 40 urgent steps whose lost tasks fit nowhere, a later urgent job within its guarantee got no room on a worker that it alone may use. Cause: a pass makes room for at most 16 units that do not fit, in the order of their rank, and the same 16 came first in each pass. Change: if a pass left units out for this limit, the next ones skip urgent units for which no room was found, for 50 ms at first and 500 ms at most. Measured: the new test saw no stop in 10 passes before the change, and sees one.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -14,6 +14,10 @@
 
 // Additional time of a task on a slow worker, in percent of its expected time.
 constexpr int64_t kMaxSlowdownPercent = 125;
+// Bounds of the time between two attempts to make room for a unit; see
+// `Planner::MustSkipAttempt`.
+constexpr Millis kMinAttemptDelay(50);
+constexpr Millis kMaxAttemptDelay(500);
 // Time within which a task must end on a worker that is reserved, in percent of
 // its expected time.
 constexpr int64_t kBackfillPercent = 150;
@@ -283,6 +287,7 @@
     }
   }
   size_t handledUnits = 0;
+  bool limitReached = false;
   mUnplaceable.clear();
   for (const Unit& it : units) {
     bool knownNotToFit = IsKnownNotToFit(it, aView, plan);
@@ -301,8 +306,12 @@
         { .unit = &it, .needsOneRack = NeedsOneRack(it, aView, plan) });
     }
     auto pending = mPendingPreemptions.find(it.job->id);
-    if (pending == mPendingPreemptions.end() &&
-        (needsIdleWorkers || handledUnits >= mOptions.maxBlockedUnitsPerPass)) {
+    bool isPending = pending != mPendingPreemptions.end();
+    if (!isPending && (needsIdleWorkers || MustSkipAttempt(it, aView))) {
+      continue;
+    }
+    if (!isPending && handledUnits >= mOptions.maxBlockedUnitsPerPass) {
+      limitReached = true;
       continue;
     }
     ++handledUnits;
@@ -324,17 +333,39 @@
       PreemptFor(it, std::move(request), aView, plan);
       pending = mPendingPreemptions.find(it.job->id);
     }
+    RecordAttempt(it, pending != mPendingPreemptions.end(), aView);
     if (pending != mPendingPreemptions.end()) {
       holdPending();
     } else if (mOptions.reservationsEnabled && it.Spec().gang && choice) {
       Reserve(it, *std::move(choice), aView);
     }
   }
+  mLimitReached = limitReached;
   mUnplaceable.clear();
   mHeldWorkers.clear();
   return plan;
 }
 
+bool
+Planner::MustSkipAttempt(const Unit& aUnit, const FleetView& aView) const
+{
+  return mLimitReached && aUnit.job->priority == 0 &&
+         aView.now < mWaiting.at(KeyOf(aUnit)).nextAttemptAt;
+}
+
+void
+Planner::RecordAttempt(const Unit& aUnit,
+                       bool aFoundRoom,
+                       const FleetView& aView)
+{
+  Waiting& waiting = mWaiting.at(KeyOf(aUnit));
+  waiting.attemptDelay = aFoundRoom ? Millis(0)
+                                    : std::clamp(waiting.attemptDelay * 2,
+                                                 kMinAttemptDelay,
+                                                 kMaxAttemptDelay);
+  waiting.nextAttemptAt = aView.now + waiting.attemptDelay;
+}
+
 bool
 Planner::IsKnownNotToFit(const Unit& aUnit,
                          const FleetView& aView,
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -75,7 +75,8 @@
   Millis maxLastingDelay = Millis(1500);
   // Maximum number of blocked units for which one pass starts preemptions or
   // reservations; bounds the cost of a pass. Later units have a lower rank and
-  // wait behind these anyway.
+  // wait behind these anyway, or have their turn when there can be no room for
+  // these.
   size_t maxBlockedUnitsPerPass = 16;
   // A result has no value when its latency exceeds the objective by this
   // factor.
@@ -306,6 +307,13 @@
   // pass would exceed `maxReservedShare`.
   void Reserve(const Unit& aUnit, ReservationChoice aChoice, FleetView& aView);
 
+  // Whether the pass makes no attempt to make room for an urgent unit, because
+  // earlier ones found none and other units wait for their turn.
+  bool MustSkipAttempt(const Unit& aUnit, const FleetView& aView) const;
+  void RecordAttempt(const Unit& aUnit,
+                     bool aFoundRoom,
+                     const FleetView& aView);
+
   // Adds a report of the unit if one is due. `aPlaced` as in `RequestFor`.
   void ReportIfDue(const Unit& aUnit,
                    size_t aPlaced,
@@ -348,6 +356,8 @@
   // this pass.
   double mTotalWeight = 0;
   double mReservedWeight = 0;
+  // The latest pass left units out for `maxBlockedUnitsPerPass`.
+  bool mLimitReached = false;
   // Units that did not fit in the current pass; empty between passes.
   std::vector<UnplaceableUnit> mUnplaceable;
   // Workers on which runs of a live job failed.
@@ -358,6 +368,11 @@
   {
     Millis since;
     Millis nextReportAt;
+    // The latest attempt to make room for the unit found none. If passes leave
+    // units out for `maxBlockedUnitsPerPass`, the next one waits until
+    // `nextAttemptAt`, so that others have their turn.
+    Millis nextAttemptAt{};
+    Millis attemptDelay{};
   };
   // The startable units.
   std::map<UnitKey, Waiting> mWaiting;
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -776,6 +776,35 @@
   EXPECT_EQ(plan.stops[0].worker, WorkerId("w2"));
 }
 
+// Guards against an urgent job that gets no room because more urgent ones that
+// can have none are looked at first in each pass.
+TEST(Planner, UrgentStepIsNotHeldBackByThoseThatFitNowhere)
+{
+  Fleet fleet;
+  fleet.Guarantee(100);
+  fleet.AddWorker("w1", "r1");
+  fleet.AddWorker("w2", "r1", "b");
+  for (int n = 1; n <= 40; ++n) {
+    StepSpec step = OneTaskPerWorker(2, 0);
+    step.resources.memoryMb = 0;
+    step.label = "a";
+    fleet.Submit(JobName(n), step, 0);
+    fleet.StartRun(JobName(n), 0, "w1", Millis(0), Millis(0));
+  }
+  fleet.Submit(JobName(50), StepOf(1, 8, false), 2);
+  fleet.StartRun(JobName(50), 0, "w2", Millis(0), Minutes(1));
+  fleet.Advance(Millis(10));
+  StepSpec urgent = StepOf(1, 8, false);
+  urgent.label = "b";
+  fleet.Submit(JobName(51), urgent, 0);
+  size_t stops = 0;
+  for (int n = 0; n < 10; ++n) {
+    stops += fleet.Decide().stops.size();
+    fleet.Advance(Millis(15));
+  }
+  EXPECT_EQ(stops, 1U);
+}
+
 // Guards against a wait that the log does not explain: for whom a worker is
 // kept and for how long, and why others take no tasks.
 TEST(WaitReport, NamesTheUnitForWhichAWorkerIsKept)
