Skip only urgent steps that fit nowhere, not those that cost too much

Cause, by reading and not proved by a trace: under load a pass also skipped urgent steps for which room costs too much at the moment, which can change at any time. Change: only a step that no worker is expected to have room for is skipped.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -333,7 +333,8 @@
       PreemptFor(it, std::move(request), aView, plan);
       pending = mPendingPreemptions.find(it.job->id);
     }
-    RecordAttempt(it, pending != mPendingPreemptions.end(), aView);
+    bool fitsNowhere = !choice && pending == mPendingPreemptions.end();
+    RecordAttempt(it, fitsNowhere, aView);
     if (pending != mPendingPreemptions.end()) {
       holdPending();
     } else if (mOptions.reservationsEnabled && it.Spec().gang && choice) {
@@ -355,14 +356,14 @@
 
 void
 Planner::RecordAttempt(const Unit& aUnit,
-                       bool aFoundRoom,
+                       bool aFitsNowhere,
                        const FleetView& aView)
 {
   Waiting& waiting = mWaiting.at(KeyOf(aUnit));
-  waiting.attemptDelay = aFoundRoom ? Millis(0)
-                                    : std::clamp(waiting.attemptDelay * 2,
-                                                 kMinAttemptDelay,
-                                                 kMaxAttemptDelay);
+  waiting.attemptDelay =
+    aFitsNowhere
+      ? std::clamp(waiting.attemptDelay * 2, kMinAttemptDelay, kMaxAttemptDelay)
+      : Millis(0);
   waiting.nextAttemptAt = aView.now + waiting.attemptDelay;
 }
 
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -308,10 +308,10 @@
   void Reserve(const Unit& aUnit, ReservationChoice aChoice, FleetView& aView);
 
   // Whether the pass makes no attempt to make room for an urgent unit, because
-  // earlier ones found none and other units wait for their turn.
+  // it fits nowhere and other units wait for their turn.
   bool MustSkipAttempt(const Unit& aUnit, const FleetView& aView) const;
   void RecordAttempt(const Unit& aUnit,
-                     bool aFoundRoom,
+                     bool aFitsNowhere,
                      const FleetView& aView);
 
   // Adds a report of the unit if one is due. `aPlaced` as in `RequestFor`.
@@ -368,9 +368,9 @@
   {
     Millis since;
     Millis nextReportAt;
-    // The latest attempt to make room for the unit found none. If passes leave
-    // units out for `maxBlockedUnitsPerPass`, the next one waits until
-    // `nextAttemptAt`, so that others have their turn.
+    // If the unit fits nowhere, whatever ends, and passes leave units out for
+    // `maxBlockedUnitsPerPass`, the next attempt to make room for it waits
+    // until `nextAttemptAt`, so that others have their turn.
     Millis nextAttemptAt{};
     Millis attemptDelay{};
   };
