Make no more room for an urgent step than it needs

Seen: an urgent gang of three whose members fit two to a worker had four runs stopped. Cause: where one task on each worker is not enough, room was made for as many as each worker can hold, also on the last one that is chosen. Change: room is made for one task on each worker, then two, four and so on until the step fits, and on the last worker for the tasks that remain. If room can be made but costs too much, no more of it is looked for. Measured: the new test saw 4 stops instead of 3 before the change.

--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -1014,6 +1014,26 @@
   }
 }
 
+// Guards against runs that are stopped for more tasks than the gang has.
+TEST(Reclaim, MakesNoMoreRoomThanNeeded)
+{
+  Fleet fleet;
+  fleet.Submit(JobName(1), StepOf(4, 4, false), 2);
+  for (uint32_t n = 0; n < 4; ++n) {
+    std::string worker = "w" + std::to_string(n / 2);
+    if (n % 2 == 0) {
+      fleet.AddWorker(worker, "r1");
+    }
+    fleet.StartRun(JobName(1), n, worker, Millis(100), Minutes(1));
+  }
+  StepSpec step = StepOf(3, 4, true);
+  ReclaimRequest request{ .placement = {
+                            .step = &step, .service = &kService, .tasks = 3 } };
+  auto choice = ChooseVictims(request, fleet.View());
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->victims.size(), 3U);
+}
+
 // Guards against an urgent step that waits as a whole because not all of its
 // tasks can run at once, though each could run alone.
 TEST(Reclaim, MakesRoomForThoseSingleTasksThatCanRun)
--- a/packages/fleet/reclaim.cc
+++ b/packages/fleet/reclaim.cc
@@ -121,20 +121,37 @@
   std::vector<bool> mEnded;
 };
 
-// How many tasks of a request are to fit on each worker.
-enum class Fill
+// Drops the victims without which `aTasks` tasks fit all the same, the most
+// costly ones first.
+void
+DropUnneededVictims(const ReclaimRequest& aRequest,
+                    uint32_t aTasks,
+                    PreemptionOption& aOption)
 {
-  kOneTask,
-  kMostTasks,
-};
+  auto room = WorkerRoom::On(aRequest.placement, *aOption.worker);
+  for (const Victim& it : aOption.victims) {
+    room->Release(it.run->run.task, it.run->resources);
+  }
+  for (size_t n = aOption.victims.size(); n-- > 0;) {
+    const RunEstimate& run = *aOption.victims[n].run;
+    room->Retake(run.run.task, run.resources);
+    if (room->Tasks() >= aTasks) {
+      aOption.victims.erase(aOption.victims.begin() +
+                            static_cast<ptrdiff_t>(n));
+    } else {
+      room->Release(run.run.task, run.resources);
+    }
+  }
+  aOption.tasks = room->Tasks();
+}
 
-// Selects runs by ascending cost until the tasks fit on the candidate; selects
-// none if one task fits already and `kOneTask` asks for no more. Returns
-// nothing if no task fits even when all runs that may be stopped have ended.
+// Selects runs by ascending cost until `aTasks` tasks fit on the candidate, or
+// as many as can if they are fewer. Returns nothing if no task fits even when
+// all runs that may be stopped have ended.
 std::optional<PreemptionOption>
 FindOption(const ReclaimRequest& aRequest,
            const Candidate& aCandidate,
-           Fill aFill,
+           uint32_t aTasks,
            const FleetView& aView)
 {
   auto room = WorkerRoom::On(aRequest.placement, aCandidate);
@@ -142,15 +159,14 @@
     return std::nullopt;
   }
   PreemptionOption out{ .worker = &aCandidate, .tasks = room->Tasks() };
-  uint32_t wanted = aFill == Fill::kOneTask ? 1 : aRequest.placement.tasks;
-  if (out.tasks >= wanted) {
+  if (out.tasks >= aTasks) {
     return out;
   }
   for (const Victim& it : VictimsOn(aCandidate, aRequest.priority, aView)) {
     room->Release(it.run->run.task, it.run->resources);
     out.victims.push_back(it);
     out.tasks = room->Tasks();
-    if (out.tasks >= wanted) {
+    if (out.tasks >= aTasks) {
       break;
     }
   }
@@ -158,15 +174,7 @@
     return std::nullopt;
   }
   // Later victims can make earlier ones unnecessary.
-  for (size_t n = out.victims.size(); n-- > 0;) {
-    const RunEstimate& run = *out.victims[n].run;
-    room->Retake(run.run.task, run.resources);
-    if (room->Tasks() >= out.tasks) {
-      out.victims.erase(out.victims.begin() + static_cast<ptrdiff_t>(n));
-    } else {
-      room->Release(run.run.task, run.resources);
-    }
-  }
+  DropUnneededVictims(aRequest, out.tasks, out);
   return out;
 }
 
@@ -183,7 +191,9 @@
 // Repeatedly chooses the option with the lowest shared cost per task until all
 // tasks are placed. Returns nothing if the options do not fit all tasks.
 std::optional<ReclaimChoice>
-CombineOptions(std::vector<PreemptionOption> aOptions, uint32_t aTasks)
+CombineOptions(const ReclaimRequest& aRequest,
+               std::vector<PreemptionOption> aOptions,
+               uint32_t aTasks)
 {
   ReclaimChoice out;
   VictimGroups groups(aOptions);
@@ -205,7 +215,10 @@
     if (best == aOptions.size()) {
       break;
     }
-    const PreemptionOption& option = aOptions[best];
+    PreemptionOption& option = aOptions[best];
+    if (option.tasks > aTasks - placed) {
+      DropUnneededVictims(aRequest, aTasks - placed, option);
+    }
     chosen[best] = true;
     placed += option.tasks;
     out.cost += groups.CostOf(option);
@@ -230,32 +243,39 @@
 std::optional<ReclaimChoice>
 ChooseVictims(const ReclaimRequest& aRequest, const FleetView& aView)
 {
-  bool oneRack = NeedsOneRack(aRequest.placement);
-  bool mayStartInParts = !oneRack && !aRequest.placement.step->gang;
-  for (Fill fill : { Fill::kOneTask, Fill::kMostTasks }) {
+  const PlacementRequest& placement = aRequest.placement;
+  bool oneRack = NeedsOneRack(placement);
+  bool mayStartInParts = !oneRack && !placement.step->gang;
+  // Room is made for few tasks on each worker first, because their cheapest
+  // runs are the first to go.
+  for (uint32_t perWorker = 1;;) {
+    bool isLast = perWorker == placement.tasks;
     std::map<uint32_t, std::vector<PreemptionOption>> groups;
     for (const Candidate& it : aView.candidates) {
-      if (auto option = FindOption(aRequest, it, fill, aView)) {
+      if (auto option = FindOption(aRequest, it, perWorker, aView)) {
         groups[oneRack ? it.rack : 0].push_back(std::move(*option));
       }
     }
     std::optional<ReclaimChoice> best;
+    bool fits = false;
     for (auto& [rack, options] : groups) {
-      uint32_t tasks = aRequest.placement.tasks;
-      if (mayStartInParts && fill == Fill::kMostTasks) {
+      uint32_t tasks = placement.tasks;
+      if (mayStartInParts && isLast) {
         tasks = std::min(tasks, TasksOf(options));
       }
-      auto choice = CombineOptions(std::move(options), tasks);
+      auto choice = CombineOptions(aRequest, std::move(options), tasks);
+      fits = fits || choice;
       if (choice && choice->cost <= aRequest.maxCost &&
           (!best || choice->cost < best->cost)) {
         best = std::move(choice);
       }
     }
-    if (best) {
+    // More tasks on each worker cost more.
+    if (fits || isLast) {
       return best;
     }
+    perWorker = std::min(perWorker * 2, placement.tasks);
   }
-  return std::nullopt;
 }
 
 } // namespace limpetwood::fleet
