Count all tasks that fit on a worker when several of its runs have ended

Seen: a gang of four small members got no reservation behind small tasks on two workers, so new small tasks could keep it waiting without end. Cause: for each worker, the expected opening was the time at which one task fits, and only the tasks that fit then counted. Change: if the workers do not suffice counted like that, the ends of their runs are followed in order until all tasks fit, and the fewest workers that are needed are reserved. Units for which nothing can be reserved or preempted are not looked at. Measured: the new test found no choice before the change, and finds one worker at the end of its fourth run.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -327,7 +327,10 @@
       continue;
     }
     PlacementRequest request = RequestFor(it, aView, plan, placed);
-    std::optional<ReservationChoice> choice = ChooseReservation(request, aView);
+    std::optional<ReservationChoice> choice;
+    if (it.Spec().gang || it.job->priority == 0) {
+      choice = ChooseReservation(request, aView);
+    }
     if (mOptions.preemptionEnabled && it.job->priority == 0 &&
         !WillFitInTime(it, choice, aView)) {
       PreemptFor(it, std::move(request), aView, plan);
--- a/packages/fleet/planner_test.cc
+++ b/packages/fleet/planner_test.cc
@@ -1081,6 +1081,26 @@
   EXPECT_EQ(choice->workers, (std::vector{ WorkerId("w3"), WorkerId("w4") }));
 }
 
+// Guards against a gang that never gets a reservation although several of its
+// members fit on a worker once more than one run has ended there.
+TEST(Reservation, CountsAllTasksThatFitWhenSeveralRunsHaveEnded)
+{
+  Fleet fleet;
+  fleet.AddWorker("w1", "r1");
+  fleet.AddWorker("w2", "r1");
+  fleet.Submit(JobName(1), StepOf(8, 2, false), 2);
+  for (uint32_t n = 0; n < 8; ++n) {
+    std::string worker = n < 4 ? "w1" : "w2";
+    fleet.StartRun(JobName(1), n, worker, Millis(0), Millis(100 * (n + 1)));
+  }
+  StepSpec step = StepOf(4, 2, true);
+  PlacementRequest request{ .step = &step, .service = &kService, .tasks = 4 };
+  auto choice = ChooseReservation(request, fleet.View());
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->wait, Millis(400));
+  EXPECT_EQ(choice->workers, std::vector{ WorkerId("w1") });
+}
+
 // Guards against a worker that counts as open while the tasks of the step that
 // run there leave no room by its limit, and as closed once they end.
 TEST(Reservation, WorkerOpensWhenATaskOfTheStepEndsThere)
--- a/packages/fleet/reservation.cc
+++ b/packages/fleet/reservation.cc
@@ -78,12 +78,20 @@
   return tasks >= aTasks ? std::optional(std::move(out)) : std::nullopt;
 }
 
-// Expected time until the workers together have room for all tasks of the
-// request; nothing if they will not by the ends of their runs.
-std::optional<Millis>
-ExpectedWait(const PlacementRequest& aRequest,
-             const std::vector<const Candidate*>& aWorkers,
-             const FleetView& aView)
+// The earliest time at which some workers together have room for all tasks of a
+// request, and the number of tasks that each of them has room for then.
+struct JointOpening
+{
+  Millis wait{};
+  std::vector<WorkerOpening> workers{};
+};
+
+// Returns nothing if the workers are not expected to have the room, however
+// many of their runs end.
+std::optional<JointOpening>
+FindJointOpening(const PlacementRequest& aRequest,
+                 const std::vector<const Candidate*>& aWorkers,
+                 const FleetView& aView)
 {
   struct Ending
   {
@@ -93,6 +101,7 @@
   };
   std::vector<WorkerRoom> rooms;
   std::vector<Ending> endings;
+  JointOpening out;
   uint32_t tasks = 0;
   for (const Candidate* worker : aWorkers) {
     auto room = WorkerRoom::On(aRequest, *worker);
@@ -106,24 +115,63 @@
     }
     tasks += room->Tasks();
     rooms.push_back(*room);
-  }
-  if (tasks >= aRequest.tasks) {
-    return Millis(0);
+    out.workers.push_back({ .worker = worker });
   }
   std::sort(
     endings.begin(), endings.end(), [](const Ending& x, const Ending& y) {
       return x.run->remaining < y.run->remaining;
     });
   for (const Ending& it : endings) {
+    if (tasks >= aRequest.tasks) {
+      break;
+    }
     WorkerRoom& room = rooms[it.room];
     tasks -= room.Tasks();
     room.Release(it.run->run.task, it.run->resources);
     tasks += room.Tasks();
+    out.wait = it.run->remaining;
+  }
+  if (tasks < aRequest.tasks) {
+    return std::nullopt;
+  }
+  for (size_t n = 0; n < rooms.size(); ++n) {
+    out.workers[n].tasks = rooms[n].Tasks();
+  }
+  return out;
+}
+
+// Chooses the fewest of the workers that are needed at the earliest time at
+// which all tasks fit.
+std::optional<ReservationChoice>
+ChooseJointly(const PlacementRequest& aRequest,
+              const std::vector<WorkerOpening>& aWorkers,
+              const FleetView& aView)
+{
+  std::vector<const Candidate*> workers;
+  workers.reserve(aWorkers.size());
+  for (const WorkerOpening& it : aWorkers) {
+    workers.push_back(it.worker);
+  }
+  auto joint = FindJointOpening(aRequest, workers, aView);
+  if (!joint) {
+    return std::nullopt;
+  }
+  std::sort(joint->workers.begin(),
+            joint->workers.end(),
+            [](const WorkerOpening& x, const WorkerOpening& y) {
+              return x.tasks > y.tasks;
+            });
+  ReservationChoice out{ .workers = {}, .wait = joint->wait, .weight = 0 };
+  uint32_t tasks = 0;
+  for (const WorkerOpening& it : joint->workers) {
     if (tasks >= aRequest.tasks) {
-      return it.run->remaining;
+      break;
     }
+    tasks += it.tasks;
+    out.workers.push_back(it.worker->id);
+    out.weight += ResourceWeight(it.worker->report->capacity);
   }
-  return std::nullopt;
+  return out;
 }
 
 } // namespace
@@ -139,11 +187,20 @@
     }
   }
   std::optional<ReservationChoice> best;
-  for (auto& [rack, openings] : groups) {
-    auto choice = ChooseEarliest(std::move(openings), aRequest.tasks);
-    if (choice && (!best || choice->wait < best->wait)) {
-      best = std::move(choice);
+  auto consider = [&](std::optional<ReservationChoice> aChoice) {
+    if (aChoice && (!best || aChoice->wait < best->wait)) {
+      best = std::move(aChoice);
     }
+  };
+  for (auto& [rack, openings] : groups) {
+    consider(ChooseEarliest(openings, aRequest.tasks));
+  }
+  if (best) {
+    return best;
+  }
+  // More tasks fit on a worker when more of its runs have ended.
+  for (const auto& [rack, openings] : groups) {
+    consider(ChooseJointly(aRequest, openings, aView));
   }
   return best;
 }
@@ -164,9 +221,9 @@
   }
   std::optional<Millis> out;
   for (const auto& [rack, workers] : racks) {
-    auto wait = ExpectedWait(aRequest, workers, aView);
-    if (wait && (!out || *wait < *out)) {
-      out = wait;
+    auto opening = FindJointOpening(aRequest, workers, aView);
+    if (opening && (!out || opening->wait < *out)) {
+      out = opening->wait;
     }
   }
   return out;
