Do not take the estimate of a task that lasts for its run time

Cause: the wait for one rack may take twice the expected run time of the tasks. The estimate of tasks that last is not a run time.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -689,8 +689,11 @@
   if (service.MoreThanHalfIdle() && tasksThatFit >= aRequest.tasks && !soon) {
     return true;
   }
+  // The estimate of tasks that last is not their run time.
   Millis taskTime =
-    aView.forecast->ExpectedTime(aUnit.job->queue, step.estimate);
+    step.longRunning
+      ? Millis(0)
+      : aView.forecast->ExpectedTime(aUnit.job->queue, step.estimate);
   return waited + *rackWait > std::max(mOptions.maxTotalRackWait, taskTime * 2);
 }
 
