--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -305,44 +305,19 @@
       mUnplaceable.push_back(
         { .unit = &it, .needsOneRack = NeedsOneRack(it, aView, plan) });
     }
-    auto pending = mPendingPreemptions.find(it.job->id);
-    bool isPending = pending != mPendingPreemptions.end();
-    if (!isPending && (needsIdleWorkers || MustSkipAttempt(it, aView))) {
+    if (HoldPending(it, aView)) {
+      ++handledUnits;
       continue;
     }
-    if (!isPending && handledUnits >= mOptions.maxBlockedUnitsPerPass) {
-      limitReached = true;
+    if (needsIdleWorkers || MustSkipAttempt(it, aView)) {
       continue;
     }
-    ++handledUnits;
-    auto holdPending = [&] {
-      HoldWorkers(pending->second.workers,
-                  it,
-                  HeldWorker::Reason::kPreemption,
-                  pending->second.expiresAt - aView.now,
-                  aView);
-    };
-    if (pending != mPendingPreemptions.end()) {
-      holdPending();
+    if (handledUnits >= mOptions.maxBlockedUnitsPerPass) {
+      limitReached = true;
       continue;
     }
-    PlacementRequest request = RequestFor(it, aView, plan, placed);
-    std::optional<ReservationChoice> choice;
-    if (it.Spec().gang || it.job->priority == 0) {
-      choice = ChooseReservation(request, aView);
-    }
-    if (mOptions.preemptionEnabled && it.job->priority == 0 &&
-        !WillFitInTime(it, choice, aView)) {
-      PreemptFor(it, std::move(request), aView, plan);
-      pending = mPendingPreemptions.find(it.job->id);
-    }
-    bool fitsNowhere = !choice && pending == mPendingPreemptions.end();
-    RecordAttempt(it, fitsNowhere, aView);
-    if (pending != mPendingPreemptions.end()) {
-      holdPending();
-    } else if (mOptions.reservationsEnabled && it.Spec().gang && choice) {
-      Reserve(it, *std::move(choice), aView);
-    }
+    ++handledUnits;
+    MakeRoomFor(it, placed, aView, plan);
   }
   mLimitReached = limitReached;
   mUnplaceable.clear();
@@ -350,6 +325,46 @@
   return plan;
 }
 
+bool
+Planner::HoldPending(const Unit& aUnit, FleetView& aView)
+{
+  auto pending = mPendingPreemptions.find(aUnit.job->id);
+  if (pending == mPendingPreemptions.end()) {
+    return false;
+  }
+  HoldWorkers(pending->second.workers,
+              aUnit,
+              HeldWorker::Reason::kPreemption,
+              pending->second.expiresAt - aView.now,
+              aView);
+  return true;
+}
+
+void
+Planner::MakeRoomFor(const Unit& aUnit,
+                     size_t aPlaced,
+                     FleetView& aView,
+                     Plan& aPlan)
+{
+  bool urgent = aUnit.job->priority == 0;
+  bool gang = aUnit.Spec().gang;
+  // Nothing is stopped or reserved for other units.
+  if (!urgent && !gang) {
+    return;
+  }
+  PlacementRequest request = RequestFor(aUnit, aView, aPlan, aPlaced);
+  auto reservation = ChooseReservation(request, aView);
+  if (mOptions.preemptionEnabled && urgent &&
+      !WillFitInTime(aUnit, reservation, aView)) {
+    PreemptFor(aUnit, std::move(request), aView, aPlan);
+  }
+  bool preempted = HoldPending(aUnit, aView);
+  RecordAttempt(aUnit, !preempted && !reservation, aView);
+  if (!preempted && mOptions.reservationsEnabled && gang && reservation) {
+    Reserve(aUnit, *std::move(reservation), aView);
+  }
+}
+
 bool
 Planner::MustSkipAttempt(const Unit& aUnit, const FleetView& aView) const
 {
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -255,6 +255,15 @@
   bool IsKnownNotToFit(const Unit& aUnit,
                        const FleetView& aView,
                        const Plan& aPlan) const;
+  // Preempts runs or reserves workers for a unit of which all tasks but the
+  // first `aPlaced` did not fit, and keeps the workers from later units.
+  void MakeRoomFor(const Unit& aUnit,
+                   size_t aPlaced,
+                   FleetView& aView,
+                   Plan& aPlan);
+  // Keeps the workers of a pending preemption for the unit's job. Returns false
+  // if there is none.
+  bool HoldPending(const Unit& aUnit, FleetView& aView);
   // Stops runs so that the request for tasks of the unit fits, if it is worth
   // that.
   void PreemptFor(const Unit& aUnit,
