Ask once in a pass whether a step may span racks

Cause: the question was asked once for placing a unit and again for the list of units that do not fit, and it looked at free room also where the answer did not depend on it. Change: the answer of the placement is used for the list, and free room is looked at only after the wait.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -291,7 +291,13 @@
   mUnplaceable.clear();
   for (const Unit& it : units) {
     bool knownNotToFit = IsKnownNotToFit(it, aView, plan);
-    size_t placed = knownNotToFit ? 0 : PlaceUnit(it, aView, plan);
+    size_t placed = 0;
+    bool needsOneRack = false;
+    if (!knownNotToFit) {
+      PlacementRequest request = RequestFor(it, aView, plan, 0);
+      needsOneRack = fleet::NeedsOneRack(request);
+      placed = PlaceUnit(it, request, aView, plan);
+    }
     if (placed == it.tasks.size()) {
       mPendingPreemptions.erase(it.job->id);
       continue;
@@ -302,8 +308,7 @@
     // nothing is stopped or reserved to get one.
     bool needsIdleWorkers = NeedsIdleWorkers(it, aView);
     if (!knownNotToFit && !needsIdleWorkers) {
-      mUnplaceable.push_back(
-        { .unit = &it, .needsOneRack = NeedsOneRack(it, aView, plan) });
+      mUnplaceable.push_back({ .unit = &it, .needsOneRack = needsOneRack });
     }
     if (HoldPending(it, aView)) {
       ++handledUnits;
@@ -645,35 +650,23 @@
   if (!step.prefersOneRack || aRequest.tasks < 2) {
     return false;
   }
-  // Tasks that each rack could hold if nothing else ran there.
-  std::vector<uint32_t> tasksByRack;
-  uint64_t tasksThatFit = 0;
-  Usage matching;
-  Usage service;
-  auto add = [&](const Candidate& aWorker, bool aHeld) {
-    if (aWorker.report->service != aUnit.job->service) {
-      return;
+  auto forEachWorker = [&](auto aFunction) {
+    for (const Candidate& it : aView.candidates) {
+      aFunction(it, false);
     }
-    service.Add(aWorker);
-    auto idle = WorkerRoom::OnIdle(aRequest, aWorker);
-    if (!idle) {
-      return;
+    for (const HeldWorker& it : mHeldWorkers) {
+      aFunction(it.candidate, true);
     }
-    tasksByRack.resize(std::max<size_t>(tasksByRack.size(), aWorker.rack + 1));
-    tasksByRack[aWorker.rack] += idle->Tasks();
-    if (aHeld || IsReservedAgainst(aRequest, aWorker)) {
-      return;
-    }
-    matching.Add(aWorker);
-    auto room = WorkerRoom::On(aRequest, aWorker);
-    tasksThatFit += room ? room->Tasks() : 0;
   };
-  for (const Candidate& it : aView.candidates) {
-    add(it, false);
-  }
-  for (const HeldWorker& it : mHeldWorkers) {
-    add(it.candidate, true);
-  }
+  // Tasks that each rack could hold if nothing else ran there.
+  std::vector<uint32_t> tasksByRack;
+  forEachWorker([&](const Candidate& aWorker, bool) {
+    if (auto idle = WorkerRoom::OnIdle(aRequest, aWorker)) {
+      tasksByRack.resize(
+        std::max<size_t>(tasksByRack.size(), aWorker.rack + 1));
+      tasksByRack[aWorker.rack] += idle->Tasks();
+    }
+  });
   bool neverFits =
     std::all_of(tasksByRack.begin(), tasksByRack.end(), [&](uint32_t it) {
       return it < aRequest.tasks;
@@ -681,6 +674,21 @@
   if (neverFits || !WaitedForRack(aUnit, aView)) {
     return neverFits;
   }
+  uint64_t tasksThatFit = 0;
+  Usage matching;
+  Usage service;
+  forEachWorker([&](const Candidate& aWorker, bool aHeld) {
+    if (aWorker.report->service != aUnit.job->service) {
+      return;
+    }
+    service.Add(aWorker);
+    if (!aHeld && !IsReservedAgainst(aRequest, aWorker) &&
+        MayRun(step, aUnit.job->service, *aWorker.report)) {
+      matching.Add(aWorker);
+      auto room = WorkerRoom::On(aRequest, aWorker);
+      tasksThatFit += room ? room->Tasks() : 0;
+    }
+  });
   // A step that lasts must not stand still while there is room. Others would
   // only run slower for having started earlier.
   bool lastsWithRoom =
@@ -728,11 +736,13 @@
 }
 
 size_t
-Planner::PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan)
+Planner::PlaceUnit(const Unit& aUnit,
+                   const PlacementRequest& aRequest,
+                   FleetView& aView,
+                   Plan& aPlan)
 {
   const StepSpec& step = aUnit.Spec();
-  PlacementRequest request = RequestFor(aUnit, aView, aPlan, 0);
-  std::vector<size_t> chosen = Place(request, aView.candidates);
+  std::vector<size_t> chosen = Place(aRequest, aView.candidates);
   for (size_t n = 0; n < chosen.size(); ++n) {
     Candidate& it = aView.candidates[chosen[n]];
     it.available -= step.CountedResources();
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -247,8 +247,12 @@
   static void AddUnit(Unit aUnit,
                       const FleetView& aView,
                       std::vector<Unit>& aUnits);
-  // Returns the number of tasks that fit; they are the unit's first ones.
-  size_t PlaceUnit(const Unit& aUnit, FleetView& aView, Plan& aPlan);
+  // Starts tasks of the unit, all of which are requested. Returns the number of
+  // tasks that fit; they are the unit's first ones.
+  size_t PlaceUnit(const Unit& aUnit,
+                   const PlacementRequest& aRequest,
+                   FleetView& aView,
+                   Plan& aPlan);
   // Whether a unit with no greater requirements already failed to fit in this
   // pass. Free resources only shrink during a pass, so this unit cannot fit
   // either.
