Keep workers free that are reserved for a gang that starts soon

Cause, by reading and not proved by a trace: since short tasks start on workers that are reserved for a gang that starts within seconds. Urgent work that arrives finds fewer idle workers and stops more. Change: workers that are reserved from a time less than 10 s off take no tasks but those that last, as before.

--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -515,8 +515,9 @@
   }
   Millis expected =
     aView.forecast->ExpectedTime(aUnit.job->queue, step.estimate);
-  return std::min(expected * kBackfillPercent / 100,
-                  mOptions.maxReservationDelay);
+  return std::clamp(expected * kBackfillPercent / 100,
+                    mOptions.minReservationDelay,
+                    mOptions.maxReservationDelay);
 }
 
 Millis
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -68,6 +68,10 @@
   // Maximum fraction of all resources, by weight, that is reserved for gangs
   // that do not fit.
   double maxReservedShare = 0.4;
+  // Workers that are reserved from a time nearer than this stay free until
+  // then: what would start there meanwhile delays the gang if it takes longer
+  // than expected, and urgent work that arrives would have to stop it.
+  Millis minReservationDelay = Seconds(10);
   // A reservation keeps no task waiting for longer than this. Tasks that last
   // have no end before which they could use a reserved worker, so they do not
   // wait for a reservation that is further off than `maxLastingDelay`.
