Split the question whether one rack could hold a step

No change of behaviour: MaySpanRacks was hard to read with two loops over the same workers. A comment says which tasks may use a reserved worker.

--- a/packages/fleet/placement.h
+++ b/packages/fleet/placement.h
@@ -38,7 +38,8 @@
 struct Reservation
 {
   StepRef beneficiary{};
-  // Expected time until the unit starts. Until then, others may use the worker.
+  // Expected time until the unit starts. Until then, tasks that end in time may
+  // use the worker.
   Millis startsIn{};
 };
 
--- a/packages/fleet/planner.cc
+++ b/packages/fleet/planner.cc
@@ -642,6 +642,28 @@
   return aUnit.onTrial && WaitingTime(aUnit, aView) < mOptions.maxTrialWait;
 }
 
+bool
+Planner::CouldOneRackHold(const PlacementRequest& aRequest,
+                          const FleetView& aView) const
+{
+  std::map<uint32_t, uint32_t> tasksByRack;
+  auto add = [&](const Candidate& aWorker) {
+    if (auto idle = WorkerRoom::OnIdle(aRequest, aWorker)) {
+      tasksByRack[aWorker.rack] += idle->Tasks();
+    }
+  };
+  for (const Candidate& it : aView.candidates) {
+    add(it);
+  }
+  for (const HeldWorker& it : mHeldWorkers) {
+    add(it.candidate);
+  }
+  return std::any_of(
+    tasksByRack.begin(), tasksByRack.end(), [&](const auto& aEntry) {
+      return aEntry.second >= aRequest.tasks;
+    });
+}
+
 bool
 Planner::MaySpanRacks(const Unit& aUnit,
                       const PlacementRequest& aRequest,
@@ -651,45 +673,30 @@
   if (!step.prefersOneRack || aRequest.tasks < 2) {
     return false;
   }
-  auto forEachWorker = [&](auto aFunction) {
-    for (const Candidate& it : aView.candidates) {
-      aFunction(it, false);
-    }
-    for (const HeldWorker& it : mHeldWorkers) {
-      aFunction(it.candidate, true);
-    }
-  };
-  // Tasks that each rack could hold if nothing else ran there.
-  std::vector<uint32_t> tasksByRack;
-  forEachWorker([&](const Candidate& aWorker, bool) {
-    if (auto idle = WorkerRoom::OnIdle(aRequest, aWorker)) {
-      tasksByRack.resize(
-        std::max<size_t>(tasksByRack.size(), aWorker.rack + 1));
-      tasksByRack[aWorker.rack] += idle->Tasks();
-    }
-  });
-  bool neverFits =
-    std::all_of(tasksByRack.begin(), tasksByRack.end(), [&](uint32_t it) {
-      return it < aRequest.tasks;
-    });
+  bool neverFits = !CouldOneRackHold(aRequest, aView);
   if (neverFits || !WaitedForRack(aUnit, aView)) {
     return neverFits;
   }
   uint64_t tasksThatFit = 0;
   Usage matching;
   Usage service;
-  forEachWorker([&](const Candidate& aWorker, bool aHeld) {
-    if (aWorker.report->service != aUnit.job->service) {
-      return;
+  for (const Candidate& it : aView.candidates) {
+    if (it.report->service != aUnit.job->service) {
+      continue;
     }
-    service.Add(aWorker);
-    if (!aHeld && !IsReservedAgainst(aRequest, aWorker) &&
-        MayRun(step, aUnit.job->service, *aWorker.report)) {
-      matching.Add(aWorker);
-      auto room = WorkerRoom::On(aRequest, aWorker);
+    service.Add(it);
+    if (MayRun(step, aUnit.job->service, *it.report) &&
+        !IsReservedAgainst(aRequest, it)) {
+      matching.Add(it);
+      auto room = WorkerRoom::On(aRequest, it);
       tasksThatFit += room ? room->Tasks() : 0;
     }
-  });
+  }
+  for (const HeldWorker& it : mHeldWorkers) {
+    if (it.candidate.report->service == aUnit.job->service) {
+      service.Add(it.candidate);
+    }
+  }
   // A step that lasts must not stand still while there is room. Others would
   // only run slower for having started earlier.
   bool lastsWithRoom =
--- a/packages/fleet/planner.h
+++ b/packages/fleet/planner.h
@@ -341,6 +341,10 @@
   Millis WaitingTime(const Unit& aUnit, const FleetView& aView) const;
   // Whether the unit is on trial and has not waited for `maxTrialWait`.
   bool NeedsIdleWorkers(const Unit& aUnit, const FleetView& aView) const;
+  // Whether some rack could hold all tasks of the request if nothing else ran
+  // there.
+  bool CouldOneRackHold(const PlacementRequest& aRequest,
+                        const FleetView& aView) const;
   // Whether a unit that prefers one rack may be placed on several. It may
   // - if no rack could hold all tasks even if nothing else ran there,
   // and, once it has waited for `maxRackWait`,
