--- a/review/11/standin.h
+++ b/review/11/standin.h
@@ -184,11 +184,10 @@
   int rc = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
   int error = 0;
   socklen_t size = sizeof error;
-  bool connected = rc == 0 || (errno == EINPROGRESS &&
-                               WaitFor(fd, POLLOUT, until) &&
-                               getsockopt(
-                                 fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
-                               error == 0);
+  bool connected =
+    rc == 0 ||
+    (errno == EINPROGRESS && WaitFor(fd, POLLOUT, until) &&
+     getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0);
   if (connected) {
     int one = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
@@ -256,7 +255,9 @@
     return mNet + std::to_string(aNumber);
   }
 
-  void AddControl(const std::string& aName, const std::string& aZone, int aNumber)
+  void AddControl(const std::string& aName,
+                  const std::string& aZone,
+                  int aNumber)
   {
     daemons[aName] = { aName, aZone, Address(aNumber), true };
     seeds.push_back(Address(aNumber) + ":" + std::to_string(kControlPort));
@@ -359,7 +360,8 @@
   std::string NameAt(const std::string& aAddress) const
   {
     for (const auto& [name, spec] : daemons) {
-      if (aAddress.starts_with(spec.address + ":") || aAddress == spec.address) {
+      if (aAddress.starts_with(spec.address + ":") ||
+          aAddress == spec.address) {
         return name;
       }
     }
@@ -471,6 +473,8 @@
 
   // Milliseconds of work of a task of a job; 0 for tasks that last.
   std::function<int64_t(const std::string& aTask)> workOf;
+  // Milliseconds after its start at which a run fails; 0 if it does not.
+  std::function<int64_t(const std::string& aTask, int64_t aRun)> failAfter;
   // Control daemons in the order in which this executor calls them.
   std::vector<std::string> daemons;
 
@@ -560,7 +564,9 @@
   const std::string zone;
   const std::string address;
   const std::vector<std::string> labels;
-  json capacity{ { "cpu", 128000 }, { "memoryRequestMb", 524288 }, { "gpu", 8 } };
+  json capacity{ { "cpu", 128000 },
+                 { "memoryRequestMb", 524288 },
+                 { "gpu", 8 } };
 
 private:
   struct Run
@@ -569,6 +575,7 @@
     int64_t startedAt = 0;
     int64_t work = 0;
     int64_t stopAt = INT64_MAX;
+    int64_t failAt = INT64_MAX;
   };
   struct Life
   {
@@ -706,7 +713,11 @@
         return refuse("late");
       }
       extend();
-      life.running[task] = { run, NowMs(), workOf(task) };
+      Run& started = life.running[task];
+      started = { run, NowMs(), workOf(task) };
+      if (int64_t after = failAfter ? failAfter(task, run) : 0; after > 0) {
+        started.failAt = NowMs() + after;
+      }
       {
         std::lock_guard ledger(mLedger.mutex);
         mLedger.starts.push_back({ task, run, id, NowMs() });
@@ -736,12 +747,11 @@
         return false;
       }
       aEnd.second->noted = NowMs();
-      mDeployment.record("executor  " + id + " forgets end " +
-                         std::to_string(aEnd.first[0].template get<int64_t>()) +
-                         " (" + aEnd.second->task + " run " +
-                         std::to_string(aEnd.second->run) + " " +
-                         aEnd.second->how + "): hold with ackCursor " +
-                         std::to_string(cursor));
+      mDeployment.record(
+        "executor  " + id + " forgets end " +
+        std::to_string(aEnd.first[0].template get<int64_t>()) + " (" +
+        aEnd.second->task + " run " + std::to_string(aEnd.second->run) + " " +
+        aEnd.second->how + "): hold with ackCursor " + std::to_string(cursor));
       return true;
     });
     if (body.contains("untilMs")) {
@@ -804,6 +814,8 @@
           over.emplace_back(task, "lapsed");
         } else if (run.stopAt <= now) {
           over.emplace_back(task, "stopped");
+        } else if (run.failAt <= now) {
+          over.emplace_back(task, "failed");
         } else if (run.work > 0 && now - run.startedAt >= run.work) {
           over.emplace_back(task, "done");
         }
@@ -874,11 +886,10 @@
           }
           break;
         }
-        mDeployment.record("executor  " + id + " heartbeat " +
-                           body["sequence"].dump() + " at " +
-                           mDeployment.NameAt(to) + " -> " +
-                           (it.status == 0 ? "no response"
-                                           : std::to_string(it.status)));
+        mDeployment.record(
+          "executor  " + id + " heartbeat " + body["sequence"].dump() + " at " +
+          mDeployment.NameAt(to) + " -> " +
+          (it.status == 0 ? "no response" : std::to_string(it.status)));
         if (named) {
           std::lock_guard lock(mMutex);
           aLife->heartbeatAddress.clear();
@@ -922,25 +933,25 @@
                 bool aRecorded = true)
   {
     const std::string& entry =
-      mDeployment.entries[static_cast<size_t>(aEntry) %
-                          mDeployment.entries.size()];
+      mDeployment
+        .entries[static_cast<size_t>(aEntry) % mDeployment.entries.size()];
     if (aRecorded) {
       mDeployment.record("client    " + aMethod + " " + aJob + " to " + entry);
     }
-    Response out = Call(mDeployment.daemons.at(entry).address,
-                        Deployment::kFrontPort,
-                        aMethod,
-                        kPrefix + aJob,
-                        aBody,
-                        3000,
-                        std::string("Host: ") + kHost + "\r\nX-Api-Key: " +
-                          kKey +
-                          "\r\nX-Limpetwood-Deadline-Milliseconds: 3000\r\n");
+    Response out =
+      Call(mDeployment.daemons.at(entry).address,
+           Deployment::kFrontPort,
+           aMethod,
+           kPrefix + aJob,
+           aBody,
+           3000,
+           std::string("Host: ") + kHost + "\r\nX-Api-Key: " + kKey +
+             "\r\nX-Limpetwood-Deadline-Milliseconds: 3000\r\n");
     if (aRecorded) {
-      mDeployment.record("client    " + aMethod + " " + aJob + " -> " +
-                         (out.status == 0 ? "no response"
-                                          : std::to_string(out.status)) +
-                         " " + out.body);
+      mDeployment.record(
+        "client    " + aMethod + " " + aJob + " -> " +
+        (out.status == 0 ? "no response" : std::to_string(out.status)) + " " +
+        out.body);
     }
     return out;
   }
--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -1,6 +1,7 @@
-// Case 12: the only executor with room for one task of a job that lasts loses
-// power four times. The job is shown as failed, and its other task, which runs
-// on a sound executor, is stopped.
+// Case 12: an order to take a zone back is delivered to a daemon that stands
+// still, and is resent to another one. The operator evacuates the zone again.
+// When the daemon wakes, it has the old order carried out, and tasks start in
+// the evacuated zone.
 
 #include "standin.h"
 
@@ -8,16 +9,21 @@
 
 namespace {
 
-constexpr int kCrashes = 4;
+// As kowhai-sched-grown has them.
+constexpr int64_t kEvacuationMs = 5000;
+constexpr int64_t kContactTimeoutMs = 4000;
 
 int
 Play(Record& record, Deployment& deployment)
 {
-  deployment.AddControl("core-sogn-1", "sogn", 11);
-  deployment.AddControl("core-hardanger-1", "hardanger", 12);
-  deployment.AddControl("core-nordfjord-1", "nordfjord", 13);
-  deployment.AddEntry("front-sogn-1", "sogn", 21);
-  deployment.AddEntry("front-hardanger-1", "hardanger", 22);
+  deployment.zones = { "akl-a", "akl-b", "hlz-a" };
+  deployment.maxHoldMs = 6000;
+  deployment.stopTimeoutMs = 200;
+  deployment.AddControl("core-akl-a-1", "akl-a", 11);
+  deployment.AddControl("core-akl-b-1", "akl-b", 12);
+  deployment.AddControl("core-hlz-a-1", "hlz-a", 13);
+  deployment.AddEntry("front-akl-a-1", "akl-a", 21);
+  deployment.AddEntry("front-akl-b-1", "akl-b", 22);
   for (const auto& [name, spec] : deployment.daemons) {
     deployment.Start(name, true);
   }
@@ -27,85 +33,99 @@
   }
   Ledger ledger;
   std::vector<std::unique_ptr<Executor>> executors;
-  for (int n = 0; n < 8; ++n) {
-    // Two executors of kind "b"; each has room for one task.
+  for (int n = 0; n < 9; ++n) {
     auto added = std::make_unique<Executor>(
       deployment,
       ledger,
       "i-7f3a91c" + std::to_string(n),
       deployment.zones[static_cast<size_t>(n) % 3],
       deployment.Address(101 + n),
-      std::vector<std::string>{ n < 2 ? "b" : "a",
-                                "r1-" + std::to_string(n / 4) });
-    added->workOf = [](const std::string&) { return 0; };
+      std::vector<std::string>{ "b", "r1-" + std::to_string(n / 4) });
+    added->workOf = [](const std::string&) { return 1500; };
     added->daemons = deployment.controls;
     executors.push_back(std::move(added));
     executors.back()->Start();
   }
   SleepMs(3000);
-  Client client(deployment);
-  std::string job = "5c0e7a21d94b36f8";
-  json steps = OneStep(2, "b", 2000);
-  steps[0]["longRunning"] = true;
-  if (!client.Submit(job, steps, 5000)) {
+  const std::string zone = "hlz-a";
+  std::string leader = deployment.NameAt(executors[0]->HeartbeatAddress());
+  std::string frozen;
+  std::string other;
+  for (const std::string& it : deployment.controls) {
+    if (it != leader) {
+      (frozen.empty() ? frozen : other) = it;
+    }
+  }
+  record("the leader is " + leader);
+  if (leader.empty()) {
     return kCouldNotRun;
   }
-  Executor& flaky = *executors[0];
-  Executor& sound = *executors[1];
-  auto bothRun = [&](int64_t aTimeoutMs, int64_t aFor) {
-    int64_t until = NowMs() + aTimeoutMs;
-    while (NowMs() < until) {
-      if (flaky.RunningFor(job) >= aFor && sound.RunningFor(job) >= aFor) {
-        return true;
-      }
-      SleepMs(20);
-    }
-    return false;
-  };
-  if (!bothRun(8000, 1)) {
+  // The zone is evacuated.
+  if (!deployment.OrderUntilAcknowledged(
+        { other, leader }, "/Evacuation.Start/" + zone, "", 5000)) {
     return kCouldNotRun;
   }
+  SleepMs(3000);
+  // It is taken back. The operator's first choice stands still; the order is
+  // resent to the next daemon, and acknowledged there.
   if (WithTrouble()) {
-    for (int n = 0; n < kCrashes; ++n) {
-      // It has worked for three seconds, unless it was not started again.
-      if (!bothRun(15000, 3000)) {
-        break;
-      }
-      flaky.Crash();
-      SleepMs(4000);
-      flaky.Start();
-    }
-  } else {
-    SleepMs(40000);
+    deployment.Signal(frozen, SIGSTOP);
+  }
+  int64_t frozenAt = NowMs();
+  if (!deployment.OrderUntilAcknowledged(
+        { frozen, other }, "/Evacuation.End/" + zone, "", 5000)) {
+    return kCouldNotRun;
   }
-  // All executors are up. From 6 s after its last run each task that lasts has
-  // to run again.
-  SleepMs(10000);
-  std::string state = client.StateOf(job);
-  record("client    sees " + job + " as '" + state + "'");
-  bool broken = false;
-  size_t failed = 0;
-  {
-    std::lock_guard lock(ledger.mutex);
-    failed = static_cast<size_t>(
-      std::count_if(ledger.ends.begin(), ledger.ends.end(), [](const auto& it) {
-        return it->how == "failed";
-      }));
+  SleepMs(1500);
+  // It is evacuated again, and acknowledged.
+  if (!deployment.OrderUntilAcknowledged(
+        { other, leader }, "/Evacuation.Start/" + zone, "", 5000)) {
+    return kCouldNotRun;
   }
-  if (state == "failed" || state == "cancelled") {
-    record("LOST: nobody has cancelled the job, and it is shown as '" + state +
-           "'; ends 'failed' that executors listed: " + std::to_string(failed));
-    broken = true;
+  int64_t acknowledgedAt = NowMs();
+  while (NowMs() - frozenAt < 6000) {
+    SleepMs(10);
+  }
+  if (WithTrouble()) {
+    deployment.Signal(frozen, SIGCONT);
+  }
+  int64_t awakeAt = NowMs();
+  // Work comes for 12 s, more than the other zones' executors have room for.
+  Client client(deployment);
+  for (int n = 0; n < 48; ++n) {
+    char job[17];
+    std::snprintf(job, sizeof job, "5c0e7a21d94b%04x", n);
+    client.Send(
+      "POST",
+      job,
+      json({ { "taskSpec", "x" }, { "steps", OneStep(2, "b", 1500) } }).dump(),
+      n);
+    SleepMs(250);
+  }
+  // EVAC: later than `evacuationMs` after the acknowledgement, by a machine in
+  // touch: `contactTimeoutMs` after the last disruption.
+  int64_t from =
+    std::max(acknowledgedAt + kEvacuationMs, awakeAt + kContactTimeoutMs);
+  std::lock_guard lock(ledger.mutex);
+  size_t inZone = 0;
+  size_t elsewhere = 0;
+  for (const auto& it : ledger.starts) {
+    bool evacuated = std::any_of(
+      executors.begin(), executors.end(), [&](const auto& aExecutor) {
+        return aExecutor->id == it.executor && aExecutor->zone == zone;
+      });
+    if (it.at > from) {
+      ++(evacuated ? inZone : elsewhere);
+    }
   }
-  if (!flaky.Runs(job) || !sound.Runs(job)) {
-    record(std::string("LOST: tasks of the job that lasts run on ") +
-           (flaky.Runs(job) ? "the executor that had crashed only"
-            : sound.Runs(job) ? "the sound executor only"
-                              : "no executor") +
-           ", 10 s after the last start of an executor");
-    broken = true;
+  record("starts later than " + std::to_string(from - acknowledgedAt) +
+         " ms after the acknowledgement: " + std::to_string(inZone) +
+         " in the evacuated zone, " + std::to_string(elsewhere) +
+         " in the others");
+  if (inZone > 0) {
+    record("EVAC: tasks start in " + zone + ", which was not taken back");
   }
-  return broken ? kBroken : kHeld;
+  return inZone > 0 ? kBroken : elsewhere > 0 ? kHeld : kCouldNotRun;
 }
 
 } // namespace
