Log which process answered an order and how long an order had waited

- The leader logs `order_answered_by_other_process` with the process that the order was meant for, the one that answered, and the ends acknowledged to it.
- The HTTP server gives each request a time at which no byte of it had arrived.
The event loop of the platform's processes records up to which time it has handled all input, also while it is always busy; a stopped process handles none.

No behaviour changes.

The acknowledgement of an earlier process reached the next one.

--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -188,6 +188,11 @@
                       const RunView& aView);
   // Proposes the ends of the runs of a worker that crashed and is gone.
   void ProposeCrashedRuns(const Worker& aWorker, const WorkerLink& aLink);
+  // Logs an order that another process of the worker answered than the one it
+  // was meant for.
+  void LogOtherProcess(const Order& aOrder,
+                       const OrderResult& aResult,
+                       Millis aNow);
   // Logs the result of a renewal to a worker that drains or has left.
   void LogDepartingRenewal(const Order& aOrder,
                            const OrderResult& aResult,
--- a/packages/fleet/dispatcher_results.cc
+++ b/packages/fleet/dispatcher_results.cc
@@ -33,6 +33,9 @@
                      const OrderResult& aResult,
                      Millis aNow)
 {
+  if (aResult.answeredBy && *aResult.answeredBy != aOrder.incarnation) {
+    LogOtherProcess(aOrder, aResult, aNow);
+  }
   const Worker* worker = mState.FindWorker(aOrder.worker);
   if (worker == nullptr) {
     for (const EndedRun& it : aResult.ended) {
@@ -247,6 +250,21 @@
   }
 }
 
+void
+Dispatcher::LogOtherProcess(const Order& aOrder,
+                            const OrderResult& aResult,
+                            Millis aNow)
+{
+  mEvents.emplace_back("order_answered_by_other_process")
+    .Add("worker", aOrder.worker)
+    .Add("order", OrderKindName(aOrder.kind))
+    .Add("outcome", OrderOutcomeName(aResult.outcome))
+    .Add("meant_for", aOrder.incarnation)
+    .Add("answered_by", *aResult.answeredBy)
+    .Add("acknowledged_ends", aOrder.acknowledgedEnds)
+    .Add("sent_ms_ago", aNow - aOrder.sentAt);
+}
+
 void
 Dispatcher::LogDepartingRenewal(const Order& aOrder,
                                 const OrderResult& aResult,
--- a/packages/fleet/order.cc
+++ b/packages/fleet/order.cc
@@ -2,6 +2,20 @@
 
 namespace limpetwood::fleet {
 
+std::string_view
+OrderKindName(Order::Kind aKind)
+{
+  switch (aKind) {
+    case Order::Kind::kStart:
+      return "start";
+    case Order::Kind::kStop:
+      return "stop";
+    case Order::Kind::kRenew:
+      break;
+  }
+  return "renew";
+}
+
 std::string_view
 OrderRefusalName(OrderRefusal aRefusal)
 {
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -84,6 +84,9 @@
 
 inline constexpr int kOrderRefusalCount = 8;
 
+std::string_view
+OrderKindName(Order::Kind aKind);
+
 std::string_view
 OrderRefusalName(OrderRefusal aRefusal);
 
@@ -115,6 +118,9 @@
   std::error_code error{};
   // Reading of the worker's monotonic clock, if it was received.
   std::optional<Millis> clock{};
+  // The process that answered, if the answer names it. Set also if it is not
+  // the one that the order was meant for.
+  std::optional<Incarnation> answeredBy{};
   // Set for renewals.
   std::vector<RunningRun> running{};
   std::vector<EndedRun> ended{};
--- /dev/null
+++ b/packages/http/event_loop.cc
@@ -0,0 +1,79 @@
+#include "http/event_loop.h"
+
+#include <boost/asio/post.hpp>
+
+#include <sys/resource.h>
+
+#include <chrono>
+
+namespace limpetwood::http {
+
+namespace {
+
+// Maximum time between two rounds of a loop without work.
+constexpr std::chrono::milliseconds kMaxBlockTime(100);
+
+// A poll of an io_context returns at most 128 events, of which two can be its
+// own. The handler of one runs between two rounds.
+constexpr uint64_t kMaxEventsOfPoll = 125;
+
+uint64_t
+MaxOpenDescriptors()
+{
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur;
+}
+
+} // namespace
+
+EventLoopProgress::EventLoopProgress(boost::asio::io_context& aContext)
+  : service(aContext)
+  , mContext(aContext)
+  , mMaxPolls(MaxOpenDescriptors() / kMaxEventsOfPoll + 1)
+  , mInputHandledUntil(MonotonicNow())
+{
+}
+
+uint64_t
+EventLoopProgress::RunRound()
+{
+  uint64_t round = ++mRound;
+  mRoundBegins.push_back(MonotonicNow());
+  // The context runs handlers in the order in which they became ready, and it
+  // polls whenever it has run those that were ready at the last poll. It
+  // therefore polls exactly once before it reaches this handler.
+  boost::asio::post(mContext, [this, round] { mFinishedRound = round; });
+  uint64_t handlers = 0;
+  while (mContext.poll_one() > 0 && mFinishedRound != round) {
+    ++handlers;
+  }
+  if (mFinishedRound != round) {
+    // The context was stopped.
+    return 0;
+  }
+  // These were the handlers of the poll in the previous round. If that poll had
+  // room for more events, it returned all there were; otherwise, the next polls
+  // return the remaining ones, the longest ready first.
+  bool complete = handlers < kMaxEventsOfPoll;
+  while (mRoundBegins.size() > 1 &&
+         (complete || mRoundBegins.size() > mMaxPolls)) {
+    mInputHandledUntil = mRoundBegins.front();
+    mRoundBegins.pop_front();
+  }
+  return handlers;
+}
+
+void
+RunEventLoop(boost::asio::io_context& aContext)
+{
+  EventLoopProgress& progress = EventLoopProgress::Of(aContext);
+  progress.mRoundBegins.clear();
+  while (!aContext.stopped()) {
+    aContext.run_one_for(kMaxBlockTime);
+    while (progress.RunRound() > 0) {
+    }
+  }
+}
+
+} // namespace limpetwood::http
--- a/packages/http/internal/session.cc
+++ b/packages/http/internal/session.cc
@@ -45,6 +45,7 @@
   };
   mReadTimer.SetCallback(expire);
   mWriteTimer.SetCallback(expire);
+  mArrivedAfter = mServer->noneWaitedAt;
   AwaitRequest();
 }
 
@@ -53,6 +54,7 @@
 {
   mReader.Begin(mServer->limits.maxHeaderBytes, mServer->limits.maxBodyBytes);
   mIdle = mReader.Buffered() == 0;
+  mAwaitedSince = MonotonicNow();
   mReadTimer.Set(mIdle ? mServer->limits.idleTimeout
                        : mServer->limits.readTimeout);
   ReadHead();
@@ -79,18 +81,27 @@
                               return;
                             }
                             if (self->mIdle) {
-                              // The head must be complete within the read
-                              // timeout, so that a slow sender cannot occupy a
-                              // connection.
-                              self->mIdle = false;
-                              self->mReadTimer.Set(
-                                self->mServer->limits.readTimeout);
+                              self->OnRequestBegins();
                             }
                             self->mReader.Commit(n);
                             self->ReadHead();
                           });
 }
 
+void
+Session::OnRequestBegins()
+{
+  mIdle = false;
+  // The head must be complete within the read timeout, so that a slow sender
+  // cannot occupy a connection.
+  mReadTimer.Set(mServer->limits.readTimeout);
+  // Otherwise the bytes may have arrived behind the previous request, or before
+  // the connection was accepted.
+  if (mServer->progress.InputHandledUntil() > mAwaitedSince) {
+    mArrivedAfter = mServer->progress.InputHandledUntil();
+  }
+}
+
 void
 Session::OnHead()
 {
@@ -111,8 +122,8 @@
   mInExchange = true;
   mRequestReceivedAt = MonotonicNow();
   mResponseStarted = false;
-  mServer->handler(
-    std::make_shared<Exchange>(shared_from_this(), std::move(head)));
+  mServer->handler(std::make_shared<Exchange>(
+    shared_from_this(), std::move(head), mArrivedAfter));
 }
 
 void
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "http/deadline_timer.h"
+#include "http/event_loop.h"
 #include "http/internal/message_reader.h"
 #include "http/internal/wire.h"
 #include "http/stream_server.h"
@@ -20,6 +21,7 @@
                    ServerLimits aLimits,
                    StreamHandler aHandler)
     : context(aContext)
+    , progress(EventLoopProgress::Of(aContext))
     , acceptor(aContext)
     , drainTimer(aContext)
     , acceptTimer(aContext)
@@ -39,6 +41,7 @@
   void FinishDrainIfIdle();
 
   boost::asio::io_context& context;
+  const EventLoopProgress& progress;
   boost::asio::ip::tcp::acceptor acceptor;
   DeadlineTimer drainTimer;
   DeadlineTimer acceptTimer;
@@ -49,6 +52,10 @@
   // Every session with an open socket.
   std::set<std::shared_ptr<Session>> sessions;
   size_t inFlight = 0;
+  // Since when the server has waited for connections; `Max` if it does not.
+  Millis acceptingSince = Millis::Max();
+  // Latest time at which no connection is known to have waited to be accepted.
+  Millis noneWaitedAt{};
   bool draining = false;
   // Connections are closed as soon as they are idle.
   bool drainGraceOver = false;
@@ -93,6 +100,8 @@
   using Progress = MessageReader<true>::Progress;
 
   void AwaitRequest();
+  // The first byte of a request has been read.
+  void OnRequestBegins();
   // Whether bytes have arrived that were not read yet.
   bool HasInput();
   void ReadHead();
@@ -129,6 +138,10 @@
   std::function<void()> mPeerLostDone;
   uint64_t mLingeredBytes = 0;
   Millis mRequestReceivedAt;
+  // When the wait for the current request began, and the latest time at which
+  // no byte of it is known to have arrived.
+  Millis mAwaitedSince;
+  Millis mArrivedAfter;
   Framing mFraming = Framing::kNone;
   // True while no byte of a request has arrived.
   bool mIdle = true;
--- a/packages/http/message.h
+++ b/packages/http/message.h
@@ -3,8 +3,11 @@
 
 #pragma once
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <cctype>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -82,9 +85,13 @@
   std::string target = "/";
   Headers headers;
   std::string body;
-  // Set by `Server`: the peer had shut down its sending side, or lost its
-  // connection, when the request was complete. Most such peers have left.
-  bool peerStoppedSending = false;
+  // Set by `Server`, callable until the response: whether the peer has shut
+  // down its sending side or lost its connection. Most such peers have left.
+  std::function<bool()> peerStoppedSending = [] { return false; };
+  // Set by `Server`: a time of `MonotonicNow()` at which no byte of the request
+  // had arrived. The request may have waited since, unread, such as while the
+  // process was stopped. Precise only in event loops run by `RunEventLoop`.
+  Millis arrivedAfter{};
 };
 
 struct Response
--- a/packages/http/server.cc
+++ b/packages/http/server.cc
@@ -94,7 +94,10 @@
     request.target = std::move(head.target);
     request.headers = std::move(head.headers);
     request.body = std::move(mBody);
-    request.peerStoppedSending = mExchange->PeerStoppedSending();
+    request.peerStoppedSending = [exchange = mExchange] {
+      return exchange->PeerStoppedSending();
+    };
+    request.arrivedAfter = mExchange->ArrivedAfter();
     Responder respond = [exchange = mExchange](Response aResponse) {
       if (!exchange->ResponseStarted()) {
         SendResponse(exchange, std::move(aResponse));
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -35,9 +35,12 @@
   return "peer_closed";
 }
 
-Exchange::Exchange(std::shared_ptr<Session> aSession, RequestHead aHead)
+Exchange::Exchange(std::shared_ptr<Session> aSession,
+                   RequestHead aHead,
+                   Millis aArrivedAfter)
   : mSession(std::move(aSession))
   , mHead(std::move(aHead))
+  , mArrivedAfter(aArrivedAfter)
 {
 }
 
@@ -136,9 +139,11 @@
 StreamServerImpl::AcceptLater()
 {
   std::weak_ptr<StreamServerImpl> weak = weak_from_this();
+  acceptingSince = Millis::Max();
   acceptTimer.SetCallback([weak] {
     auto self = weak.lock();
     if (self && self->acceptor.is_open()) {
+      self->acceptingSince = MonotonicNow();
       self->Accept();
     }
   });
@@ -169,6 +174,9 @@
     return;
   }
   ++counters.accepted;
+  if (progress.InputHandledUntil() > acceptingSince) {
+    noneWaitedAt = progress.InputHandledUntil();
+  }
   aSocket.set_option(tcp::no_delay(true), ignored);
   auto session =
     std::make_shared<Session>(shared_from_this(), std::move(aSocket));
@@ -229,6 +237,8 @@
     mImpl->acceptor.close();
     return std::error_code(ec);
   }
+  mImpl->acceptingSince = MonotonicNow();
+  mImpl->noneWaitedAt = mImpl->acceptingSince;
   mImpl->Accept();
   return Endpoint{ aEndpoint.address, mImpl->acceptor.local_endpoint().port() };
 }
--- a/packages/http/stream_server.h
+++ b/packages/http/stream_server.h
@@ -108,13 +108,18 @@
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-  Exchange(std::shared_ptr<Session> aSession, RequestHead aHead);
+  Exchange(std::shared_ptr<Session> aSession,
+           RequestHead aHead,
+           Millis aArrivedAfter);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
   const RequestHead& Head() const { return mHead; }
   RequestHead& Head() { return mHead; }
+  // A time at which no byte of the request had arrived; see
+  // `Request::arrivedAfter`.
+  Millis ArrivedAfter() const { return mArrivedAfter; }
 
   // Reads the next part of the request body. One read at a time. Errors:
   // `Errc::kTooLarge` if the body exceeds its limit, `Errc::kCorrupt` if it is
@@ -162,6 +167,7 @@
 
   std::shared_ptr<Session> mSession;
   RequestHead mHead;
+  Millis mArrivedAfter;
   bool mResponseStarted = false;
 };
 
