Send orders only to the process that they are meant for

Cause: an order names a worker by its id, which outlives the process. Until the first report of a new process arrives, the leader sends it what was meant for the earlier one. A renewal acknowledged three ends of the earlier process, and the new one, which numbers its ends from 1, forgot its own end unread. The process was compared only in the answer, when the order had been carried out.

Change: an order is sent only on a connection on which the process has named itself; a connection ends with its process. A start without an answer whose worker was removed is stopped in a process that rejoins under the id.

Why it works: nothing with an effect is sent to a process before it has named itself, whatever the leader believes. It does not delay acknowledgements.

--- a/packages/fleet/dispatcher.cc
+++ b/packages/fleet/dispatcher.cc
@@ -19,6 +19,8 @@
 constexpr Millis kTrialRenewalWait(300);
 // Interval at which each worker is checked for stalled runs and expired leases.
 constexpr Millis kWorkerCheckInterval(250);
+// Time for which a start without an answer may still be executed.
+constexpr Millis kMaxStartDelay = Seconds(60);
 // Change of a worker's departure that a next leader must know.
 constexpr Millis kMinDepartureChange(500);
 
@@ -98,10 +100,12 @@
     added.earlierRenewalsInFlight =
       it->second.earlierRenewalsInFlight + it->second.renewalsInFlight;
     added.startsWithoutAnswer = it->second.startsWithoutAnswer;
-    for (const RunRef& run : added.startsWithoutAnswer) {
-      if (!aWorker.active.contains(run)) {
-        added.unconfirmedStarts.emplace(run, aNow - kRetryDelay);
-      }
+  } else if (auto node = mAbandonedStarts.extract(report.id)) {
+    added.startsWithoutAnswer = std::move(node.mapped().runs);
+  }
+  for (const RunRef& run : added.startsWithoutAnswer) {
+    if (!aWorker.active.contains(run)) {
+      added.unconfirmedStarts.emplace(run, aNow - kRetryDelay);
     }
   }
   bool announced = replaced && (it->second.draining || it->second.leftAt);
@@ -272,6 +276,7 @@
   for (const gen::WorkerGone& it : aCommand.gone) {
     mProposals.OnRemovalCommitted(WorkerId(it.id));
     if (mState.FindWorker(WorkerId(it.id)) == nullptr) {
+      AbandonStarts(WorkerId(it.id), aNow);
       mLinks.erase(WorkerId(it.id));
       mSpeeds.Forget(WorkerId(it.id));
     }
@@ -286,6 +291,19 @@
   ScheduleTick(aNow);
 }
 
+void
+Dispatcher::AbandonStarts(const WorkerId& aWorker, Millis aNow)
+{
+  std::erase_if(mAbandonedStarts, [&](const auto& aEntry) {
+    return aNow - aEntry.second.since > kMaxStartDelay;
+  });
+  auto link = mLinks.find(aWorker);
+  if (link != mLinks.end() && !link->second.startsWithoutAnswer.empty()) {
+    mAbandonedStarts[aWorker] = { std::move(link->second.startsWithoutAnswer),
+                                  aNow };
+  }
+}
+
 void
 Dispatcher::OnJobEnded(const JobId& aJob, Millis aNow)
 {
--- a/packages/fleet/dispatcher.h
+++ b/packages/fleet/dispatcher.h
@@ -32,7 +32,9 @@
 #include "fleet/worker_timers.h"
 
 #include <array>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -228,6 +230,8 @@
   void WithdrawStart(const Order& aStart,
                      std::string_view aReason,
                      Millis aNow);
+  // Keeps the starts without an answer of a worker that is removed.
+  void AbandonStarts(const WorkerId& aWorker, Millis aNow);
   void SendStop(const Worker& aWorker, const RunRef& aRun, Millis aNow);
   // Sends the next queued start or stop of the worker unless one is in flight.
   void SendNext(const Worker& aWorker, WorkerLink& aLink, Millis aNow);
@@ -289,6 +293,14 @@
   const FencingToken mToken;
   // One for each worker of the state, for its current incarnation.
   WorkerLinks mLinks;
+  // Starts without an answer of workers that were removed, with the time of the
+  // removal. A process that rejoins under the same id may still execute them.
+  struct AbandonedStarts
+  {
+    std::set<RunRef> runs;
+    Millis since;
+  };
+  std::map<WorkerId, AbandonedStarts> mAbandonedStarts;
   Forecast mForecast;
   Proposals mProposals;
   WorkerSpeeds mSpeeds;
--- a/packages/fleet/dispatcher_removal_test.cc
+++ b/packages/fleet/dispatcher_removal_test.cc
@@ -376,6 +376,31 @@
   EXPECT_TRUE(stoppedInNext);
 }
 
+// Guards against the same if the worker was removed in between: the start is
+// still on its way, and the process that rejoins executes it.
+TEST(DispatcherRemoval, StartWithoutAnswerIsStoppedInAProcessThatRejoins)
+{
+  FleetFixture fleet;
+  fleet.AddWorker("w1");
+  fleet.AddWorker("w2");
+  fleet.Submit(kJob, FleetFixture::GangOf(1));
+  Order start = fleet.ExpectOrder(Order::Kind::kStart);
+  fleet.Answer(start, OrderResult::Outcome::kNoAnswer);
+  EXPECT_TRUE(fleet.Leave(start.worker.Value()));
+  for (int n = 0; n < 5; ++n) {
+    AnswerRenewals(
+      fleet, start.worker, OrderResult::Outcome::kConnectionRefused);
+    fleet.Advance(Millis(101));
+  }
+  ASSERT_EQ(fleet.State().FindWorker(start.worker), nullptr);
+  fleet.DropOrders();
+  fleet.Restart(start.worker.Value(), Incarnation(2));
+  fleet.Advance(Millis(10));
+  Order stop = fleet.ExpectOrder(Order::Kind::kStop);
+  EXPECT_EQ(RunName(stop.run), RunName(start.run));
+  EXPECT_EQ(stop.incarnation, Incarnation(2));
+}
+
 // Guards against giving up the work of a restarted worker because the report
 // that its earlier process leaves arrives late.
 TEST(DispatcherRemoval, LateLeaveOfAnEarlierIncarnationIsIgnored)
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -17,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <optional>
 #include <system_error>
 
 namespace limpetwood::http {
@@ -35,6 +36,9 @@
   // Set unless the verdict is `kAnswered`.
   std::error_code error;
   Response response;
+  // Set if the request was not sent because of the answer to a probe; see
+  // `PooledClient::FetchFrom`.
+  std::optional<Response> probeResponse{};
 };
 
 using FetchCallback = std::function<void(FetchResult)>;
--- a/packages/http/connection.h
+++ b/packages/http/connection.h
@@ -21,7 +21,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <system_error>
+#include <utility>
 
 namespace limpetwood::http {
 
@@ -103,6 +105,14 @@
   // exchange.
   virtual Millis LastReceiveTime() const = 0;
   virtual Millis LastExchangeStart() const = 0;
+
+  // Name of the process that is known to be at the other end; empty if none is.
+  // A connection leads to the same process until it is closed.
+  const std::string& VerifiedPeer() const { return mVerifiedPeer; }
+  void SetVerifiedPeer(std::string aName) { mVerifiedPeer = std::move(aName); }
+
+private:
+  std::string mVerifiedPeer;
 };
 
 } // namespace limpetwood::http
--- a/packages/http/pool.cc
+++ b/packages/http/pool.cc
@@ -43,7 +43,8 @@
     return aServer.limit.value_or(limits.maxConnections);
   }
 
-  std::shared_ptr<Connection> TakeIdle(ServerConnections& aServer)
+  std::shared_ptr<Connection> TakeIdle(ServerConnections& aServer,
+                                       std::string_view aVerifiedPeer)
   {
     Millis now = MonotonicNow();
     while (!aServer.idle.empty()) {
@@ -53,11 +54,15 @@
       bool expired = now - entry.idleSince >= limits.idleTimeout;
       bool live =
         limits.testOnly.skipLivenessCheck || entry.connection->IsLive();
-      if (!expired && live) {
+      bool otherPeer = !aVerifiedPeer.empty() &&
+                       entry.connection->VerifiedPeer() != aVerifiedPeer;
+      if (!expired && live && !otherPeer) {
         ++counters.reused;
         return entry.connection;
       }
-      ++(expired ? counters.closedIdle : counters.closedStale);
+      ++(expired ? counters.closedIdle
+         : !live ? counters.closedStale
+                 : counters.closedOtherPeer);
       --aServer.open;
       --open;
       entry.connection->Close();
@@ -197,10 +202,13 @@
 }
 
 void
-Pool::Acquire(const Endpoint& aServer, Millis aTimeout, AcquireCallback aDone)
+Pool::Acquire(const Endpoint& aServer,
+              Millis aTimeout,
+              AcquireCallback aDone,
+              std::string_view aVerifiedPeer)
 {
   ServerConnections& server = mImpl->servers[aServer];
-  if (auto connection = mImpl->TakeIdle(server)) {
+  if (auto connection = mImpl->TakeIdle(server, aVerifiedPeer)) {
     aDone({}, std::move(connection));
     return;
   }
--- a/packages/http/pool.h
+++ b/packages/http/pool.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <string_view>
 
 namespace limpetwood::http {
 
@@ -63,6 +64,9 @@
   // Idle connections closed because of the idle timeout, a lower limit or
   // `CloseIdle`.
   uint64_t closedIdle = 0;
+  // Idle connections closed because they lead to another process than the
+  // request was meant for.
+  uint64_t closedOtherPeer = 0;
   // Idle connections closed because a request on another connection to the same
   // server got no response or failed.
   uint64_t closedUnresponsive = 0;
@@ -85,7 +89,13 @@
   //
   // `aDone` is called before `Acquire` returns if an idle connection is
   // available or the limit is reached.
-  void Acquire(const Endpoint& aServer, Millis aTimeout, AcquireCallback aDone);
+  //
+  // If `aVerifiedPeer` is not empty, idle connections with another
+  // `VerifiedPeer` are closed instead of returned. A new connection has none.
+  void Acquire(const Endpoint& aServer,
+               Millis aTimeout,
+               AcquireCallback aDone,
+               std::string_view aVerifiedPeer = {});
 
   // Returns a connection after an exchange. It is kept if it can be reused and
   // the limit allows it, and closed otherwise.
--- a/packages/http/pooled_client.cc
+++ b/packages/http/pooled_client.cc
@@ -3,47 +3,70 @@
 #include "base/error.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace limpetwood::http {
 
 namespace {
 
-// One request and its response.
+struct Message
+{
+  RequestHead head;
+  std::string body;
+};
+
+Message
+MessageFrom(Request aRequest, const Endpoint& aEndpoint)
+{
+  Message out;
+  out.body = std::move(aRequest.body);
+  out.head.method = std::move(aRequest.method);
+  out.head.target = std::move(aRequest.target);
+  out.head.headers = std::move(aRequest.headers);
+  out.head.contentLength = out.body.size();
+  if (out.head.headers.Get("Host").empty()) {
+    out.head.headers.Set("Host", FormatEndpoint(aEndpoint));
+  }
+  return out;
+}
+
+// One request and its response, on a new connection after a probe and its
+// response.
 class PooledFetch : public std::enable_shared_from_this<PooledFetch>
 {
 public:
   PooledFetch(std::shared_ptr<Pool> aPool,
+              const Endpoint& aEndpoint,
               Request aRequest,
+              std::optional<PeerCheck> aCheck,
               FetchOptions aOptions,
               FetchCallback aDone)
     : mPool(std::move(aPool))
+    , mEndpoint(aEndpoint)
     , mOptions(aOptions)
     , mDeadline(MonotonicNow() + aOptions.timeout)
-    , mBody(std::move(aRequest.body))
+    , mRequest(MessageFrom(std::move(aRequest), aEndpoint))
+    , mCheck(std::move(aCheck))
     , mDone(std::move(aDone))
   {
-    mHead.method = std::move(aRequest.method);
-    mHead.target = std::move(aRequest.target);
-    mHead.headers = std::move(aRequest.headers);
-    mHead.contentLength = mBody.size();
   }
 
-  void Start(const Endpoint& aEndpoint)
+  void Start()
   {
-    if (mHead.headers.Get("Host").empty()) {
-      mHead.headers.Set("Host", FormatEndpoint(aEndpoint));
-    }
-    mPool->Acquire(aEndpoint,
-                   mOptions.timeout,
-                   [self = shared_from_this()](std::error_code ec,
-                                               std::shared_ptr<Connection> it) {
-                     if (ec) {
-                       self->Finish(Verdict::kNotRun, ec);
-                       return;
-                     }
-                     self->mConnection = std::move(it);
-                     self->Send();
-                   });
+    mPool->Acquire(
+      mEndpoint,
+      RemainingTime(),
+      [self = shared_from_this()](std::error_code ec,
+                                  std::shared_ptr<Connection> it) {
+        if (ec) {
+          self->Finish(Verdict::kNotRun, ec);
+          return;
+        }
+        self->mConnection = std::move(it);
+        self->OnConnected();
+      },
+      mCheck ? mCheck->peer : std::string_view());
   }
 
 private:
@@ -52,10 +75,23 @@
     return std::max(mDeadline - MonotonicNow(), Millis(1));
   }
 
-  void Send()
+  void OnConnected()
+  {
+    bool verified =
+      !mCheck || mConnection->VerifiedPeer() == mCheck->peer || mPeerAnswered;
+    if (verified) {
+      Send(mRequest);
+      return;
+    }
+    mProbing = true;
+    mProbe = MessageFrom(mCheck->makeProbe(), mEndpoint);
+    Send(mProbe);
+  }
+
+  void Send(const Message& aMessage)
   {
-    mConnection->Send(mHead,
-                      mBody,
+    mConnection->Send(aMessage.head,
+                      aMessage.body,
                       true,
                       RemainingTime(),
                       [self = shared_from_this()](std::error_code ec) {
@@ -113,16 +149,39 @@
 
   void Complete()
   {
+    if (std::exchange(mProbing, false)) {
+      OnProbeResponse(std::exchange(mResponse, {}));
+      return;
+    }
     mPool->Release(mConnection);
     Finish(Verdict::kAnswered, {});
   }
 
+  void OnProbeResponse(Response aResponse)
+  {
+    if (!mCheck->isFromPeer(aResponse)) {
+      // Not verified, so that the next request asks again.
+      mPool->Release(mConnection);
+      mProbeResponse = std::move(aResponse);
+      Finish(Verdict::kNotRun, {});
+      return;
+    }
+    mPeerAnswered = true;
+    mConnection->SetVerifiedPeer(mCheck->peer);
+    if (mConnection->Reusable()) {
+      Send(mRequest);
+      return;
+    }
+    mPool->Release(std::exchange(mConnection, nullptr));
+    Start();
+  }
+
   void Fail(std::error_code aError)
   {
     if (mFinished) {
       return;
     }
-    bool sent = mConnection->HasSentBytes();
+    bool sent = !mProbing && mConnection->HasSentBytes();
     mPool->ReleaseUnresponsive(mConnection);
     Finish(sent ? Verdict::kMayHaveRun : Verdict::kNotRun, aError);
   }
@@ -137,18 +196,27 @@
     result.verdict = aVerdict;
     result.error = aError;
     result.response = std::move(mResponse);
+    result.probeResponse = std::move(mProbeResponse);
     mConnection.reset();
     mDone(std::move(result));
   }
 
   std::shared_ptr<Pool> mPool;
+  const Endpoint mEndpoint;
   FetchOptions mOptions;
   Millis mDeadline;
-  RequestHead mHead;
-  std::string mBody;
+  // Both must stay valid until they are sent.
+  Message mRequest;
+  Message mProbe;
+  std::optional<PeerCheck> mCheck;
   FetchCallback mDone;
   std::shared_ptr<Connection> mConnection;
   Response mResponse;
+  std::optional<Response> mProbeResponse;
+  // The exchange in progress is that of the probe.
+  bool mProbing = false;
+  // The process has answered the probe on a connection that it then closed.
+  bool mPeerAnswered = false;
   bool mFinished = false;
 };
 
@@ -166,9 +234,29 @@
                     FetchOptions aOptions,
                     FetchCallback aDone)
 {
-  std::make_shared<PooledFetch>(
-    mPool, std::move(aRequest), aOptions, std::move(aDone))
-    ->Start(aEndpoint);
+  std::make_shared<PooledFetch>(mPool,
+                                aEndpoint,
+                                std::move(aRequest),
+                                std::nullopt,
+                                aOptions,
+                                std::move(aDone))
+    ->Start();
+}
+
+void
+PooledClient::FetchFrom(PeerCheck aCheck,
+                        const Endpoint& aEndpoint,
+                        Request aRequest,
+                        FetchOptions aOptions,
+                        FetchCallback aDone)
+{
+  std::make_shared<PooledFetch>(mPool,
+                                aEndpoint,
+                                std::move(aRequest),
+                                std::move(aCheck),
+                                aOptions,
+                                std::move(aDone))
+    ->Start();
 }
 
 } // namespace limpetwood::http
