--- a/packages/fleet/fleet.thrift
+++ b/packages/fleet/fleet.thrift
@@ -162,6 +162,12 @@
   2: i64 sinceMs
 }
 
+// Log index of the latest order about a zone.
+struct ZoneRevision {
+  1: string zone
+  2: i64 revision
+}
+
 struct Command {
   1: optional Configuration configuration
   2: list<SubmitJob> jobs
@@ -221,6 +227,9 @@
   4: list<RefusedJob> refused
   5: list<EvacuatedZone> evacuatedZones
   6: list<WorkerSpeed> speeds
+  // Log index of the latest order about any zone.
+  7: i64 zoneRevision
+  8: list<ZoneRevision> zoneRevisions
 }
 
 struct Request {
@@ -234,6 +243,9 @@
   7: optional Configuration configuration
   // Set for orders about a zone.
   8: string zone
+  // Set for orders about a zone: the leader refuses the order if the log index
+  // of the zone's latest order is higher.
+  9: optional i64 zoneRevision
 }
 
 struct Reply {
@@ -249,4 +261,6 @@
   7: i32 jobStatus
   8: i64 version
   9: optional Limits limits
+  // Set for orders about a zone that were refused as possibly outdated.
+  10: i64 zoneRevision
 }
--- a/packages/fleet/gen-cpp/fleet_types.cpp
+++ b/packages/fleet/gen-cpp/fleet_types.cpp
@@ -3525,6 +3525,129 @@
 }
 
 
+ZoneRevision::~ZoneRevision() noexcept {
+}
+
+
+void ZoneRevision::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneRevision::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneRevision& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneRevision::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneRevision::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneRevision");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneRevision &a, ZoneRevision &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneRevision::ZoneRevision(const ZoneRevision& other104) {
+  zone = other104.zone;
+  revision = other104.revision;
+  __isset = other104.__isset;
+}
+ZoneRevision::ZoneRevision(ZoneRevision&& other105) noexcept {
+  zone = std::move(other105.zone);
+  revision = other105.revision;
+  __isset = other105.__isset;
+}
+ZoneRevision& ZoneRevision::operator=(const ZoneRevision& other106) {
+  zone = other106.zone;
+  revision = other106.revision;
+  __isset = other106.__isset;
+  return *this;
+}
+ZoneRevision& ZoneRevision::operator=(ZoneRevision&& other107) noexcept {
+  zone = std::move(other107.zone);
+  revision = other107.revision;
+  __isset = other107.__isset;
+  return *this;
+}
+void ZoneRevision::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneRevision(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -3617,14 +3740,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->jobs.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->jobs.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->jobs[_i108].read(iprot);
+              xfer += this->jobs[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3637,14 +3760,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cancelled.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->cancelled.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->cancelled.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += iprot->readString(this->cancelled[_i113]);
+              xfer += iprot->readString(this->cancelled[_i117]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3657,14 +3780,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->workers.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->workers.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->workers[_i118].read(iprot);
+              xfer += this->workers[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3677,14 +3800,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->gone.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->gone.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->gone[_i123].read(iprot);
+              xfer += this->gone[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3697,14 +3820,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->ends.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->ends.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->ends[_i128].read(iprot);
+              xfer += this->ends[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3717,14 +3840,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->starts.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->starts.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->starts[_i133].read(iprot);
+              xfer += this->starts[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3737,14 +3860,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forgotten.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->forgotten.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->forgotten.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += iprot->readString(this->forgotten[_i138]);
+              xfer += iprot->readString(this->forgotten[_i142]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3765,14 +3888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->refused.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->refused.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->refused[_i143].read(iprot);
+              xfer += this->refused[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3785,14 +3908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zoneOrders.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->zoneOrders.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->zoneOrders.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->zoneOrders[_i148].read(iprot);
+              xfer += this->zoneOrders[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3805,14 +3928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->speeds.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->speeds.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->speeds[_i153].read(iprot);
+              xfer += this->speeds[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3846,10 +3969,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<SubmitJob> ::const_iterator _iter154;
-    for (_iter154 = this->jobs.begin(); _iter154 != this->jobs.end(); ++_iter154)
+    std::vector<SubmitJob> ::const_iterator _iter158;
+    for (_iter158 = this->jobs.begin(); _iter158 != this->jobs.end(); ++_iter158)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3858,10 +3981,10 @@
   xfer += oprot->writeFieldBegin("cancelled", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cancelled.size()));
-    std::vector<std::string> ::const_iterator _iter155;
-    for (_iter155 = this->cancelled.begin(); _iter155 != this->cancelled.end(); ++_iter155)
+    std::vector<std::string> ::const_iterator _iter159;
+    for (_iter159 = this->cancelled.begin(); _iter159 != this->cancelled.end(); ++_iter159)
     {
-      xfer += oprot->writeString((*_iter155));
+      xfer += oprot->writeString((*_iter159));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3870,10 +3993,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter156;
-    for (_iter156 = this->workers.begin(); _iter156 != this->workers.end(); ++_iter156)
+    std::vector<WorkerReport> ::const_iterator _iter160;
+    for (_iter160 = this->workers.begin(); _iter160 != this->workers.end(); ++_iter160)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3882,10 +4005,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gone.size()));
-    std::vector<WorkerGone> ::const_iterator _iter157;
-    for (_iter157 = this->gone.begin(); _iter157 != this->gone.end(); ++_iter157)
+    std::vector<WorkerGone> ::const_iterator _iter161;
+    for (_iter161 = this->gone.begin(); _iter161 != this->gone.end(); ++_iter161)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3894,10 +4017,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter158;
-    for (_iter158 = this->ends.begin(); _iter158 != this->ends.end(); ++_iter158)
+    std::vector<RunEnd> ::const_iterator _iter162;
+    for (_iter162 = this->ends.begin(); _iter162 != this->ends.end(); ++_iter162)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3906,10 +4029,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<RunStart> ::const_iterator _iter159;
-    for (_iter159 = this->starts.begin(); _iter159 != this->starts.end(); ++_iter159)
+    std::vector<RunStart> ::const_iterator _iter163;
+    for (_iter163 = this->starts.begin(); _iter163 != this->starts.end(); ++_iter163)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3918,10 +4041,10 @@
   xfer += oprot->writeFieldBegin("forgotten", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forgotten.size()));
-    std::vector<std::string> ::const_iterator _iter160;
-    for (_iter160 = this->forgotten.begin(); _iter160 != this->forgotten.end(); ++_iter160)
+    std::vector<std::string> ::const_iterator _iter164;
+    for (_iter164 = this->forgotten.begin(); _iter164 != this->forgotten.end(); ++_iter164)
     {
-      xfer += oprot->writeString((*_iter160));
+      xfer += oprot->writeString((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3934,10 +4057,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedJob> ::const_iterator _iter161;
-    for (_iter161 = this->refused.begin(); _iter161 != this->refused.end(); ++_iter161)
+    std::vector<RefusedJob> ::const_iterator _iter165;
+    for (_iter165 = this->refused.begin(); _iter165 != this->refused.end(); ++_iter165)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3946,10 +4069,10 @@
   xfer += oprot->writeFieldBegin("zoneOrders", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zoneOrders.size()));
-    std::vector<ZoneOrder> ::const_iterator _iter162;
-    for (_iter162 = this->zoneOrders.begin(); _iter162 != this->zoneOrders.end(); ++_iter162)
+    std::vector<ZoneOrder> ::const_iterator _iter166;
+    for (_iter166 = this->zoneOrders.begin(); _iter166 != this->zoneOrders.end(); ++_iter166)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3958,10 +4081,10 @@
   xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-    std::vector<WorkerSpeed> ::const_iterator _iter163;
-    for (_iter163 = this->speeds.begin(); _iter163 != this->speeds.end(); ++_iter163)
+    std::vector<WorkerSpeed> ::const_iterator _iter167;
+    for (_iter167 = this->speeds.begin(); _iter167 != this->speeds.end(); ++_iter167)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3989,66 +4112,66 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other164) {
-  configuration = other164.configuration;
-  jobs = other164.jobs;
-  cancelled = other164.cancelled;
-  workers = other164.workers;
-  gone = other164.gone;
-  ends = other164.ends;
-  starts = other164.starts;
-  forgotten = other164.forgotten;
-  atMs = other164.atMs;
-  refused = other164.refused;
-  zoneOrders = other164.zoneOrders;
-  speeds = other164.speeds;
-  __isset = other164.__isset;
-}
-Command::Command(Command&& other165) noexcept {
-  configuration = std::move(other165.configuration);
-  jobs = std::move(other165.jobs);
-  cancelled = std::move(other165.cancelled);
-  workers = std::move(other165.workers);
-  gone = std::move(other165.gone);
-  ends = std::move(other165.ends);
-  starts = std::move(other165.starts);
-  forgotten = std::move(other165.forgotten);
-  atMs = other165.atMs;
-  refused = std::move(other165.refused);
-  zoneOrders = std::move(other165.zoneOrders);
-  speeds = std::move(other165.speeds);
-  __isset = other165.__isset;
-}
-Command& Command::operator=(const Command& other166) {
-  configuration = other166.configuration;
-  jobs = other166.jobs;
-  cancelled = other166.cancelled;
-  workers = other166.workers;
-  gone = other166.gone;
-  ends = other166.ends;
-  starts = other166.starts;
-  forgotten = other166.forgotten;
-  atMs = other166.atMs;
-  refused = other166.refused;
-  zoneOrders = other166.zoneOrders;
-  speeds = other166.speeds;
-  __isset = other166.__isset;
+Command::Command(const Command& other168) {
+  configuration = other168.configuration;
+  jobs = other168.jobs;
+  cancelled = other168.cancelled;
+  workers = other168.workers;
+  gone = other168.gone;
+  ends = other168.ends;
+  starts = other168.starts;
+  forgotten = other168.forgotten;
+  atMs = other168.atMs;
+  refused = other168.refused;
+  zoneOrders = other168.zoneOrders;
+  speeds = other168.speeds;
+  __isset = other168.__isset;
+}
+Command::Command(Command&& other169) noexcept {
+  configuration = std::move(other169.configuration);
+  jobs = std::move(other169.jobs);
+  cancelled = std::move(other169.cancelled);
+  workers = std::move(other169.workers);
+  gone = std::move(other169.gone);
+  ends = std::move(other169.ends);
+  starts = std::move(other169.starts);
+  forgotten = std::move(other169.forgotten);
+  atMs = other169.atMs;
+  refused = std::move(other169.refused);
+  zoneOrders = std::move(other169.zoneOrders);
+  speeds = std::move(other169.speeds);
+  __isset = other169.__isset;
+}
+Command& Command::operator=(const Command& other170) {
+  configuration = other170.configuration;
+  jobs = other170.jobs;
+  cancelled = other170.cancelled;
+  workers = other170.workers;
+  gone = other170.gone;
+  ends = other170.ends;
+  starts = other170.starts;
+  forgotten = other170.forgotten;
+  atMs = other170.atMs;
+  refused = other170.refused;
+  zoneOrders = other170.zoneOrders;
+  speeds = other170.speeds;
+  __isset = other170.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other167) noexcept {
-  configuration = std::move(other167.configuration);
-  jobs = std::move(other167.jobs);
-  cancelled = std::move(other167.cancelled);
-  workers = std::move(other167.workers);
-  gone = std::move(other167.gone);
-  ends = std::move(other167.ends);
-  starts = std::move(other167.starts);
-  forgotten = std::move(other167.forgotten);
-  atMs = other167.atMs;
-  refused = std::move(other167.refused);
-  zoneOrders = std::move(other167.zoneOrders);
-  speeds = std::move(other167.speeds);
-  __isset = other167.__isset;
+Command& Command::operator=(Command&& other171) noexcept {
+  configuration = std::move(other171.configuration);
+  jobs = std::move(other171.jobs);
+  cancelled = std::move(other171.cancelled);
+  workers = std::move(other171.workers);
+  gone = std::move(other171.gone);
+  ends = std::move(other171.ends);
+  starts = std::move(other171.starts);
+  forgotten = std::move(other171.forgotten);
+  atMs = other171.atMs;
+  refused = std::move(other171.refused);
+  zoneOrders = std::move(other171.zoneOrders);
+  speeds = std::move(other171.speeds);
+  __isset = other171.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -4281,54 +4404,54 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskSnapshot::TaskSnapshot(const TaskSnapshot& other168) {
-  phase = other168.phase;
-  run = other168.run;
-  failures = other168.failures;
-  worker = other168.worker;
-  checkpoint = other168.checkpoint;
-  crashes = other168.crashes;
-  crashesAtStart = other168.crashesAtStart;
-  incarnation = other168.incarnation;
-  movedForPace = other168.movedForPace;
-  __isset = other168.__isset;
-}
-TaskSnapshot::TaskSnapshot(TaskSnapshot&& other169) noexcept {
-  phase = other169.phase;
-  run = other169.run;
-  failures = other169.failures;
-  worker = std::move(other169.worker);
-  checkpoint = std::move(other169.checkpoint);
-  crashes = other169.crashes;
-  crashesAtStart = other169.crashesAtStart;
-  incarnation = other169.incarnation;
-  movedForPace = other169.movedForPace;
-  __isset = other169.__isset;
-}
-TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other170) {
-  phase = other170.phase;
-  run = other170.run;
-  failures = other170.failures;
-  worker = other170.worker;
-  checkpoint = other170.checkpoint;
-  crashes = other170.crashes;
-  crashesAtStart = other170.crashesAtStart;
-  incarnation = other170.incarnation;
-  movedForPace = other170.movedForPace;
-  __isset = other170.__isset;
+TaskSnapshot::TaskSnapshot(const TaskSnapshot& other172) {
+  phase = other172.phase;
+  run = other172.run;
+  failures = other172.failures;
+  worker = other172.worker;
+  checkpoint = other172.checkpoint;
+  crashes = other172.crashes;
+  crashesAtStart = other172.crashesAtStart;
+  incarnation = other172.incarnation;
+  movedForPace = other172.movedForPace;
+  __isset = other172.__isset;
+}
+TaskSnapshot::TaskSnapshot(TaskSnapshot&& other173) noexcept {
+  phase = other173.phase;
+  run = other173.run;
+  failures = other173.failures;
+  worker = std::move(other173.worker);
+  checkpoint = std::move(other173.checkpoint);
+  crashes = other173.crashes;
+  crashesAtStart = other173.crashesAtStart;
+  incarnation = other173.incarnation;
+  movedForPace = other173.movedForPace;
+  __isset = other173.__isset;
+}
+TaskSnapshot& TaskSnapshot::operator=(const TaskSnapshot& other174) {
+  phase = other174.phase;
+  run = other174.run;
+  failures = other174.failures;
+  worker = other174.worker;
+  checkpoint = other174.checkpoint;
+  crashes = other174.crashes;
+  crashesAtStart = other174.crashesAtStart;
+  incarnation = other174.incarnation;
+  movedForPace = other174.movedForPace;
+  __isset = other174.__isset;
   return *this;
 }
-TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other171) noexcept {
-  phase = other171.phase;
-  run = other171.run;
-  failures = other171.failures;
-  worker = std::move(other171.worker);
-  checkpoint = std::move(other171.checkpoint);
-  crashes = other171.crashes;
-  crashesAtStart = other171.crashesAtStart;
-  incarnation = other171.incarnation;
-  movedForPace = other171.movedForPace;
-  __isset = other171.__isset;
+TaskSnapshot& TaskSnapshot::operator=(TaskSnapshot&& other175) noexcept {
+  phase = other175.phase;
+  run = other175.run;
+  failures = other175.failures;
+  worker = std::move(other175.worker);
+  checkpoint = std::move(other175.checkpoint);
+  crashes = other175.crashes;
+  crashesAtStart = other175.crashesAtStart;
+  incarnation = other175.incarnation;
+  movedForPace = other175.movedForPace;
+  __isset = other175.__isset;
   return *this;
 }
 void TaskSnapshot::printTo(std::ostream& out) const {
@@ -4398,14 +4521,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->tasks.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->tasks.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->tasks[_i176].read(iprot);
+              xfer += this->tasks[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4458,10 +4581,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskSnapshot> ::const_iterator _iter177;
-    for (_iter177 = this->tasks.begin(); _iter177 != this->tasks.end(); ++_iter177)
+    std::vector<TaskSnapshot> ::const_iterator _iter181;
+    for (_iter181 = this->tasks.begin(); _iter181 != this->tasks.end(); ++_iter181)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4493,34 +4616,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StepSnapshot::StepSnapshot(const StepSnapshot& other178) {
-  tasks = other178.tasks;
-  gangFailures = other178.gangFailures;
-  lastFailedRun = other178.lastFailedRun;
-  lastRun = other178.lastRun;
-  __isset = other178.__isset;
-}
-StepSnapshot::StepSnapshot(StepSnapshot&& other179) noexcept {
-  tasks = std::move(other179.tasks);
-  gangFailures = other179.gangFailures;
-  lastFailedRun = other179.lastFailedRun;
-  lastRun = other179.lastRun;
-  __isset = other179.__isset;
-}
-StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other180) {
-  tasks = other180.tasks;
-  gangFailures = other180.gangFailures;
-  lastFailedRun = other180.lastFailedRun;
-  lastRun = other180.lastRun;
-  __isset = other180.__isset;
+StepSnapshot::StepSnapshot(const StepSnapshot& other182) {
+  tasks = other182.tasks;
+  gangFailures = other182.gangFailures;
+  lastFailedRun = other182.lastFailedRun;
+  lastRun = other182.lastRun;
+  __isset = other182.__isset;
+}
+StepSnapshot::StepSnapshot(StepSnapshot&& other183) noexcept {
+  tasks = std::move(other183.tasks);
+  gangFailures = other183.gangFailures;
+  lastFailedRun = other183.lastFailedRun;
+  lastRun = other183.lastRun;
+  __isset = other183.__isset;
+}
+StepSnapshot& StepSnapshot::operator=(const StepSnapshot& other184) {
+  tasks = other184.tasks;
+  gangFailures = other184.gangFailures;
+  lastFailedRun = other184.lastFailedRun;
+  lastRun = other184.lastRun;
+  __isset = other184.__isset;
   return *this;
 }
-StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other181) noexcept {
-  tasks = std::move(other181.tasks);
-  gangFailures = other181.gangFailures;
-  lastFailedRun = other181.lastFailedRun;
-  lastRun = other181.lastRun;
-  __isset = other181.__isset;
+StepSnapshot& StepSnapshot::operator=(StepSnapshot&& other185) noexcept {
+  tasks = std::move(other185.tasks);
+  gangFailures = other185.gangFailures;
+  lastFailedRun = other185.lastFailedRun;
+  lastRun = other185.lastRun;
+  __isset = other185.__isset;
   return *this;
 }
 void StepSnapshot::printTo(std::ostream& out) const {
@@ -4573,14 +4696,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->steps.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->steps.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->steps[_i186].read(iprot);
+              xfer += this->steps[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4609,10 +4732,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepSnapshot> ::const_iterator _iter187;
-    for (_iter187 = this->steps.begin(); _iter187 != this->steps.end(); ++_iter187)
+    std::vector<StepSnapshot> ::const_iterator _iter191;
+    for (_iter191 = this->steps.begin(); _iter191 != this->steps.end(); ++_iter191)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4629,22 +4752,22 @@
   swap(a.__isset, b.__isset);
 }
 
-OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other188) {
-  steps = other188.steps;
-  __isset = other188.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(const OccurrenceSnapshot& other192) {
+  steps = other192.steps;
+  __isset = other192.__isset;
 }
-OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other189) noexcept {
-  steps = std::move(other189.steps);
-  __isset = other189.__isset;
+OccurrenceSnapshot::OccurrenceSnapshot(OccurrenceSnapshot&& other193) noexcept {
+  steps = std::move(other193.steps);
+  __isset = other193.__isset;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other190) {
-  steps = other190.steps;
-  __isset = other190.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(const OccurrenceSnapshot& other194) {
+  steps = other194.steps;
+  __isset = other194.__isset;
   return *this;
 }
-OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other191) noexcept {
-  steps = std::move(other191.steps);
-  __isset = other191.__isset;
+OccurrenceSnapshot& OccurrenceSnapshot::operator=(OccurrenceSnapshot&& other195) noexcept {
+  steps = std::move(other195.steps);
+  __isset = other195.__isset;
   return *this;
 }
 void OccurrenceSnapshot::printTo(std::ostream& out) const {
@@ -4746,14 +4869,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->occurrences.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->occurrences.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->occurrences.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += this->occurrences[_i196].read(iprot);
+              xfer += this->occurrences[_i200].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4806,10 +4929,10 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::vector<OccurrenceSnapshot> ::const_iterator _iter197;
-    for (_iter197 = this->occurrences.begin(); _iter197 != this->occurrences.end(); ++_iter197)
+    std::vector<OccurrenceSnapshot> ::const_iterator _iter201;
+    for (_iter201 = this->occurrences.begin(); _iter201 != this->occurrences.end(); ++_iter201)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4835,42 +4958,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobSnapshot::JobSnapshot(const JobSnapshot& other198) {
-  job = other198.job;
-  status = other198.status;
-  started = other198.started;
-  endedAtMs = other198.endedAtMs;
-  occurrences = other198.occurrences;
-  reason = other198.reason;
-  __isset = other198.__isset;
-}
-JobSnapshot::JobSnapshot(JobSnapshot&& other199) noexcept {
-  job = std::move(other199.job);
-  status = other199.status;
-  started = other199.started;
-  endedAtMs = other199.endedAtMs;
-  occurrences = std::move(other199.occurrences);
-  reason = std::move(other199.reason);
-  __isset = other199.__isset;
-}
-JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other200) {
-  job = other200.job;
-  status = other200.status;
-  started = other200.started;
-  endedAtMs = other200.endedAtMs;
-  occurrences = other200.occurrences;
-  reason = other200.reason;
-  __isset = other200.__isset;
+JobSnapshot::JobSnapshot(const JobSnapshot& other202) {
+  job = other202.job;
+  status = other202.status;
+  started = other202.started;
+  endedAtMs = other202.endedAtMs;
+  occurrences = other202.occurrences;
+  reason = other202.reason;
+  __isset = other202.__isset;
+}
+JobSnapshot::JobSnapshot(JobSnapshot&& other203) noexcept {
+  job = std::move(other203.job);
+  status = other203.status;
+  started = other203.started;
+  endedAtMs = other203.endedAtMs;
+  occurrences = std::move(other203.occurrences);
+  reason = std::move(other203.reason);
+  __isset = other203.__isset;
+}
+JobSnapshot& JobSnapshot::operator=(const JobSnapshot& other204) {
+  job = other204.job;
+  status = other204.status;
+  started = other204.started;
+  endedAtMs = other204.endedAtMs;
+  occurrences = other204.occurrences;
+  reason = other204.reason;
+  __isset = other204.__isset;
   return *this;
 }
-JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other201) noexcept {
-  job = std::move(other201.job);
-  status = other201.status;
-  started = other201.started;
-  endedAtMs = other201.endedAtMs;
-  occurrences = std::move(other201.occurrences);
-  reason = std::move(other201.reason);
-  __isset = other201.__isset;
+JobSnapshot& JobSnapshot::operator=(JobSnapshot&& other205) noexcept {
+  job = std::move(other205.job);
+  status = other205.status;
+  started = other205.started;
+  endedAtMs = other205.endedAtMs;
+  occurrences = std::move(other205.occurrences);
+  reason = std::move(other205.reason);
+  __isset = other205.__isset;
   return *this;
 }
 void JobSnapshot::printTo(std::ostream& out) const {
@@ -4914,6 +5037,14 @@
 void StateSnapshot::__set_speeds(const std::vector<WorkerSpeed> & val) {
   this->speeds = val;
 }
+
+void StateSnapshot::__set_zoneRevision(const int64_t val) {
+  this->zoneRevision = val;
+}
+
+void StateSnapshot::__set_zoneRevisions(const std::vector<ZoneRevision> & val) {
+  this->zoneRevisions = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -4954,14 +5085,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->jobs.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->jobs.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->jobs[_i206].read(iprot);
+              xfer += this->jobs[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4974,14 +5105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->workers.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->workers.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += this->workers[_i211].read(iprot);
+              xfer += this->workers[_i215].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4994,14 +5125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->refused.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->refused.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->refused[_i216].read(iprot);
+              xfer += this->refused[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5014,14 +5145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuatedZones.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->evacuatedZones.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->evacuatedZones.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += this->evacuatedZones[_i221].read(iprot);
+              xfer += this->evacuatedZones[_i225].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5034,14 +5165,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->speeds.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->speeds.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += this->speeds[_i226].read(iprot);
+              xfer += this->speeds[_i230].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5050,6 +5181,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneRevision);
+          this->__isset.zoneRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zoneRevisions.clear();
+            uint32_t _size231;
+            ::apache::thrift::protocol::TType _etype234;
+            xfer += iprot->readListBegin(_etype234, _size231);
+            this->zoneRevisions.resize(_size231);
+            uint32_t _i235;
+            for (_i235 = 0; _i235 < _size231; ++_i235)
+            {
+              xfer += this->zoneRevisions[_i235].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zoneRevisions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5075,10 +5234,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter227;
-    for (_iter227 = this->jobs.begin(); _iter227 != this->jobs.end(); ++_iter227)
+    std::vector<JobSnapshot> ::const_iterator _iter236;
+    for (_iter236 = this->jobs.begin(); _iter236 != this->jobs.end(); ++_iter236)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter236).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5087,10 +5246,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerReport> ::const_iterator _iter228;
-    for (_iter228 = this->workers.begin(); _iter228 != this->workers.end(); ++_iter228)
+    std::vector<WorkerReport> ::const_iterator _iter237;
+    for (_iter237 = this->workers.begin(); _iter237 != this->workers.end(); ++_iter237)
     {
-      xfer += (*_iter228).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5099,10 +5258,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedJob> ::const_iterator _iter229;
-    for (_iter229 = this->refused.begin(); _iter229 != this->refused.end(); ++_iter229)
+    std::vector<RefusedJob> ::const_iterator _iter238;
+    for (_iter238 = this->refused.begin(); _iter238 != this->refused.end(); ++_iter238)
     {
-      xfer += (*_iter229).write(oprot);
+      xfer += (*_iter238).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5111,10 +5270,10 @@
   xfer += oprot->writeFieldBegin("evacuatedZones", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuatedZones.size()));
-    std::vector<EvacuatedZone> ::const_iterator _iter230;
-    for (_iter230 = this->evacuatedZones.begin(); _iter230 != this->evacuatedZones.end(); ++_iter230)
+    std::vector<EvacuatedZone> ::const_iterator _iter239;
+    for (_iter239 = this->evacuatedZones.begin(); _iter239 != this->evacuatedZones.end(); ++_iter239)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5123,10 +5282,26 @@
   xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-    std::vector<WorkerSpeed> ::const_iterator _iter231;
-    for (_iter231 = this->speeds.begin(); _iter231 != this->speeds.end(); ++_iter231)
+    std::vector<WorkerSpeed> ::const_iterator _iter240;
+    for (_iter240 = this->speeds.begin(); _iter240 != this->speeds.end(); ++_iter240)
+    {
+      xfer += (*_iter240).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zoneRevision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->zoneRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zoneRevisions", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zoneRevisions.size()));
+    std::vector<ZoneRevision> ::const_iterator _iter241;
+    for (_iter241 = this->zoneRevisions.begin(); _iter241 != this->zoneRevisions.end(); ++_iter241)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5145,45 +5320,55 @@
   swap(a.refused, b.refused);
   swap(a.evacuatedZones, b.evacuatedZones);
   swap(a.speeds, b.speeds);
+  swap(a.zoneRevision, b.zoneRevision);
+  swap(a.zoneRevisions, b.zoneRevisions);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other232) {
-  configuration = other232.configuration;
-  jobs = other232.jobs;
-  workers = other232.workers;
-  refused = other232.refused;
-  evacuatedZones = other232.evacuatedZones;
-  speeds = other232.speeds;
-  __isset = other232.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other233) noexcept {
-  configuration = std::move(other233.configuration);
-  jobs = std::move(other233.jobs);
-  workers = std::move(other233.workers);
-  refused = std::move(other233.refused);
-  evacuatedZones = std::move(other233.evacuatedZones);
-  speeds = std::move(other233.speeds);
-  __isset = other233.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other234) {
-  configuration = other234.configuration;
-  jobs = other234.jobs;
-  workers = other234.workers;
-  refused = other234.refused;
-  evacuatedZones = other234.evacuatedZones;
-  speeds = other234.speeds;
-  __isset = other234.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other242) {
+  configuration = other242.configuration;
+  jobs = other242.jobs;
+  workers = other242.workers;
+  refused = other242.refused;
+  evacuatedZones = other242.evacuatedZones;
+  speeds = other242.speeds;
+  zoneRevision = other242.zoneRevision;
+  zoneRevisions = other242.zoneRevisions;
+  __isset = other242.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other243) noexcept {
+  configuration = std::move(other243.configuration);
+  jobs = std::move(other243.jobs);
+  workers = std::move(other243.workers);
+  refused = std::move(other243.refused);
+  evacuatedZones = std::move(other243.evacuatedZones);
+  speeds = std::move(other243.speeds);
+  zoneRevision = other243.zoneRevision;
+  zoneRevisions = std::move(other243.zoneRevisions);
+  __isset = other243.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other244) {
+  configuration = other244.configuration;
+  jobs = other244.jobs;
+  workers = other244.workers;
+  refused = other244.refused;
+  evacuatedZones = other244.evacuatedZones;
+  speeds = other244.speeds;
+  zoneRevision = other244.zoneRevision;
+  zoneRevisions = other244.zoneRevisions;
+  __isset = other244.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other235) noexcept {
-  configuration = std::move(other235.configuration);
-  jobs = std::move(other235.jobs);
-  workers = std::move(other235.workers);
-  refused = std::move(other235.refused);
-  evacuatedZones = std::move(other235.evacuatedZones);
-  speeds = std::move(other235.speeds);
-  __isset = other235.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other245) noexcept {
+  configuration = std::move(other245.configuration);
+  jobs = std::move(other245.jobs);
+  workers = std::move(other245.workers);
+  refused = std::move(other245.refused);
+  evacuatedZones = std::move(other245.evacuatedZones);
+  speeds = std::move(other245.speeds);
+  zoneRevision = other245.zoneRevision;
+  zoneRevisions = std::move(other245.zoneRevisions);
+  __isset = other245.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -5195,6 +5380,8 @@
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "evacuatedZones=" << to_string(evacuatedZones);
   out << ", " << "speeds=" << to_string(speeds);
+  out << ", " << "zoneRevision=" << to_string(zoneRevision);
+  out << ", " << "zoneRevisions=" << to_string(zoneRevisions);
   out << ")";
 }
 
@@ -5237,6 +5424,11 @@
 void Request::__set_zone(const std::string& val) {
   this->zone = val;
 }
+
+void Request::__set_zoneRevision(const int64_t val) {
+  this->zoneRevision = val;
+__isset.zoneRevision = true;
+}
 std::ostream& operator<<(std::ostream& out, const Request& obj)
 {
   obj.printTo(out);
@@ -5329,6 +5521,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneRevision);
+          this->__isset.zoneRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5381,6 +5581,11 @@
   xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.zoneRevision) {
+    xfer += oprot->writeFieldBegin("zoneRevision", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->zoneRevision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5396,53 +5601,58 @@
   swap(a.worker, b.worker);
   swap(a.configuration, b.configuration);
   swap(a.zone, b.zone);
+  swap(a.zoneRevision, b.zoneRevision);
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other236) {
-  kind = other236.kind;
-  host = other236.host;
-  path = other236.path;
-  key = other236.key;
-  job = other236.job;
-  worker = other236.worker;
-  configuration = other236.configuration;
-  zone = other236.zone;
-  __isset = other236.__isset;
-}
-Request::Request(Request&& other237) noexcept {
-  kind = other237.kind;
-  host = std::move(other237.host);
-  path = std::move(other237.path);
-  key = std::move(other237.key);
-  job = std::move(other237.job);
-  worker = std::move(other237.worker);
-  configuration = std::move(other237.configuration);
-  zone = std::move(other237.zone);
-  __isset = other237.__isset;
-}
-Request& Request::operator=(const Request& other238) {
-  kind = other238.kind;
-  host = other238.host;
-  path = other238.path;
-  key = other238.key;
-  job = other238.job;
-  worker = other238.worker;
-  configuration = other238.configuration;
-  zone = other238.zone;
-  __isset = other238.__isset;
+Request::Request(const Request& other246) {
+  kind = other246.kind;
+  host = other246.host;
+  path = other246.path;
+  key = other246.key;
+  job = other246.job;
+  worker = other246.worker;
+  configuration = other246.configuration;
+  zone = other246.zone;
+  zoneRevision = other246.zoneRevision;
+  __isset = other246.__isset;
+}
+Request::Request(Request&& other247) noexcept {
+  kind = other247.kind;
+  host = std::move(other247.host);
+  path = std::move(other247.path);
+  key = std::move(other247.key);
+  job = std::move(other247.job);
+  worker = std::move(other247.worker);
+  configuration = std::move(other247.configuration);
+  zone = std::move(other247.zone);
+  zoneRevision = other247.zoneRevision;
+  __isset = other247.__isset;
+}
+Request& Request::operator=(const Request& other248) {
+  kind = other248.kind;
+  host = other248.host;
+  path = other248.path;
+  key = other248.key;
+  job = other248.job;
+  worker = other248.worker;
+  configuration = other248.configuration;
+  zone = other248.zone;
+  zoneRevision = other248.zoneRevision;
+  __isset = other248.__isset;
   return *this;
 }
-Request& Request::operator=(Request&& other239) noexcept {
-  kind = other239.kind;
-  host = std::move(other239.host);
-  path = std::move(other239.path);
-  key = std::move(other239.key);
-  job = std::move(other239.job);
-  worker = std::move(other239.worker);
-  configuration = std::move(other239.configuration);
-  zone = std::move(other239.zone);
-  __isset = other239.__isset;
+Request& Request::operator=(Request&& other249) noexcept {
+  kind = other249.kind;
+  host = std::move(other249.host);
+  path = std::move(other249.path);
+  key = std::move(other249.key);
+  job = std::move(other249.job);
+  worker = std::move(other249.worker);
+  configuration = std::move(other249.configuration);
+  zone = std::move(other249.zone);
+  zoneRevision = other249.zoneRevision;
+  __isset = other249.__isset;
   return *this;
 }
 void Request::printTo(std::ostream& out) const {
@@ -5456,6 +5666,7 @@
   out << ", " << "worker="; (__isset.worker ? (out << to_string(worker)) : (out << "<null>"));
   out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ", " << "zone=" << to_string(zone);
+  out << ", " << "zoneRevision="; (__isset.zoneRevision ? (out << to_string(zoneRevision)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5500,6 +5711,10 @@
   this->limits = val;
 __isset.limits = true;
 }
+
+void Reply::__set_zoneRevision(const int64_t val) {
+  this->zoneRevision = val;
+}
 std::ostream& operator<<(std::ostream& out, const Reply& obj)
 {
   obj.printTo(out);
@@ -5572,14 +5787,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size240;
-            ::apache::thrift::protocol::TType _etype243;
-            xfer += iprot->readListBegin(_etype243, _size240);
-            this->members.resize(_size240);
-            uint32_t _i244;
-            for (_i244 = 0; _i244 < _size240; ++_i244)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->members.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += iprot->readString(this->members[_i244]);
+              xfer += iprot->readString(this->members[_i254]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5612,6 +5827,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneRevision);
+          this->__isset.zoneRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5652,10 +5875,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter245;
-    for (_iter245 = this->members.begin(); _iter245 != this->members.end(); ++_iter245)
+    std::vector<std::string> ::const_iterator _iter255;
+    for (_iter255 = this->members.begin(); _iter255 != this->members.end(); ++_iter255)
     {
-      xfer += oprot->writeString((*_iter245));
+      xfer += oprot->writeString((*_iter255));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5674,6 +5897,10 @@
     xfer += this->limits.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("zoneRevision", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->zoneRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5690,57 +5917,62 @@
   swap(a.jobStatus, b.jobStatus);
   swap(a.version, b.version);
   swap(a.limits, b.limits);
+  swap(a.zoneRevision, b.zoneRevision);
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other246) {
-  outcome = other246.outcome;
-  retryAfterMs = other246.retryAfterMs;
-  leader = other246.leader;
-  text = other246.text;
-  count = other246.count;
-  members = other246.members;
-  jobStatus = other246.jobStatus;
-  version = other246.version;
-  limits = other246.limits;
-  __isset = other246.__isset;
-}
-Reply::Reply(Reply&& other247) noexcept {
-  outcome = other247.outcome;
-  retryAfterMs = other247.retryAfterMs;
-  leader = std::move(other247.leader);
-  text = std::move(other247.text);
-  count = other247.count;
-  members = std::move(other247.members);
-  jobStatus = other247.jobStatus;
-  version = other247.version;
-  limits = std::move(other247.limits);
-  __isset = other247.__isset;
-}
-Reply& Reply::operator=(const Reply& other248) {
-  outcome = other248.outcome;
-  retryAfterMs = other248.retryAfterMs;
-  leader = other248.leader;
-  text = other248.text;
-  count = other248.count;
-  members = other248.members;
-  jobStatus = other248.jobStatus;
-  version = other248.version;
-  limits = other248.limits;
-  __isset = other248.__isset;
+Reply::Reply(const Reply& other256) {
+  outcome = other256.outcome;
+  retryAfterMs = other256.retryAfterMs;
+  leader = other256.leader;
+  text = other256.text;
+  count = other256.count;
+  members = other256.members;
+  jobStatus = other256.jobStatus;
+  version = other256.version;
+  limits = other256.limits;
+  zoneRevision = other256.zoneRevision;
+  __isset = other256.__isset;
+}
+Reply::Reply(Reply&& other257) noexcept {
+  outcome = other257.outcome;
+  retryAfterMs = other257.retryAfterMs;
+  leader = std::move(other257.leader);
+  text = std::move(other257.text);
+  count = other257.count;
+  members = std::move(other257.members);
+  jobStatus = other257.jobStatus;
+  version = other257.version;
+  limits = std::move(other257.limits);
+  zoneRevision = other257.zoneRevision;
+  __isset = other257.__isset;
+}
+Reply& Reply::operator=(const Reply& other258) {
+  outcome = other258.outcome;
+  retryAfterMs = other258.retryAfterMs;
+  leader = other258.leader;
+  text = other258.text;
+  count = other258.count;
+  members = other258.members;
+  jobStatus = other258.jobStatus;
+  version = other258.version;
+  limits = other258.limits;
+  zoneRevision = other258.zoneRevision;
+  __isset = other258.__isset;
   return *this;
 }
-Reply& Reply::operator=(Reply&& other249) noexcept {
-  outcome = other249.outcome;
-  retryAfterMs = other249.retryAfterMs;
-  leader = std::move(other249.leader);
-  text = std::move(other249.text);
-  count = other249.count;
-  members = std::move(other249.members);
-  jobStatus = other249.jobStatus;
-  version = other249.version;
-  limits = std::move(other249.limits);
-  __isset = other249.__isset;
+Reply& Reply::operator=(Reply&& other259) noexcept {
+  outcome = other259.outcome;
+  retryAfterMs = other259.retryAfterMs;
+  leader = std::move(other259.leader);
+  text = std::move(other259.text);
+  count = other259.count;
+  members = std::move(other259.members);
+  jobStatus = other259.jobStatus;
+  version = other259.version;
+  limits = std::move(other259.limits);
+  zoneRevision = other259.zoneRevision;
+  __isset = other259.__isset;
   return *this;
 }
 void Reply::printTo(std::ostream& out) const {
@@ -5755,6 +5987,7 @@
   out << ", " << "jobStatus=" << to_string(jobStatus);
   out << ", " << "version=" << to_string(version);
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "zoneRevision=" << to_string(zoneRevision);
   out << ")";
 }
 
--- a/packages/fleet/gen-cpp/fleet_types.h
+++ b/packages/fleet/gen-cpp/fleet_types.h
@@ -55,6 +55,8 @@
 
 class EvacuatedZone;
 
+class ZoneRevision;
+
 class Command;
 
 class TaskSnapshot;
@@ -1358,6 +1360,58 @@
 
 std::ostream& operator<<(std::ostream& out, const EvacuatedZone& obj);
 
+typedef struct _ZoneRevision__isset {
+  _ZoneRevision__isset() : zone(false), revision(false) {}
+  bool zone :1;
+  bool revision :1;
+} _ZoneRevision__isset;
+
+class ZoneRevision : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneRevision(const ZoneRevision&);
+  ZoneRevision(ZoneRevision&&) noexcept;
+  ZoneRevision& operator=(const ZoneRevision&);
+  ZoneRevision& operator=(ZoneRevision&&) noexcept;
+  ZoneRevision() noexcept
+               : zone(),
+                 revision(0) {
+  }
+
+  virtual ~ZoneRevision() noexcept;
+  std::string zone;
+  int64_t revision;
+
+  _ZoneRevision__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const ZoneRevision & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneRevision &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneRevision & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneRevision &a, ZoneRevision &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneRevision& obj);
+
 typedef struct _Command__isset {
   _Command__isset() : configuration(false), jobs(false), cancelled(false), workers(false), gone(false), ends(false), starts(false), forgotten(false), atMs(false), refused(false), zoneOrders(false), speeds(false) {}
   bool configuration :1;
@@ -1760,13 +1814,15 @@
 std::ostream& operator<<(std::ostream& out, const JobSnapshot& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false), evacuatedZones(false), speeds(false) {}
+  _StateSnapshot__isset() : configuration(false), jobs(false), workers(false), refused(false), evacuatedZones(false), speeds(false), zoneRevision(false), zoneRevisions(false) {}
   bool configuration :1;
   bool jobs :1;
   bool workers :1;
   bool refused :1;
   bool evacuatedZones :1;
   bool speeds :1;
+  bool zoneRevision :1;
+  bool zoneRevisions :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -1776,7 +1832,8 @@
   StateSnapshot(StateSnapshot&&) noexcept;
   StateSnapshot& operator=(const StateSnapshot&);
   StateSnapshot& operator=(StateSnapshot&&) noexcept;
-  StateSnapshot() noexcept {
+  StateSnapshot() noexcept
+                : zoneRevision(0) {
   }
 
   virtual ~StateSnapshot() noexcept;
@@ -1786,6 +1843,8 @@
   std::vector<RefusedJob>  refused;
   std::vector<EvacuatedZone>  evacuatedZones;
   std::vector<WorkerSpeed>  speeds;
+  int64_t zoneRevision;
+  std::vector<ZoneRevision>  zoneRevisions;
 
   _StateSnapshot__isset __isset;
 
@@ -1801,6 +1860,10 @@
 
   void __set_speeds(const std::vector<WorkerSpeed> & val);
 
+  void __set_zoneRevision(const int64_t val);
+
+  void __set_zoneRevisions(const std::vector<ZoneRevision> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -1817,6 +1880,10 @@
       return false;
     if (!(speeds == rhs.speeds))
       return false;
+    if (!(zoneRevision == rhs.zoneRevision))
+      return false;
+    if (!(zoneRevisions == rhs.zoneRevisions))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
@@ -1836,7 +1903,7 @@
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj);
 
 typedef struct _Request__isset {
-  _Request__isset() : kind(false), host(false), path(false), key(false), job(false), worker(false), configuration(false), zone(false) {}
+  _Request__isset() : kind(false), host(false), path(false), key(false), job(false), worker(false), configuration(false), zone(false), zoneRevision(false) {}
   bool kind :1;
   bool host :1;
   bool path :1;
@@ -1845,6 +1912,7 @@
   bool worker :1;
   bool configuration :1;
   bool zone :1;
+  bool zoneRevision :1;
 } _Request__isset;
 
 class Request : public virtual ::apache::thrift::TBase {
@@ -1859,7 +1927,8 @@
             host(),
             path(),
             key(),
-            zone() {
+            zone(),
+            zoneRevision(0) {
   }
 
   virtual ~Request() noexcept;
@@ -1871,6 +1940,7 @@
   WorkerReport worker;
   Configuration configuration;
   std::string zone;
+  int64_t zoneRevision;
 
   _Request__isset __isset;
 
@@ -1890,6 +1960,8 @@
 
   void __set_zone(const std::string& val);
 
+  void __set_zoneRevision(const int64_t val);
+
   bool operator == (const Request & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1914,6 +1986,10 @@
       return false;
     if (!(zone == rhs.zone))
       return false;
+    if (__isset.zoneRevision != rhs.__isset.zoneRevision)
+      return false;
+    else if (__isset.zoneRevision && !(zoneRevision == rhs.zoneRevision))
+      return false;
     return true;
   }
   bool operator != (const Request &rhs) const {
@@ -1933,7 +2009,7 @@
 std::ostream& operator<<(std::ostream& out, const Request& obj);
 
 typedef struct _Reply__isset {
-  _Reply__isset() : outcome(false), retryAfterMs(false), leader(false), text(false), count(false), members(false), jobStatus(false), version(false), limits(false) {}
+  _Reply__isset() : outcome(false), retryAfterMs(false), leader(false), text(false), count(false), members(false), jobStatus(false), version(false), limits(false), zoneRevision(false) {}
   bool outcome :1;
   bool retryAfterMs :1;
   bool leader :1;
@@ -1943,6 +2019,7 @@
   bool jobStatus :1;
   bool version :1;
   bool limits :1;
+  bool zoneRevision :1;
 } _Reply__isset;
 
 class Reply : public virtual ::apache::thrift::TBase {
@@ -1959,7 +2036,8 @@
           text(),
           count(0),
           jobStatus(0),
-          version(0) {
+          version(0),
+          zoneRevision(0) {
   }
 
   virtual ~Reply() noexcept;
@@ -1972,6 +2050,7 @@
   int32_t jobStatus;
   int64_t version;
   Limits limits;
+  int64_t zoneRevision;
 
   _Reply__isset __isset;
 
@@ -1993,6 +2072,8 @@
 
   void __set_limits(const Limits& val);
 
+  void __set_zoneRevision(const int64_t val);
+
   bool operator == (const Reply & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -2015,6 +2096,8 @@
       return false;
     else if (__isset.limits && !(limits == rhs.limits))
       return false;
+    if (!(zoneRevision == rhs.zoneRevision))
+      return false;
     return true;
   }
   bool operator != (const Reply &rhs) const {
--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -59,7 +59,7 @@
 }
 
 std::string
-Node::Apply(uint64_t /*aIndex*/, std::string_view aCommand)
+Node::Apply(uint64_t aIndex, std::string_view aCommand)
 {
   auto command = Decode<gen::Command>(aCommand);
   if (!command) {
@@ -68,15 +68,25 @@
       LogEvent("command_unreadable").Add("error", command.Error().message()));
     return {};
   }
-  mState.Apply(command.Value());
+  mState.Apply(command.Value(), aIndex);
+  mZoneRevisions.Note(mNow, mState.ZoneRevision());
   return {};
 }
 
+bool
+Node::Restore(std::string_view aSnapshot)
+{
+  bool restored = mState.Restore(aSnapshot);
+  mZoneRevisions.Note(mNow, mState.ZoneRevision());
+  return restored;
+}
+
 void
 Node::OnReplication(const InstanceId& aFrom,
                     std::string_view aBytes,
                     Millis aNow)
 {
+  mNow = aNow;
   mGroup->Receive(aFrom, aBytes, aNow);
 }
 
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -16,6 +16,7 @@
 #include "base/latency_histogram.h"
 #include "base/log_event.h"
 #include "base/result.h"
+#include "base/revision_history.h"
 #include "fleet/dispatcher.h"
 #include "fleet/request.h"
 #include "fleet/state.h"
@@ -23,6 +24,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -119,6 +121,13 @@
   std::optional<InstanceId> Leader() const { return mGroup->Leader(); }
   replication::GroupStatus Status() const { return mGroup->Status(); }
   const FleetState& State() const { return mState; }
+  // What `State().ZoneRevision()` was at `aTime`, or a lower value: orders
+  // about zones up to this revision precede whatever arrived here after
+  // `aTime`.
+  uint64_t ZoneRevisionAt(Millis aTime) const
+  {
+    return mZoneRevisions.At(aTime);
+  }
   const NodeCounters& Counters() const { return mCounters; }
   // The dispatcher of the term in which this replica led, also after it lost
   // its leader lease; null if there is none.
@@ -138,10 +147,7 @@
   // replication::StateMachine
   std::string Apply(uint64_t aIndex, std::string_view aCommand) override;
   std::string TakeSnapshot() const override { return mState.TakeSnapshot(); }
-  bool Restore(std::string_view aSnapshot) override
-  {
-    return mState.Restore(aSnapshot);
-  }
+  bool Restore(std::string_view aSnapshot) override;
 
   void OnSubmit(const gen::Request& aRequest, ReplyCallback aDone);
   void OnRead(const gen::Request& aRequest, const ReplyCallback& aDone);
@@ -149,6 +155,9 @@
   void OnPutConfiguration(const gen::Request& aRequest, ReplyCallback aDone);
   void OnGetConfiguration(const ReplyCallback& aDone);
   void OnZoneOrder(const gen::Request& aRequest, ReplyCallback aDone);
+  // Proposes the first of the zone's orders, and refuses those before it that
+  // may be outdated.
+  void ProposeNextZoneOrder(const ZoneId& aZone);
   bool IsKnownZone(const ZoneId& aZone) const;
 
   // The queue, workspace and job that a request refers to, or the outcome of
@@ -230,6 +239,17 @@
   std::deque<std::pair<Millis, JobId>> mEndedJobs;
   // Jobs in batches whose outcome is not known yet.
   std::set<std::string> mSubmitting;
+  struct ZoneOrder
+  {
+    gen::Request request;
+    ReplyCallback done;
+  };
+  // Orders by zone in the order of their arrival. The first of each zone is
+  // proposed and its outcome is not known yet; the others wait, so that each is
+  // checked against the outcome of the one before it.
+  std::map<ZoneId, std::deque<ZoneOrder>> mZoneOrders;
+  // Values of `State().ZoneRevision()`.
+  RevisionHistory mZoneRevisions;
   bool mMembershipInFlight = false;
   Millis mNextMaintenance;
   // Time of the latest proposal; empty if the latest tick made none.
--- a/packages/fleet/node_requests.cc
+++ b/packages/fleet/node_requests.cc
@@ -409,14 +409,53 @@
     Answer(aDone, RequestOutcome::kUnknownZone);
     return;
   }
-  // Proposed even if the zone is in the requested state: an opposite order may
-  // be proposed and not committed yet.
-  gen::ZoneOrder order;
-  order.zone = aRequest.zone;
-  order.evacuate =
-    static_cast<RequestKind>(aRequest.kind) == RequestKind::kEvacuateZone;
-  mBatch.command.zoneOrders.push_back(std::move(order));
-  AnswerAfterCommit(std::move(aDone));
+  ZoneId zone(aRequest.zone);
+  auto& orders = mZoneOrders[zone];
+  orders.push_back({ aRequest, std::move(aDone) });
+  if (orders.size() == 1) {
+    ProposeNextZoneOrder(zone);
+  }
+}
+
+void
+Node::ProposeNextZoneOrder(const ZoneId& aZone)
+{
+  auto& orders = mZoneOrders[aZone];
+  uint64_t latest = mState.ZoneRevisionOf(aZone);
+  while (!orders.empty()) {
+    const gen::Request& request = orders.front().request;
+    if (!mLeading) {
+      Answer(orders.front().done, RequestOutcome::kNotLeader);
+    } else if (request.__isset.zoneRevision &&
+               static_cast<uint64_t>(request.zoneRevision) < latest) {
+      mEnvironment.Log(
+        LogEvent("zone_order_may_be_outdated")
+          .Add("order", RequestKindName(static_cast<RequestKind>(request.kind)))
+          .Add("zone", aZone)
+          .Add("known_revision", request.zoneRevision)
+          .Add("zone_revision", latest));
+      gen::Reply reply = MakeReply(RequestOutcome::kMayBeOutdated);
+      reply.zoneRevision = static_cast<int64_t>(mState.ZoneRevision());
+      Answer(orders.front().done, std::move(reply));
+    } else {
+      // Proposed even if the zone is in the requested state, so that an earlier
+      // order that arrives late is refused.
+      gen::ZoneOrder order;
+      order.zone = request.zone;
+      order.evacuate =
+        static_cast<RequestKind>(request.kind) == RequestKind::kEvacuateZone;
+      mBatch.command.zoneOrders.push_back(std::move(order));
+      AnswerAfterCommit([this, aZone](gen::Reply aReply) {
+        ZoneOrder ended = std::move(mZoneOrders[aZone].front());
+        mZoneOrders[aZone].pop_front();
+        ProposeNextZoneOrder(aZone);
+        ended.done(std::move(aReply));
+      });
+      return;
+    }
+    orders.pop_front();
+  }
+  mZoneOrders.erase(aZone);
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -676,6 +676,89 @@
   EXPECT_TRUE(mNode->State().IsEvacuated(ZoneId("z1")));
 }
 
+// Guards against an order that waited unread at a replica and undoes a later
+// one: it is based on what the replica knew when the order may have arrived.
+TEST_F(NodeTest, ZoneOrderOlderThanTheLatestIsRefused)
+{
+  Open();
+  ASSERT_EQ(OutcomeOf(ReportRequest(mNow)), RequestOutcome::kOk);
+  auto order = [&](RequestKind aKind, Millis aArrivedAfter) {
+    gen::Request request = ZoneRequest(aKind, "z1");
+    request.__set_zoneRevision(
+      static_cast<int64_t>(mNode->ZoneRevisionAt(aArrivedAfter)));
+    return *Ask(request);
+  };
+  auto outcomeOf = [](const gen::Reply& aReply) {
+    return static_cast<RequestOutcome>(aReply.outcome);
+  };
+  for (RequestKind later :
+       { RequestKind::kEvacuateZone, RequestKind::kRestoreZone }) {
+    RequestKind earlier = later == RequestKind::kEvacuateZone
+                            ? RequestKind::kRestoreZone
+                            : RequestKind::kEvacuateZone;
+    Millis arrivedAfter = mNow;
+    Advance();
+    // Twice, since the second changes nothing and has to count as well.
+    ASSERT_EQ(outcomeOf(order(later, mNow)), RequestOutcome::kOk);
+    Millis between = mNow;
+    Advance();
+    ASSERT_EQ(outcomeOf(order(later, mNow)), RequestOutcome::kOk);
+    bool evacuated = mNode->State().IsEvacuated(ZoneId("z1"));
+    for (Millis it : { arrivedAfter, between }) {
+      gen::Reply reply = order(earlier, it);
+      EXPECT_EQ(outcomeOf(reply), RequestOutcome::kMayBeOutdated);
+      EXPECT_EQ(mNode->State().IsEvacuated(ZoneId("z1")), evacuated);
+      EXPECT_EQ(static_cast<uint64_t>(reply.zoneRevision),
+                mNode->State().ZoneRevision());
+    }
+    Advance();
+  }
+  // The replica does not know after a restart what it knew before.
+  mNode.reset();
+  Open();
+  gen::Request request = ZoneRequest(RequestKind::kEvacuateZone, "z1");
+  request.__set_zoneRevision(0);
+  EXPECT_EQ(OutcomeOf(request), RequestOutcome::kMayBeOutdated);
+}
+
+// Guards against a wait at one zone's orders that delays or refuses another's.
+TEST_F(NodeTest, ZonesAreOrderedIndependently)
+{
+  mZones = { ZoneId("z1"), ZoneId("z2") };
+  Open();
+  gen::Request first = ZoneRequest(RequestKind::kEvacuateZone, "z1");
+  gen::Request second = ZoneRequest(RequestKind::kEvacuateZone, "z2");
+  first.__set_zoneRevision(0);
+  second.__set_zoneRevision(0);
+  EXPECT_EQ(OutcomeOf(first), RequestOutcome::kOk);
+  EXPECT_EQ(OutcomeOf(second), RequestOutcome::kOk);
+  EXPECT_EQ(OutcomeOf(first), RequestOutcome::kMayBeOutdated);
+}
+
+// Guards against two orders that arrive together and are both executed although
+// only one of them can be the later one.
+TEST_F(NodeTest, ZoneOrderIsCheckedAgainstOneInProgress)
+{
+  mZones = { ZoneId("z1") };
+  Open();
+  std::vector<RequestOutcome> outcomes;
+  for (RequestKind it :
+       { RequestKind::kEvacuateZone, RequestKind::kRestoreZone }) {
+    gen::Request request = ZoneRequest(it, "z1");
+    request.__set_zoneRevision(0);
+    mNode->Handle(request, mNow, [&](const gen::Reply& aReply) {
+      outcomes.push_back(static_cast<RequestOutcome>(aReply.outcome));
+    });
+  }
+  for (int n = 0; n < 20; ++n) {
+    Advance();
+  }
+  EXPECT_EQ(outcomes,
+            (std::vector<RequestOutcome>{ RequestOutcome::kMayBeOutdated,
+                                          RequestOutcome::kOk }));
+  EXPECT_TRUE(mNode->State().IsEvacuated(ZoneId("z1")));
+}
+
 // Guards against a misspelled zone that is acknowledged although nothing is
 // evacuated.
 TEST_F(NodeTest, OrderForAnUnknownZoneIsRefused)
--- a/packages/fleet/request.cc
+++ b/packages/fleet/request.cc
@@ -53,9 +53,11 @@
     case RequestOutcome::kMayHaveRun:
       return "may_have_run";
     case RequestOutcome::kUnknownZone:
+      return "unknown_zone";
+    case RequestOutcome::kMayBeOutdated:
       break;
   }
-  return "unknown_zone";
+  return "may_be_outdated";
 }
 
 } // namespace limpetwood::fleet
--- a/packages/fleet/request.h
+++ b/packages/fleet/request.h
@@ -49,9 +49,12 @@
   kMayHaveRun,
   // The request names a zone that the deployment does not have.
   kUnknownZone,
+  // The request was not executed because a later one of its kind may have been
+  // executed before it arrived.
+  kMayBeOutdated,
 };
 
-inline constexpr int kRequestOutcomeCount = 10;
+inline constexpr int kRequestOutcomeCount = 11;
 
 std::string_view
 RequestKindName(RequestKind aKind);
--- a/packages/fleet/state.cc
+++ b/packages/fleet/state.cc
@@ -47,14 +47,14 @@
 }
 
 void
-FleetState::Apply(const gen::Command& aCommand)
+FleetState::Apply(const gen::Command& aCommand, uint64_t aIndex)
 {
   Millis at(aCommand.atMs);
   if (aCommand.__isset.configuration) {
     ApplyConfiguration(aCommand.configuration);
   }
   for (const gen::ZoneOrder& it : aCommand.zoneOrders) {
-    ApplyZoneOrder(it, at);
+    ApplyZoneOrder(it, aIndex, at);
   }
   for (const gen::WorkerReport& it : aCommand.workers) {
     ApplyWorker(it);
@@ -204,10 +204,21 @@
   return it != mRefusedJobs.end() && it->first == aJob;
 }
 
+uint64_t
+FleetState::ZoneRevisionOf(const ZoneId& aZone) const
+{
+  auto it = mZoneRevisions.find(aZone);
+  return it == mZoneRevisions.end() ? 0 : it->second;
+}
+
 void
-FleetState::ApplyZoneOrder(const gen::ZoneOrder& aOrder, Millis aAt)
+FleetState::ApplyZoneOrder(const gen::ZoneOrder& aOrder,
+                           uint64_t aIndex,
+                           Millis aAt)
 {
   ZoneId zone(aOrder.zone);
+  mZoneRevision = aIndex;
+  mZoneRevisions[zone] = aIndex;
   bool changed = aOrder.evacuate ? mEvacuatedZones.emplace(zone, aAt).second
                                  : mEvacuatedZones.erase(zone) > 0;
   if (changed) {
--- a/packages/fleet/state.h
+++ b/packages/fleet/state.h
@@ -174,7 +174,8 @@
 class FleetState
 {
 public:
-  void Apply(const gen::Command& aCommand);
+  // `aIndex` is the log index of the command.
+  void Apply(const gen::Command& aCommand, uint64_t aIndex = 0);
 
   std::string TakeSnapshot() const;
   // Returns false and leaves the state unchanged if the bytes are not a valid
@@ -222,6 +223,11 @@
     return mEvacuatedZones.contains(aZone);
   }
 
+  // Log index of the latest order about any zone; 0 if there was none.
+  uint64_t ZoneRevision() const { return mZoneRevision; }
+  // Log index of the latest order about the zone; 0 if there was none.
+  uint64_t ZoneRevisionOf(const ZoneId& aZone) const;
+
   const Task* FindTask(const TaskRef& aTask) const;
   // Whether `aRun` is the active run of its task, on `aWorker`.
   bool IsActive(const RunRef& aRun, const WorkerId& aWorker) const;
@@ -235,7 +241,9 @@
   void ApplyJob(const gen::SubmitJob& aJob);
   void ApplyCancel(const JobId& aId, Millis aAt);
   void ApplyRefusal(const gen::RefusedJob& aJob, Millis aAt);
-  void ApplyZoneOrder(const gen::ZoneOrder& aOrder, Millis aAt);
+  void ApplyZoneOrder(const gen::ZoneOrder& aOrder,
+                      uint64_t aIndex,
+                      Millis aAt);
   void ApplyWorker(const gen::WorkerReport& aReport);
   void ApplyRemoval(const gen::WorkerGone& aGone, Millis aAt);
   void ApplyStart(const gen::RunStart& aStart);
@@ -288,6 +296,9 @@
   // Not part of the configuration, which every operator's document replaces as
   // a whole.
   std::map<ZoneId, Millis> mEvacuatedZones;
+  // The maximum of `mZoneRevisions`.
+  uint64_t mZoneRevision = 0;
+  std::map<ZoneId, uint64_t> mZoneRevisions;
   std::map<WorkerId, Worker> mWorkers;
   std::vector<Change> mChanges;
 };
--- a/packages/fleet/state_snapshot.cc
+++ b/packages/fleet/state_snapshot.cc
@@ -129,6 +129,12 @@
     evacuated.zone = zone.Value();
     evacuated.sinceMs = since.Count();
   }
+  out.zoneRevision = static_cast<int64_t>(aState.mZoneRevision);
+  for (const auto& [zone, revision] : aState.mZoneRevisions) {
+    gen::ZoneRevision& written = out.zoneRevisions.emplace_back();
+    written.zone = zone.Value();
+    written.revision = static_cast<int64_t>(revision);
+  }
   for (const auto& [id, worker] : aState.mWorkers) {
     out.workers.push_back(ToWire(worker.report));
     if (worker.speed) {
@@ -159,6 +165,10 @@
   for (const gen::EvacuatedZone& it : aSnapshot.evacuatedZones) {
     aState.mEvacuatedZones[ZoneId(it.zone)] = Millis(it.sinceMs);
   }
+  aState.mZoneRevision = static_cast<uint64_t>(aSnapshot.zoneRevision);
+  for (const gen::ZoneRevision& it : aSnapshot.zoneRevisions) {
+    aState.mZoneRevisions[ZoneId(it.zone)] = static_cast<uint64_t>(it.revision);
+  }
   for (const gen::JobSnapshot& it : aSnapshot.jobs) {
     Job& job = aState.mJobs[JobId(it.job.id)];
     job.status = static_cast<JobStatus>(it.status);
--- a/packages/fleetd/control_process.cc
+++ b/packages/fleetd/control_process.cc
@@ -24,6 +24,10 @@
 constexpr Millis kDiskCheckInterval(200);
 constexpr Millis kReopenDelay(500);
 
+// Callers send an order to another instance after a second without an answer,
+// which includes the time on the network.
+constexpr Millis kCallerPatience(900);
+
 // Election timeouts short enough for a new leader to be elected well before
 // callers retry their requests.
 constexpr replication::Timing kReplicationTiming{ .heartbeat = Millis(150),
@@ -32,6 +36,14 @@
                                                   .electionMin = Millis(700),
                                                   .electionMax = Millis(1300) };
 
+// Whether the caller certainly has not sent its request elsewhere.
+bool
+StillWaits(const Caller& aCaller)
+{
+  return MonotonicNow() - aCaller.arrivedAfter < kCallerPatience &&
+         !aCaller.hasLeft();
+}
+
 std::vector<InstanceId>
 ToInstanceIds(const std::vector<std::string>& aAddresses)
 {
@@ -369,6 +381,43 @@
   mRelay.Call(aRequest, aDeadline, std::move(aDone));
 }
 
+void
+ControlProcess::HandleZoneOrder(const gen::Request& aRequest,
+                                Caller aCaller,
+                                Millis aDeadline,
+                                RelayCallback aDone)
+{
+  gen::Request request = aRequest;
+  uint64_t known = mNode ? mNode->ZoneRevisionAt(aCaller.arrivedAfter) : 0;
+  request.__set_zoneRevision(static_cast<int64_t>(known));
+  SendZoneOrder(request, std::move(aCaller), aDeadline, std::move(aDone));
+}
+
+void
+ControlProcess::SendZoneOrder(const gen::Request& aRequest,
+                              Caller aCaller,
+                              Millis aDeadline,
+                              RelayCallback aDone)
+{
+  Handle(aRequest,
+         aDeadline,
+         [this, aRequest, aCaller, aDeadline, done = std::move(aDone)](
+           RelayResult aResult) {
+           bool refused =
+             static_cast<fleet::RequestOutcome>(aResult.reply.outcome) ==
+             fleet::RequestOutcome::kMayBeOutdated;
+           if (!refused || !StillWaits(aCaller)) {
+             done(std::move(aResult));
+             return;
+           }
+           // The caller still waits, so it has given no later order, and those
+           // that the leader knows of precede this one.
+           gen::Request again = aRequest;
+           again.__set_zoneRevision(aResult.reply.zoneRevision);
+           SendZoneOrder(again, aCaller, aDeadline, done);
+         });
+}
+
 void
 ControlProcess::SendReplication(const InstanceId& aTo, std::string aBytes)
 {
--- a/packages/fleetd/control_process.h
+++ b/packages/fleetd/control_process.h
@@ -43,6 +43,15 @@
 RelayOptions
 RelayOptionsFor(const Settings& aSettings);
 
+// What a process knows of the caller of a request.
+struct Caller
+{
+  // The time of `MonotonicNow()` after which the request arrived.
+  Millis arrivedAfter{};
+  // Whether the caller has closed its connection.
+  std::function<bool()> hasLeft = [] { return false; };
+};
+
 class ControlProcess : private fleet::NodeEnvironment
 {
 public:
@@ -72,6 +81,19 @@
               Millis aDeadline,
               RelayCallback aDone);
 
+  // Like `Handle`, for an operator's order about a zone.
+  //
+  // An order says neither when it was given nor which one preceded it, and it
+  // may have waited in the socket of this process, in a relay or in a queue
+  // while its caller sent it elsewhere and then gave the opposite order. It is
+  // therefore executed only if the zone has had no other order since a time at
+  // which the caller still waited for the answer. Otherwise the outcome is
+  // `kMayBeOutdated`, and a caller that still waits sends the order again.
+  void HandleZoneOrder(const fleet::gen::Request& aRequest,
+                       Caller aCaller,
+                       Millis aDeadline,
+                       RelayCallback aDone);
+
   // Replaces the seeds, for example after the settings were reloaded.
   void SetSeeds(const std::vector<std::string>& aSeeds);
 
@@ -92,6 +114,12 @@
   void SendOrder(fleet::Order aOrder) override;
   void Log(const LogEvent& aEvent) override { mLog(aEvent); }
 
+  // Sends an order about a zone, and again if the leader refuses it as possibly
+  // outdated while its caller still waits.
+  void SendZoneOrder(const fleet::gen::Request& aRequest,
+                     Caller aCaller,
+                     Millis aDeadline,
+                     RelayCallback aDone);
   // Logs that the event loop is overloaded, and what took its time since the
   // last such report.
   void ReportLateLoop(Millis aDelay);
--- a/packages/fleetd/control_process_test.cc
+++ b/packages/fleetd/control_process_test.cc
@@ -18,6 +18,8 @@
 using fleet::RequestKind;
 using fleet::RequestOutcome;
 
+constexpr const char* kZone = "z1";
+
 class ControlProcessTest : public testing::Test
 {
 protected:
@@ -70,6 +72,7 @@
     report.incarnation = Incarnation(1);
     report.address = "127.0.0.1:1";
     report.sequence = 1;
+    report.zone = ZoneId(kZone);
     gen::Request request;
     request.kind = static_cast<int32_t>(RequestKind::kReport);
     request.__set_worker(ToWire(report));
@@ -89,6 +92,29 @@
     return outcome;
   }
 
+  // Gives an order that `aProcess` reads now.
+  RequestOutcome OrderZone(ControlProcess& aProcess,
+                           RequestKind aKind,
+                           const Caller& aCaller)
+  {
+    gen::Request request;
+    request.kind = static_cast<int32_t>(aKind);
+    request.zone = kZone;
+    std::optional<RequestOutcome> outcome;
+    aProcess.HandleZoneOrder(request,
+                             aCaller,
+                             MonotonicNow() + Seconds(2),
+                             [&](const RelayResult& aResult) {
+                               outcome = static_cast<RequestOutcome>(
+                                 aResult.reply.outcome);
+                             });
+    for (int n = 0; n < 250 && !outcome; ++n) {
+      Run(Millis(10));
+    }
+    EXPECT_TRUE(outcome);
+    return outcome.value_or(RequestOutcome::kUnavailable);
+  }
+
   bool WaitForLeader(const ControlProcess& aProcess)
   {
     for (int n = 0; n < 100; ++n) {
@@ -244,5 +270,60 @@
   }
 }
 
+// Guards against an order that is sent again on behalf of a caller that has
+// closed its connection and may have given the opposite order since.
+TEST_F(ControlProcessTest, ZoneOrderOfACallerThatLeftIsNotRetried)
+{
+  ControlProcess process(
+    mContext,
+    mSettings,
+    [](const fleet::Order&, const OrderCallback&) {},
+    [](const LogEvent&) {});
+  ASSERT_FALSE(process.Start());
+  ASSERT_TRUE(WaitForLeader(process));
+  ASSERT_EQ(Ask(process), RequestOutcome::kOk);
+  Millis before = MonotonicNow();
+  Run(Millis(20));
+  ASSERT_EQ(OrderZone(process, RequestKind::kEvacuateZone, { MonotonicNow() }),
+            RequestOutcome::kOk);
+  Caller caller{ .arrivedAfter = before, .hasLeft = [] { return true; } };
+  EXPECT_EQ(OrderZone(process, RequestKind::kRestoreZone, caller),
+            RequestOutcome::kMayBeOutdated);
+  caller.hasLeft = [] { return false; };
+  EXPECT_EQ(OrderZone(process, RequestKind::kRestoreZone, caller),
+            RequestOutcome::kOk);
+}
+
+// Guards against an order about a zone that waited unread in one process, the
+// leader or another one, and undoes the opposite order, which its caller gave
+// to another process meanwhile. A caller that still waits must not be refused.
+TEST_F(ControlProcessTest, ZoneOrderThatWaitedDoesNotUndoALaterOne)
+{
+  Group group = StartGroup();
+  ASSERT_EQ(Ask(*group[0]), RequestOutcome::kOk);
+  RequestKind later = RequestKind::kEvacuateZone;
+  RequestKind earlier = RequestKind::kRestoreZone;
+  for (size_t n = 0; n < 2 * group.size(); ++n) {
+    ControlProcess& paused = *group[n % group.size()];
+    ControlProcess& other = *group[(n + 1) % group.size()];
+    Millis pausedAt = MonotonicNow();
+    Run(Millis(20));
+    // An order that has just arrived is executed even if it undoes the latest
+    // one, and even by a process that does not know of that one yet.
+    ASSERT_EQ(OrderZone(other, later, { MonotonicNow() }), RequestOutcome::kOk);
+    ASSERT_EQ(OrderZone(paused, earlier, { MonotonicNow() }),
+              RequestOutcome::kOk);
+    ASSERT_EQ(OrderZone(other, later, { MonotonicNow() }), RequestOutcome::kOk);
+    Run(Millis(1000));
+    EXPECT_EQ(OrderZone(paused, earlier, { pausedAt }),
+              RequestOutcome::kMayBeOutdated);
+    ControlProcess* leader = FindLeader(group);
+    ASSERT_NE(leader, nullptr);
+    EXPECT_EQ(leader->Node()->State().IsEvacuated(ZoneId(kZone)),
+              later == RequestKind::kEvacuateZone);
+    std::swap(earlier, later);
+  }
+}
+
 } // namespace
 } // namespace limpetwood::fleetd
