Apply the rule for zone orders to the product's own interface

Found by reading, not seen: an idempotency key only tells copies apart.

Cause: as for the platform's orders, nothing orders them in time.

Change: the instance proposes the order with the log index of the latest zone order that it knew before the order had arrived; heartbeats of the control leader carry it. The control state refuses the order as `order_may_be_outdated` if the zone has had a later one, and the instance proposes it again with the returned index while the caller certainly waits.

Replicas of an earlier version ignore the index and would execute an order that newer ones refuse: no zone orders during such an upgrade.

--- a/packages/control/control.thrift
+++ b/packages/control/control.thrift
@@ -77,6 +77,8 @@
   // Idempotency key; empty if there is none.
   3: string key
   4: i64 orderedAtMs
+  // The order is refused if the zone has had another one after this log index.
+  5: optional i64 knownIndex
 }
 
 union Command {
@@ -103,6 +105,8 @@
   6: list<string> changes
   // True if the result is that of an earlier command with the same key.
   7: bool repeated
+  // Zone orders: log index of the latest order about any zone.
+  8: i64 zoneOrderIndex
 }
 
 struct JobOrder {
@@ -139,6 +143,8 @@
   // Log index of the last change.
   1: i64 index
   2: list<string> zones
+  // Log index of the last order about a zone, which may have changed nothing.
+  3: i64 zoneOrderIndex
 }
 
 struct HeartbeatReply {
@@ -153,7 +159,7 @@
   6: bool moreOrders
   // The orders follow this index; set only with orders for an authority.
   7: optional i64 afterIndex
-  // Not set if no zone has ever been evacuated.
+  // Not set if there has been no order about a zone.
   8: optional EvacuatedZones evacuated
   // True if the leader may not have applied all commands of its predecessors
   // yet, so that evacuated may be out of date. Set only if true.
@@ -309,4 +315,6 @@
   7: list<ZoneEvacuation> evacuatedZones
   // Log index of the last change of evacuatedZones; 0 before the first one.
   8: i64 evacuationIndex
+  // Log index of the last order about each zone.
+  9: map<string, i64> zoneOrderIndexes
 }
--- a/packages/control/control_group.cc
+++ b/packages/control/control_group.cc
@@ -235,9 +235,10 @@
   reply.sentAtMs = aSentAtMs;
   reply.term = static_cast<int64_t>(mGroup->Term());
   reply.version = static_cast<int64_t>(mState.Version().Value());
-  if (mState.EvacuationIndex() > 0) {
+  if (mState.ZoneOrderIndex() > 0) {
     gen::EvacuatedZones evacuated;
     evacuated.index = static_cast<int64_t>(mState.EvacuationIndex());
+    evacuated.zoneOrderIndex = static_cast<int64_t>(mState.ZoneOrderIndex());
     for (const auto& [zone, evacuation] : mState.EvacuatedZones()) {
       evacuated.zones.push_back(zone.Value());
     }
--- a/packages/control/gen-cpp/control_types.cpp
+++ b/packages/control/gen-cpp/control_types.cpp
@@ -1345,6 +1345,11 @@
 void ZoneOrder::__set_orderedAtMs(const int64_t val) {
   this->orderedAtMs = val;
 }
+
+void ZoneOrder::__set_knownIndex(const int64_t val) {
+  this->knownIndex = val;
+__isset.knownIndex = true;
+}
 std::ostream& operator<<(std::ostream& out, const ZoneOrder& obj)
 {
   obj.printTo(out);
@@ -1405,6 +1410,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knownIndex);
+          this->__isset.knownIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1438,6 +1451,11 @@
   xfer += oprot->writeI64(this->orderedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.knownIndex) {
+    xfer += oprot->writeFieldBegin("knownIndex", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->knownIndex);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1449,6 +1467,7 @@
   swap(a.by, b.by);
   swap(a.key, b.key);
   swap(a.orderedAtMs, b.orderedAtMs);
+  swap(a.knownIndex, b.knownIndex);
   swap(a.__isset, b.__isset);
 }
 
@@ -1457,6 +1476,7 @@
   by = other36.by;
   key = other36.key;
   orderedAtMs = other36.orderedAtMs;
+  knownIndex = other36.knownIndex;
   __isset = other36.__isset;
 }
 ZoneOrder& ZoneOrder::operator=(const ZoneOrder& other37) {
@@ -1464,6 +1484,7 @@
   by = other37.by;
   key = other37.key;
   orderedAtMs = other37.orderedAtMs;
+  knownIndex = other37.knownIndex;
   __isset = other37.__isset;
   return *this;
 }
@@ -1474,6 +1495,7 @@
   out << ", " << "by=" << to_string(by);
   out << ", " << "key=" << to_string(key);
   out << ", " << "orderedAtMs=" << to_string(orderedAtMs);
+  out << ", " << "knownIndex="; (__isset.knownIndex ? (out << to_string(knownIndex)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1777,6 +1799,10 @@
 void CommandResult::__set_repeated(const bool val) {
   this->repeated = val;
 }
+
+void CommandResult::__set_zoneOrderIndex(const int64_t val) {
+  this->zoneOrderIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
 {
   obj.printTo(out);
@@ -1873,6 +1899,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneOrderIndex);
+          this->__isset.zoneOrderIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1926,6 +1960,10 @@
   xfer += oprot->writeBool(this->repeated);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zoneOrderIndex", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->zoneOrderIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1940,6 +1978,7 @@
   swap(a.job, b.job);
   swap(a.changes, b.changes);
   swap(a.repeated, b.repeated);
+  swap(a.zoneOrderIndex, b.zoneOrderIndex);
   swap(a.__isset, b.__isset);
 }
 
@@ -1951,6 +1990,7 @@
   job = other52.job;
   changes = other52.changes;
   repeated = other52.repeated;
+  zoneOrderIndex = other52.zoneOrderIndex;
   __isset = other52.__isset;
 }
 CommandResult& CommandResult::operator=(const CommandResult& other53) {
@@ -1961,6 +2001,7 @@
   job = other53.job;
   changes = other53.changes;
   repeated = other53.repeated;
+  zoneOrderIndex = other53.zoneOrderIndex;
   __isset = other53.__isset;
   return *this;
 }
@@ -1974,6 +2015,7 @@
   out << ", " << "job=" << to_string(job);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "repeated=" << to_string(repeated);
+  out << ", " << "zoneOrderIndex=" << to_string(zoneOrderIndex);
   out << ")";
 }
 
@@ -2517,6 +2559,10 @@
 void EvacuatedZones::__set_zones(const std::vector<std::string> & val) {
   this->zones = val;
 }
+
+void EvacuatedZones::__set_zoneOrderIndex(const int64_t val) {
+  this->zoneOrderIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj)
 {
   obj.printTo(out);
@@ -2573,6 +2619,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneOrderIndex);
+          this->__isset.zoneOrderIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2606,6 +2660,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zoneOrderIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->zoneOrderIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2615,17 +2673,20 @@
   using ::std::swap;
   swap(a.index, b.index);
   swap(a.zones, b.zones);
+  swap(a.zoneOrderIndex, b.zoneOrderIndex);
   swap(a.__isset, b.__isset);
 }
 
 EvacuatedZones::EvacuatedZones(const EvacuatedZones& other64) {
   index = other64.index;
   zones = other64.zones;
+  zoneOrderIndex = other64.zoneOrderIndex;
   __isset = other64.__isset;
 }
 EvacuatedZones& EvacuatedZones::operator=(const EvacuatedZones& other65) {
   index = other65.index;
   zones = other65.zones;
+  zoneOrderIndex = other65.zoneOrderIndex;
   __isset = other65.__isset;
   return *this;
 }
@@ -2634,6 +2695,7 @@
   out << "EvacuatedZones(";
   out << "index=" << to_string(index);
   out << ", " << "zones=" << to_string(zones);
+  out << ", " << "zoneOrderIndex=" << to_string(zoneOrderIndex);
   out << ")";
 }
 
@@ -5717,6 +5779,10 @@
 void StateSnapshot::__set_evacuationIndex(const int64_t val) {
   this->evacuationIndex = val;
 }
+
+void StateSnapshot::__set_zoneOrderIndexes(const std::map<std::string, int64_t> & val) {
+  this->zoneOrderIndexes = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -5872,6 +5938,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->zoneOrderIndexes.clear();
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _ktype140;
+            ::apache::thrift::protocol::TType _vtype141;
+            xfer += iprot->readMapBegin(_ktype140, _vtype141, _size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
+            {
+              std::string _key144;
+              xfer += iprot->readString(_key144);
+              int64_t& _val145 = this->zoneOrderIndexes[_key144];
+              xfer += iprot->readI64(_val145);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.zoneOrderIndexes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5900,10 +5989,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<VersionSnapshot> ::const_iterator _iter139;
-    for (_iter139 = this->history.begin(); _iter139 != this->history.end(); ++_iter139)
+    std::vector<VersionSnapshot> ::const_iterator _iter146;
+    for (_iter146 = this->history.begin(); _iter146 != this->history.end(); ++_iter146)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5912,10 +6001,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobSnapshot> ::const_iterator _iter140;
-    for (_iter140 = this->jobs.begin(); _iter140 != this->jobs.end(); ++_iter140)
+    std::vector<JobSnapshot> ::const_iterator _iter147;
+    for (_iter147 = this->jobs.begin(); _iter147 != this->jobs.end(); ++_iter147)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5924,10 +6013,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeySnapshot> ::const_iterator _iter141;
-    for (_iter141 = this->keys.begin(); _iter141 != this->keys.end(); ++_iter141)
+    std::vector<KeySnapshot> ::const_iterator _iter148;
+    for (_iter148 = this->keys.begin(); _iter148 != this->keys.end(); ++_iter148)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5936,11 +6025,11 @@
   xfer += oprot->writeFieldBegin("zoneEpochs", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->zoneEpochs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter142;
-    for (_iter142 = this->zoneEpochs.begin(); _iter142 != this->zoneEpochs.end(); ++_iter142)
+    std::map<std::string, int64_t> ::const_iterator _iter149;
+    for (_iter149 = this->zoneEpochs.begin(); _iter149 != this->zoneEpochs.end(); ++_iter149)
     {
-      xfer += oprot->writeString(_iter142->first);
-      xfer += oprot->writeI64(_iter142->second);
+      xfer += oprot->writeString(_iter149->first);
+      xfer += oprot->writeI64(_iter149->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5949,10 +6038,10 @@
   xfer += oprot->writeFieldBegin("evacuatedZones", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuatedZones.size()));
-    std::vector<ZoneEvacuation> ::const_iterator _iter143;
-    for (_iter143 = this->evacuatedZones.begin(); _iter143 != this->evacuatedZones.end(); ++_iter143)
+    std::vector<ZoneEvacuation> ::const_iterator _iter150;
+    for (_iter150 = this->evacuatedZones.begin(); _iter150 != this->evacuatedZones.end(); ++_iter150)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5962,6 +6051,19 @@
   xfer += oprot->writeI64(this->evacuationIndex);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zoneOrderIndexes", ::apache::thrift::protocol::T_MAP, 9);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->zoneOrderIndexes.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter151;
+    for (_iter151 = this->zoneOrderIndexes.begin(); _iter151 != this->zoneOrderIndexes.end(); ++_iter151)
+    {
+      xfer += oprot->writeString(_iter151->first);
+      xfer += oprot->writeI64(_iter151->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5977,30 +6079,33 @@
   swap(a.zoneEpochs, b.zoneEpochs);
   swap(a.evacuatedZones, b.evacuatedZones);
   swap(a.evacuationIndex, b.evacuationIndex);
+  swap(a.zoneOrderIndexes, b.zoneOrderIndexes);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other144) {
-  document = other144.document;
-  version = other144.version;
-  history = other144.history;
-  jobs = other144.jobs;
-  keys = other144.keys;
-  zoneEpochs = other144.zoneEpochs;
-  evacuatedZones = other144.evacuatedZones;
-  evacuationIndex = other144.evacuationIndex;
-  __isset = other144.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other145) {
-  document = other145.document;
-  version = other145.version;
-  history = other145.history;
-  jobs = other145.jobs;
-  keys = other145.keys;
-  zoneEpochs = other145.zoneEpochs;
-  evacuatedZones = other145.evacuatedZones;
-  evacuationIndex = other145.evacuationIndex;
-  __isset = other145.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other152) {
+  document = other152.document;
+  version = other152.version;
+  history = other152.history;
+  jobs = other152.jobs;
+  keys = other152.keys;
+  zoneEpochs = other152.zoneEpochs;
+  evacuatedZones = other152.evacuatedZones;
+  evacuationIndex = other152.evacuationIndex;
+  zoneOrderIndexes = other152.zoneOrderIndexes;
+  __isset = other152.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other153) {
+  document = other153.document;
+  version = other153.version;
+  history = other153.history;
+  jobs = other153.jobs;
+  keys = other153.keys;
+  zoneEpochs = other153.zoneEpochs;
+  evacuatedZones = other153.evacuatedZones;
+  evacuationIndex = other153.evacuationIndex;
+  zoneOrderIndexes = other153.zoneOrderIndexes;
+  __isset = other153.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -6014,6 +6119,7 @@
   out << ", " << "zoneEpochs=" << to_string(zoneEpochs);
   out << ", " << "evacuatedZones=" << to_string(evacuatedZones);
   out << ", " << "evacuationIndex=" << to_string(evacuationIndex);
+  out << ", " << "zoneOrderIndexes=" << to_string(zoneOrderIndexes);
   out << ")";
 }
 
--- a/packages/control/gen-cpp/control_types.h
+++ b/packages/control/gen-cpp/control_types.h
@@ -622,11 +622,12 @@
 std::ostream& operator<<(std::ostream& out, const FenceZone& obj);
 
 typedef struct _ZoneOrder__isset {
-  _ZoneOrder__isset() : zone(false), by(false), key(false), orderedAtMs(false) {}
+  _ZoneOrder__isset() : zone(false), by(false), key(false), orderedAtMs(false), knownIndex(false) {}
   bool zone :1;
   bool by :1;
   bool key :1;
   bool orderedAtMs :1;
+  bool knownIndex :1;
 } _ZoneOrder__isset;
 
 class ZoneOrder : public virtual ::apache::thrift::TBase {
@@ -638,7 +639,8 @@
             : zone(),
               by(),
               key(),
-              orderedAtMs(0) {
+              orderedAtMs(0),
+              knownIndex(0) {
   }
 
   virtual ~ZoneOrder() noexcept;
@@ -646,6 +648,7 @@
   std::string by;
   std::string key;
   int64_t orderedAtMs;
+  int64_t knownIndex;
 
   _ZoneOrder__isset __isset;
 
@@ -657,6 +660,8 @@
 
   void __set_orderedAtMs(const int64_t val);
 
+  void __set_knownIndex(const int64_t val);
+
   bool operator == (const ZoneOrder & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -667,6 +672,10 @@
       return false;
     if (!(orderedAtMs == rhs.orderedAtMs))
       return false;
+    if (__isset.knownIndex != rhs.__isset.knownIndex)
+      return false;
+    else if (__isset.knownIndex && !(knownIndex == rhs.knownIndex))
+      return false;
     return true;
   }
   bool operator != (const ZoneOrder &rhs) const {
@@ -786,7 +795,7 @@
 std::ostream& operator<<(std::ostream& out, const Command& obj);
 
 typedef struct _CommandResult__isset {
-  _CommandResult__isset() : accepted(false), reason(false), version(false), hash(false), job(false), changes(false), repeated(false) {}
+  _CommandResult__isset() : accepted(false), reason(false), version(false), hash(false), job(false), changes(false), repeated(false), zoneOrderIndex(false) {}
   bool accepted :1;
   bool reason :1;
   bool version :1;
@@ -794,6 +803,7 @@
   bool job :1;
   bool changes :1;
   bool repeated :1;
+  bool zoneOrderIndex :1;
 } _CommandResult__isset;
 
 class CommandResult : public virtual ::apache::thrift::TBase {
@@ -807,7 +817,8 @@
                   version(0),
                   hash(),
                   job(),
-                  repeated(0) {
+                  repeated(0),
+                  zoneOrderIndex(0) {
   }
 
   virtual ~CommandResult() noexcept;
@@ -818,6 +829,7 @@
   std::string job;
   std::vector<std::string>  changes;
   bool repeated;
+  int64_t zoneOrderIndex;
 
   _CommandResult__isset __isset;
 
@@ -835,6 +847,8 @@
 
   void __set_repeated(const bool val);
 
+  void __set_zoneOrderIndex(const int64_t val);
+
   bool operator == (const CommandResult & rhs) const
   {
     if (!(accepted == rhs.accepted))
@@ -851,6 +865,8 @@
       return false;
     if (!(repeated == rhs.repeated))
       return false;
+    if (!(zoneOrderIndex == rhs.zoneOrderIndex))
+      return false;
     return true;
   }
   bool operator != (const CommandResult &rhs) const {
@@ -1078,9 +1094,10 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _EvacuatedZones__isset {
-  _EvacuatedZones__isset() : index(false), zones(false) {}
+  _EvacuatedZones__isset() : index(false), zones(false), zoneOrderIndex(false) {}
   bool index :1;
   bool zones :1;
+  bool zoneOrderIndex :1;
 } _EvacuatedZones__isset;
 
 class EvacuatedZones : public virtual ::apache::thrift::TBase {
@@ -1089,12 +1106,14 @@
   EvacuatedZones(const EvacuatedZones&);
   EvacuatedZones& operator=(const EvacuatedZones&);
   EvacuatedZones() noexcept
-                 : index(0) {
+                 : index(0),
+                   zoneOrderIndex(0) {
   }
 
   virtual ~EvacuatedZones() noexcept;
   int64_t index;
   std::vector<std::string>  zones;
+  int64_t zoneOrderIndex;
 
   _EvacuatedZones__isset __isset;
 
@@ -1102,12 +1121,16 @@
 
   void __set_zones(const std::vector<std::string> & val);
 
+  void __set_zoneOrderIndex(const int64_t val);
+
   bool operator == (const EvacuatedZones & rhs) const
   {
     if (!(index == rhs.index))
       return false;
     if (!(zones == rhs.zones))
       return false;
+    if (!(zoneOrderIndex == rhs.zoneOrderIndex))
+      return false;
     return true;
   }
   bool operator != (const EvacuatedZones &rhs) const {
@@ -2369,7 +2392,7 @@
 std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : document(false), version(false), history(false), jobs(false), keys(false), zoneEpochs(false), evacuatedZones(false), evacuationIndex(false) {}
+  _StateSnapshot__isset() : document(false), version(false), history(false), jobs(false), keys(false), zoneEpochs(false), evacuatedZones(false), evacuationIndex(false), zoneOrderIndexes(false) {}
   bool document :1;
   bool version :1;
   bool history :1;
@@ -2378,6 +2401,7 @@
   bool zoneEpochs :1;
   bool evacuatedZones :1;
   bool evacuationIndex :1;
+  bool zoneOrderIndexes :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -2400,6 +2424,7 @@
   std::map<std::string, int64_t>  zoneEpochs;
   std::vector<ZoneEvacuation>  evacuatedZones;
   int64_t evacuationIndex;
+  std::map<std::string, int64_t>  zoneOrderIndexes;
 
   _StateSnapshot__isset __isset;
 
@@ -2419,6 +2444,8 @@
 
   void __set_evacuationIndex(const int64_t val);
 
+  void __set_zoneOrderIndexes(const std::map<std::string, int64_t> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (!(document == rhs.document))
@@ -2437,6 +2464,8 @@
       return false;
     if (!(evacuationIndex == rhs.evacuationIndex))
       return false;
+    if (!(zoneOrderIndexes == rhs.zoneOrderIndexes))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/packages/control/state.cc
+++ b/packages/control/state.cc
@@ -304,6 +304,15 @@
     repeated.repeated = true;
     return repeated;
   }
+  // The order may have waited unread while its caller gave the opposite one.
+  // With a key alone it could take effect, because no copy of it has yet.
+  auto latest = mZoneOrderIndexes.find(zone);
+  if (aOrder.__isset.knownIndex && latest != mZoneOrderIndexes.end() &&
+      static_cast<uint64_t>(aOrder.knownIndex) < latest->second) {
+    gen::CommandResult refused = Rejected("order_may_be_outdated");
+    refused.zoneOrderIndex = static_cast<int64_t>(ZoneOrderIndex());
+    return refused;
+  }
   auto known = mEvacuatedZones.find(zone);
   bool evacuated = known != mEvacuatedZones.end();
   // An evacuated zone can be restored also if the configuration no longer names
@@ -325,12 +334,24 @@
     }
     mEvacuationIndex = aIndex;
   }
+  mZoneOrderIndexes[zone] = aIndex;
   gen::CommandResult result;
   result.accepted = true;
+  result.zoneOrderIndex = static_cast<int64_t>(ZoneOrderIndex());
   StoreResult(key, result);
   return result;
 }
 
+uint64_t
+ControlState::ZoneOrderIndex() const
+{
+  uint64_t out = 0;
+  for (const auto& [zone, index] : mZoneOrderIndexes) {
+    out = std::max(out, index);
+  }
+  return out;
+}
+
 void
 ControlState::StoreResult(const std::string& aKey,
                           const gen::CommandResult& aResult)
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -92,6 +92,9 @@
   }
   // Log index of the last change of `EvacuatedZones()`; 0 before the first one.
   uint64_t EvacuationIndex() const { return mEvacuationIndex; }
+  // Log index of the last accepted order about a zone, which may have changed
+  // nothing; 0 before the first one.
+  uint64_t ZoneOrderIndex() const;
 
   // Returns the deltas from `aFrom` to the current version, oldest first, or
   // nullopt if one of them is no longer retained.
@@ -131,6 +134,8 @@
   // replaces the previous one as a whole.
   std::map<ZoneId, ZoneEvacuation> mEvacuatedZones;
   uint64_t mEvacuationIndex = 0;
+  // Log index of the last accepted order about each zone.
+  std::map<ZoneId, uint64_t> mZoneOrderIndexes;
 };
 
 } // namespace limpetwood::control
--- a/packages/control/state_snapshot.cc
+++ b/packages/control/state_snapshot.cc
@@ -114,6 +114,9 @@
     snapshot.evacuatedZones.push_back(std::move(entry));
   }
   snapshot.evacuationIndex = static_cast<int64_t>(mEvacuationIndex);
+  for (const auto& [zone, index] : mZoneOrderIndexes) {
+    snapshot.zoneOrderIndexes[zone.Value()] = static_cast<int64_t>(index);
+  }
   return Encode(snapshot);
 }
 
@@ -161,6 +164,9 @@
     next.mEvacuatedZones[ZoneId(it.zone)] = { Millis(it.sinceMs), it.by };
   }
   next.mEvacuationIndex = static_cast<uint64_t>(snapshot.evacuationIndex);
+  for (const auto& [zone, index] : snapshot.zoneOrderIndexes) {
+    next.mZoneOrderIndexes[ZoneId(zone)] = static_cast<uint64_t>(index);
+  }
   *this = std::move(next);
   return true;
 }
--- a/packages/control/state_test.cc
+++ b/packages/control/state_test.cc
@@ -125,6 +125,23 @@
     return Apply(command);
   }
 
+  // An order of a caller that knows of the orders up to a log index.
+  gen::CommandResult OrderKnowing(uint64_t aKnownIndex,
+                                  bool aEvacuate,
+                                  const char* aKey,
+                                  const char* aZone = "sogn")
+  {
+    gen::ZoneOrder order = MakeOrder(aKey, aZone, "ada", 3000);
+    order.__set_knownIndex(static_cast<int64_t>(aKnownIndex));
+    gen::Command command;
+    if (aEvacuate) {
+      command.__set_evacuateZone(order);
+    } else {
+      command.__set_restoreZone(order);
+    }
+    return Apply(command);
+  }
+
   static gen::ZoneOrder MakeOrder(const char* aKey,
                                   const char* aZone,
                                   const char* aBy,
@@ -344,6 +361,70 @@
   EXPECT_TRUE(replica.IsEvacuated());
 }
 
+// Guards against an order that was given before the zone's latest one and is
+// executed after it, because it waited and no copy of it was executed.
+TEST(ZoneEvacuation, OrderGivenBeforeTheLatestIsRefused)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  for (bool evacuate : { true, false }) {
+    std::string key = evacuate ? "e" : "r";
+    uint64_t before = replica.mState.ZoneOrderIndex();
+    EXPECT_TRUE(replica.OrderKnowing(before, evacuate, key.c_str()).accepted);
+    uint64_t first = replica.mState.ZoneOrderIndex();
+    // Changes nothing, and the order that it confirms holds as well.
+    EXPECT_TRUE(
+      replica.OrderKnowing(first, evacuate, (key + "2").c_str()).accepted);
+    uint64_t second = replica.mState.ZoneOrderIndex();
+    EXPECT_GT(second, first);
+    for (uint64_t known : { before, first }) {
+      gen::CommandResult late =
+        replica.OrderKnowing(known, !evacuate, (key + "late").c_str());
+      EXPECT_FALSE(late.accepted);
+      EXPECT_EQ(late.reason, "order_may_be_outdated");
+      EXPECT_EQ(static_cast<uint64_t>(late.zoneOrderIndex), second);
+      EXPECT_EQ(replica.IsEvacuated(), evacuate);
+    }
+  }
+  // A refused order can be sent again with the same key.
+  EXPECT_TRUE(
+    replica.OrderKnowing(replica.mState.ZoneOrderIndex(), true, "rlate")
+      .accepted);
+  EXPECT_TRUE(replica.IsEvacuated());
+}
+
+// Guards against orders about one zone that refuse those about another.
+TEST(ZoneEvacuation, OrdersOfOtherZonesDoNotCount)
+{
+  Replica replica;
+  gen::SubmitConfiguration submit;
+  submit.document = Document(10);
+  submit.document.replace(submit.document.find(R"(["sogn"])"),
+                          std::string(R"(["sogn"])").size(),
+                          R"(["sogn","voss"])");
+  gen::Command command;
+  command.__set_submitConfiguration(submit);
+  ASSERT_TRUE(replica.Apply(command).accepted);
+  EXPECT_TRUE(replica.OrderKnowing(0, true, "k1", "sogn").accepted);
+  EXPECT_TRUE(replica.OrderKnowing(0, true, "k2", "voss").accepted);
+}
+
+// Guards against a replica that accepts an outdated order because its state
+// comes from a snapshot.
+TEST(ZoneEvacuation, LatestOrderSurvivesASnapshot)
+{
+  Replica replica;
+  replica.SubmitConfiguration(10, 0);
+  EXPECT_TRUE(replica.Evacuate("k1").accepted);
+  EXPECT_TRUE(replica.RestoreZone("k2").accepted);
+  Replica restored;
+  ASSERT_TRUE(restored.mState.Restore(replica.mState.TakeSnapshot()));
+  restored.mIndex = replica.mIndex;
+  EXPECT_EQ(restored.mState.ZoneOrderIndex(), replica.mState.ZoneOrderIndex());
+  EXPECT_FALSE(restored.OrderKnowing(0, true, "k3").accepted);
+  EXPECT_FALSE(restored.IsEvacuated());
+}
+
 // A key that was used for one order must not make another order, or the same
 // order for another zone, look like a copy that needs no effect.
 TEST(ZoneEvacuation, KeyOfAnotherOrderIsNoCopy)
--- a/packages/daemon/control_server.cc
+++ b/packages/daemon/control_server.cc
@@ -80,6 +80,7 @@
   call.baseVersion = aRequest.headers.Get("Limpetwood-Base-Version");
   call.key = aRequest.headers.Get("Limpetwood-Idempotency-Key");
   call.body = std::move(aRequest.body);
+  call.arrivedAfter = aRequest.arrivedAfter;
   mHandler(std::move(call), [aRespond](ApiAnswer aAnswer) {
     http::Response response;
     response.status = aAnswer.status;
--- a/packages/daemon/instance_api.cc
+++ b/packages/daemon/instance_api.cc
@@ -27,6 +27,10 @@
 constexpr size_t kMaxOrderTextBytes = 256;
 // Longest part of an invalid value that a fault repeats, in bytes.
 constexpr size_t kMaxFaultValueBytes = 64;
+// Callers certainly wait this long for the answer to an order.
+constexpr Millis kCallerPatience(900);
+// Reason of a refusal of an order that its caller may have given up.
+constexpr const char* kOutdatedReason = "order_may_be_outdated";
 // Deadline of calls forwarded to other instances, except for those of workers.
 constexpr Millis kForwardedCallDeadline = Seconds(2);
 // Deadline of worker calls forwarded to the zone's authority. Shorter than the
@@ -412,33 +416,59 @@
   }
   order.key = aCall.key;
   order.orderedAtMs = WallNow().Count();
+  // The key does not help if this is the only copy of the order: it may have
+  // waited unread while its caller gave up and gave the opposite order.
+  order.__set_knownIndex(
+    static_cast<int64_t>(mZoneOrderIndexes.At(aCall.arrivedAfter)));
   bool evacuate = PathOf(aCall.target) == kEvacuatePath;
+  ProposeZoneOrder(order, evacuate, aCall.arrivedAfter, aNow, std::move(aDone));
+}
+
+void
+InstanceCore::ProposeZoneOrder(const gen::ZoneOrder& aOrder,
+                               bool aEvacuate,
+                               Millis aArrivedAfter,
+                               Millis aNow,
+                               ApiCallback aDone)
+{
   gen::Command command;
-  if (evacuate) {
-    command.__set_evacuateZone(order);
+  if (aEvacuate) {
+    command.__set_evacuateZone(aOrder);
   } else {
-    command.__set_restoreZone(order);
+    command.__set_restoreZone(aOrder);
   }
   // The control state decides whether the zone is known, because the
   // configuration in force on this instance may be older.
-  mLeader.Propose(control::Encode(command),
-                  aNow,
-                  [this, evacuate, zone = order.zone, done = std::move(aDone)](
-                    const ProposeAnswer& aAnswer) {
-                    if (aAnswer.verdict != Verdict::kAnswered) {
-                      ++mCounters.refusals[aAnswer.reason];
-                      done(ProposeFailed(aAnswer));
-                    } else if (aAnswer.result.accepted) {
-                      done(Ok({ { "zone", zone },
-                                { "evacuated", evacuate },
-                                { "repeated", aAnswer.result.repeated } }));
-                    } else {
-                      // Any other reason is that of a leader of a version that
-                      // does not know the command.
-                      bool unknown = aAnswer.result.reason == "unknown_zone";
-                      done(Refuse(unknown ? 404 : 503, aAnswer.result.reason));
-                    }
-                  });
+  mLeader.Propose(
+    control::Encode(command),
+    aNow,
+    [this, aOrder, aEvacuate, aArrivedAfter, done = std::move(aDone)](
+      const ProposeAnswer& aAnswer) {
+      if (aAnswer.verdict != Verdict::kAnswered) {
+        ++mCounters.refusals[aAnswer.reason];
+        done(ProposeFailed(aAnswer));
+        return;
+      }
+      const gen::CommandResult& result = aAnswer.result;
+      if (result.accepted) {
+        done(Ok({ { "zone", aOrder.zone },
+                  { "evacuated", aEvacuate },
+                  { "repeated", result.repeated } }));
+        return;
+      }
+      bool outdated = result.reason == kOutdatedReason;
+      Millis now = aAnswer.receivedAt;
+      if (outdated && now - aArrivedAfter < kCallerPatience) {
+        gen::ZoneOrder again = aOrder;
+        again.__set_knownIndex(result.zoneOrderIndex);
+        ProposeZoneOrder(again, aEvacuate, aArrivedAfter, now, done);
+        return;
+      }
+      // Any other reason is that of a leader of a version that does not know
+      // the command.
+      bool unknown = result.reason == "unknown_zone";
+      done(Refuse(unknown ? 404 : 503, result.reason));
+    });
 }
 
 void
--- a/packages/daemon/instance_core.cc
+++ b/packages/daemon/instance_core.cc
@@ -241,6 +241,10 @@
 InstanceCore::OnEvacuatedZones(const gen::EvacuatedZones& aEvacuated,
                                Millis aNow)
 {
+  mZoneOrderIndexes.Note(
+    aNow,
+    std::max(static_cast<uint64_t>(aEvacuated.zoneOrderIndex),
+             mZoneOrderIndexes.Latest()));
   auto index = static_cast<uint64_t>(aEvacuated.index);
   if (index <= mEvacuationIndex) {
     return;
--- a/packages/daemon/instance_core.h
+++ b/packages/daemon/instance_core.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "base/revision_history.h"
 #include "daemon/instance_environment.h"
 #include "daemon/leader_client.h"
 #include "daemon/zone_authority.h"
@@ -35,6 +36,8 @@
   // Limpetwood-Idempotency-Key; empty if absent, and in forwarded calls.
   std::string baseVersion;
   std::string key;
+  // The time of `MonotonicNow()` after which the call arrived; 0 if unknown.
+  Millis arrivedAfter{};
 };
 
 using ApiCallback = std::function<void(ApiAnswer)>;
@@ -134,6 +137,13 @@
   void FenceZone(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   // Handles the calls that evacuate and restore a zone.
   void OrderZone(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
+  // Proposes the order, and again if it is refused as possibly outdated while
+  // its caller certainly waits for the answer.
+  void ProposeZoneOrder(const control::gen::ZoneOrder& aOrder,
+                        bool aEvacuate,
+                        Millis aArrivedAfter,
+                        Millis aNow,
+                        ApiCallback aDone);
   void DrainInstance(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void CallAuthority(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
   void ListWorkers(const ApiCall& aCall, Millis aNow, ApiCallback aDone);
@@ -167,6 +177,8 @@
   // effect.
   std::set<ZoneId> mEvacuatedZones;
   uint64_t mEvacuationIndex = 0;
+  // Log indexes of the latest orders about zones, by the control leader.
+  RevisionHistory mZoneOrderIndexes;
   // Events that this instance executed as an authority while cut off and that
   // were not committed when it lost authority.
   std::vector<control::gen::JobEvent> mUncommittedEvents;
--- a/packages/daemon/leader_client.cc
+++ b/packages/daemon/leader_client.cc
@@ -106,6 +106,7 @@
   auto done = std::move(it->second.proposeDone);
   mPending.erase(it);
   ProposeAnswer answer;
+  answer.receivedAt = aNow;
   switch (aReply.verdict) {
     case static_cast<int32_t>(Verdict::kAnswered):
       answer.verdict = Verdict::kAnswered;
--- a/packages/daemon/leader_client.h
+++ b/packages/daemon/leader_client.h
@@ -28,6 +28,7 @@
   std::string reason;
   // Meaningful if the verdict is `kAnswered`.
   control::gen::CommandResult result;
+  Millis receivedAt{};
 };
 
 struct QueryAnswer
--- a/packages/daemon/process.cc
+++ b/packages/daemon/process.cc
@@ -9,6 +9,7 @@
 #include "daemon/metrics.h"
 #include "daemon/request_path.h"
 #include "http/client.h"
+#include "http/event_loop.h"
 #include "peer/transport.h"
 
 #include <boost/asio/io_context.hpp>
@@ -174,7 +175,7 @@
   }
   WaitForSignal();
   PublishPeriodically();
-  mContext.run();
+  http::RunEventLoop(mContext);
   if (mGroup) {
     caf::anon_send_exit(mGroup, caf::exit_reason::user_shutdown);
   }
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -149,10 +149,21 @@
                  const char* aTarget,
                  const std::string& aBody,
                  const char* aKey = "")
+  {
+    return CallThatWaited(Millis(0), aMethod, aTarget, aBody, aKey);
+  }
+
+  // A call that has waited unread for up to `aTime`.
+  ApiAnswer CallThatWaited(Millis aTime,
+                           const char* aMethod,
+                           const char* aTarget,
+                           const std::string& aBody,
+                           const char* aKey = "")
   {
     ApiAnswer answer;
     answer.status = 0;
     ApiCall call;
+    call.arrivedAfter = now - aTime;
     call.method = aMethod;
     call.target = aTarget;
     call.body = aBody;
@@ -170,9 +181,10 @@
     gen::HeartbeatReply reply;
     reply.sentAtMs = aSentAtMs;
     reply.version = 1;
-    if (state.EvacuationIndex() > 0 && tellsEvacuation) {
+    if (state.ZoneOrderIndex() > 0 && tellsEvacuation) {
       gen::EvacuatedZones evacuated;
       evacuated.index = static_cast<int64_t>(state.EvacuationIndex());
+      evacuated.zoneOrderIndex = static_cast<int64_t>(state.ZoneOrderIndex());
       for (const auto& [zone, evacuation] : state.EvacuatedZones()) {
         evacuated.zones.push_back(zone.Value());
       }
@@ -653,6 +665,50 @@
   EXPECT_EQ(answer.status, 200);
 }
 
+const char*
+PathOfOrder(bool aEvacuate)
+{
+  return aEvacuate ? "/v1/zones/evacuate" : "/v1/zones/restore";
+}
+
+// Guards against an order that waited unread at this instance while its caller
+// gave the opposite one elsewhere, and that then undoes it.
+TEST(ZoneOrders, OneThatWaitedWhileAnotherWasGivenIsRefused)
+{
+  for (bool evacuate : { false, true }) {
+    Zone zone;
+    zone.RunFor(Seconds(1));
+    zone.Order(true);
+    zone.Order(!evacuate);
+    zone.RunFor(Seconds(5));
+    std::string body = R"({"zone":"sogn","by":"ada"})";
+    ApiAnswer answer =
+      zone.CallThatWaited(Seconds(6), "POST", PathOfOrder(evacuate), body, "k");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_NE(answer.body.find("order_may_be_outdated"), std::string::npos);
+    EXPECT_EQ(zone.state.EvacuatedZones().contains(ZoneId("sogn")), !evacuate);
+    // A caller that still waits sends it again.
+    answer = zone.Call("POST", PathOfOrder(evacuate), body, "k");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(zone.state.EvacuatedZones().contains(ZoneId("sogn")), evacuate);
+  }
+}
+
+// Guards against an order that is refused although it has just arrived, because
+// this instance does not know of the zone's latest order yet.
+TEST(ZoneOrders, OneThatHasJustArrivedIsAccepted)
+{
+  Zone zone;
+  zone.RunFor(Seconds(1));
+  zone.tellsEvacuation = false;
+  zone.Order(true);
+  zone.RunFor(Seconds(1));
+  ApiAnswer answer = zone.Call(
+    "POST", "/v1/zones/restore", R"({"zone":"sogn","by":"ada"})", "k");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(zone.state.EvacuatedZones().empty());
+}
+
 // The operator must see every fault of a malformed order at once, and a wrong
 // method must not be taken for an order.
 TEST(ZoneOrders, EveryFaultIsListed)
