Refuse fences and drains that may have waited until they no longer apply

A fence says that a zone is down now, and its jobs start elsewhere at once. One that waited in an instance that stood still, while the operator fenced the zone through another one and had it repaired, would have moved the jobs of a zone that is up: they would run twice. A drain would in the same way have ended an instance that had been drained and started anew. Found by reading, not seen.

Cause: as for zone orders, nothing tells when such a call was made. There is no opposite call whose order could be compared, so the age of the call decides.

Failed before: ZoneOrders.FenceThatWaitedIsRefused and DrainThatWaitedIsRefused.

--- a/packages/daemon/instance_api.cc
+++ b/packages/daemon/instance_api.cc
@@ -154,6 +154,13 @@
   return order;
 }
 
+// Whether the caller may have given up the call, and done something else since.
+bool
+MayBeOutdated(const ApiCall& aCall, Millis aNow)
+{
+  return aNow - aCall.arrivedAfter >= kCallerPatience;
+}
+
 } // namespace
 
 ApiAnswer
@@ -375,6 +382,11 @@
     aDone(Refuse(404, "unknown_zone"));
     return;
   }
+  if (MayBeOutdated(aCall, aNow)) {
+    // The zone was down when the order was given, and may be up again.
+    aDone(Refuse(503, kOutdatedReason));
+    return;
+  }
   gen::Command command;
   command.__set_fenceZone(fence);
   mLeader.Propose(
@@ -483,6 +495,9 @@
                 [&target](const auto& it) { return it.id == target; });
   if (!declared) {
     aDone(Refuse(404, "unknown_instance"));
+  } else if (MayBeOutdated(aCall, aNow)) {
+    // The instance may have drained and started anew since.
+    aDone(Refuse(503, kOutdatedReason));
   } else if (target != mSettings.instance) {
     Forward(target, aCall, aNow, std::move(aDone));
   } else {
@@ -607,6 +622,8 @@
   call.method = aCall.method;
   call.target = aCall.target;
   call.body = aCall.body;
+  // Its age was checked by the instance that forwards it.
+  call.arrivedAfter = aNow;
   int64_t id = aCall.id;
   auto reply = [this, aFrom, id](const ApiAnswer& aAnswer) {
     gen::InstanceCallReply answer;
--- a/packages/daemon/zone_evacuation_test.cc
+++ b/packages/daemon/zone_evacuation_test.cc
@@ -252,6 +252,8 @@
   bool holdProposals = false;
   // The leader rejects every command with this reason if it is not empty.
   std::string rejectReason;
+  // How often this instance was asked to drain.
+  int drains = 0;
   // Actions that the worker was asked for.
   std::vector<std::string> calls;
 
@@ -280,7 +282,7 @@
   {
   }
   void OnEvacuatedZones(uint64_t, const std::set<ZoneId>&) override {}
-  void RequestDrain() override {}
+  void RequestDrain() override { ++drains; }
   void Log(const LogEvent&) override {}
 
   void AnnounceOrRenew()
@@ -709,6 +711,41 @@
   EXPECT_TRUE(zone.state.EvacuatedZones().empty());
 }
 
+// Guards against a fence that waited unread until its zone was up again: the
+// zone's jobs would run twice.
+TEST(ZoneOrders, FenceThatWaitedIsRefused)
+{
+  Zone zone;
+  zone.workerAnnounced = true;
+  zone.Elect();
+  zone.SubmitAndAssign("a");
+  std::string body = R"({"zone":"sogn"})";
+  ApiAnswer answer =
+    zone.CallThatWaited(Seconds(2), "POST", "/v1/zones/fence", body, "k");
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(answer.body.find("order_may_be_outdated"), std::string::npos);
+  EXPECT_EQ(zone.Job("a").zone, ZoneId("sogn"));
+  answer = zone.Call("POST", "/v1/zones/fence", body, "k");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(zone.Job("a").zone.empty());
+}
+
+// Guards against a drain that waited unread while the instance was drained
+// through another one and started anew.
+TEST(ZoneOrders, DrainThatWaitedIsRefused)
+{
+  Zone zone;
+  zone.RunFor(Seconds(1));
+  std::string body = R"({"instance":"i-sogn"})";
+  ApiAnswer answer =
+    zone.CallThatWaited(Seconds(2), "POST", "/v1/instances/drain", body);
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(answer.body.find("order_may_be_outdated"), std::string::npos);
+  EXPECT_EQ(zone.drains, 0);
+  EXPECT_EQ(zone.Call("POST", "/v1/instances/drain", body).status, 200);
+  EXPECT_EQ(zone.drains, 1);
+}
+
 // The operator must see every fault of a malformed order at once, and a wrong
 // method must not be taken for an order.
 TEST(ZoneOrders, EveryFaultIsListed)
