Know the wait of connections behind others, too

The HTTP server took a request for one that had just arrived if its connection had waited to be accepted behind other ones: they are accepted one after the other, in successive rounds of the event loop, and the time up to which all input was handled advanced between them. After a standstill with several connections waiting, an old order about a zone would have been executed as a new one.

All connections that have arrived are now accepted together, and the time at which none waited is noted then. The event loop's time lags one round more, because a socket that is ready for two operations has the second handler run in the next round; two rounds without a handler precede each wait for input.

Failed before: ArrivalTest.WaitBehindOtherConnectionsIsKnown, with 50 connections. EventLoop.AdvancesWhileManySocketsAreReady fails without the bound on the number of polls (tried).

--- a/packages/http/event_loop.cc
+++ b/packages/http/event_loop.cc
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 
 #include <chrono>
+#include <utility>
 
 namespace limpetwood::http {
 
@@ -54,10 +55,11 @@
   }
   // These were the handlers of the poll in the previous round. If that poll had
   // room for more events, it returned all there were; otherwise, the next polls
-  // return the remaining ones, the longest ready first.
-  bool complete = handlers < kMaxEventsOfPoll;
-  while (mRoundBegins.size() > 1 &&
-         (complete || mRoundBegins.size() > mMaxPolls)) {
+  // return the remaining ones, the longest ready first. If a socket is ready
+  // for two operations, the handler of the second one runs a round later.
+  bool complete = std::exchange(mPollWasComplete, handlers < kMaxEventsOfPoll);
+  while (mRoundBegins.size() > 2 &&
+         (complete || mRoundBegins.size() > mMaxPolls + 2)) {
     mInputHandledUntil = mRoundBegins.front();
     mRoundBegins.pop_front();
   }
@@ -69,9 +71,11 @@
 {
   EventLoopProgress& progress = EventLoopProgress::Of(aContext);
   progress.mRoundBegins.clear();
+  progress.mPollWasComplete = false;
   while (!aContext.stopped()) {
     aContext.run_one_for(kMaxBlockTime);
-    while (progress.RunRound() > 0) {
+    // Two rounds without a handler, so that the time is that of the latter.
+    while (progress.RunRound() > 0 || progress.RunRound() > 0) {
     }
   }
 }
--- a/packages/http/event_loop.h
+++ b/packages/http/event_loop.h
@@ -57,6 +57,9 @@
   // When the latest rounds began, without a gap, for which it is not known yet
   // that all input of that time was handled.
   std::deque<Millis> mRoundBegins;
+  // Whether the poll of the round before the latest returned all that was
+  // ready.
+  bool mPollWasComplete = false;
   Millis mInputHandledUntil;
 };
 
--- a/packages/http/event_loop_test.cc
+++ b/packages/http/event_loop_test.cc
@@ -140,6 +140,22 @@
   EXPECT_GT(it.handledAt, sentAt);
 }
 
+// The same if many connections wait, which are accepted one by one.
+TEST_F(ArrivalTest, WaitBehindOtherConnectionsIsKnown)
+{
+  StandStill();
+  std::vector<tcp::socket> sockets;
+  for (int n = 0; n < 50; ++n) {
+    sockets.push_back(Connect());
+    Send(sockets.back(), "/a");
+  }
+  Millis sentAt = MonotonicNow();
+  for (const Handled& it : Await(sockets.size())) {
+    EXPECT_LE(it.arrivedAfter, sentAt);
+    EXPECT_GT(it.handledAt, sentAt);
+  }
+}
+
 // The same on a connection that is in use.
 TEST_F(ArrivalTest, WaitOnAnOpenConnectionIsKnown)
 {
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -52,7 +52,7 @@
   // Every session with an open socket.
   std::set<std::shared_ptr<Session>> sessions;
   size_t inFlight = 0;
-  // Since when the server has waited for connections; `Max` if it does not.
+  // Since when the server waits for the next connection; `Max` if it does not.
   Millis acceptingSince = Millis::Max();
   // Latest time at which no connection is known to have waited to be accepted.
   Millis noneWaitedAt{};
--- a/packages/http/stream_server.cc
+++ b/packages/http/stream_server.cc
@@ -115,6 +115,7 @@
 void
 StreamServerImpl::Accept()
 {
+  acceptingSince = MonotonicNow();
   acceptor.async_accept(
     [self = shared_from_this()](ErrorCode ec, tcp::socket it) {
       if (ec == asio::error::operation_aborted) {
@@ -122,6 +123,7 @@
       }
       if (!ec) {
         self->OnAccepted(std::move(it));
+        self->AcceptArrived();
       } else {
         // Out of file descriptors, usually; trying again at once would keep the
         // loop busy.
@@ -143,7 +145,6 @@
   acceptTimer.SetCallback([weak] {
     auto self = weak.lock();
     if (self && self->acceptor.is_open()) {
-      self->acceptingSince = MonotonicNow();
       self->Accept();
     }
   });
@@ -156,10 +157,13 @@
   ErrorCode ec;
   acceptor.non_blocking(true, ec);
   while (!ec) {
+    Millis now = MonotonicNow();
     tcp::socket socket(context);
     acceptor.accept(socket, ec);
     if (!ec) {
       OnAccepted(std::move(socket));
+    } else if (ec == asio::error::would_block) {
+      noneWaitedAt = now;
     }
   }
 }
@@ -237,8 +241,7 @@
     mImpl->acceptor.close();
     return std::error_code(ec);
   }
-  mImpl->acceptingSince = MonotonicNow();
-  mImpl->noneWaitedAt = mImpl->acceptingSince;
+  mImpl->noneWaitedAt = MonotonicNow();
   mImpl->Accept();
   return Endpoint{ aEndpoint.address, mImpl->acceptor.local_endpoint().port() };
 }
