Count no zone revision as known before its replica was opened

A replica noted the zone revision that it read from its disk as known since time 0. If the replica was reopened after an error of its disk, an order that had waited since before could count as given with knowledge of a later one.

The revision is noted once the replica is open, with the time of the first tick.

Failed before: NodeTest.ZoneRevisionsAreNotKnownBeforeARestart.

--- a/packages/fleet/node.cc
+++ b/packages/fleet/node.cc
@@ -69,7 +69,7 @@
     return {};
   }
   mState.Apply(command.Value(), aIndex);
-  mZoneRevisions.Note(mNow, mState.ZoneRevision());
+  NoteZoneRevision();
   return {};
 }
 
@@ -77,10 +77,19 @@
 Node::Restore(std::string_view aSnapshot)
 {
   bool restored = mState.Restore(aSnapshot);
-  mZoneRevisions.Note(mNow, mState.ZoneRevision());
+  NoteZoneRevision();
   return restored;
 }
 
+void
+Node::NoteZoneRevision()
+{
+  // While the replica is opened, the time is not known; the first tick follows.
+  if (mGroup) {
+    mZoneRevisions.Note(mNow, mState.ZoneRevision());
+  }
+}
+
 void
 Node::OnReplication(const InstanceId& aFrom,
                     std::string_view aBytes,
@@ -254,6 +263,7 @@
     }
   }
   mGroup->Tick(aNow);
+  NoteZoneRevision();
   if (mHandingOver) {
     HandOver(aNow);
   }
--- a/packages/fleet/node.h
+++ b/packages/fleet/node.h
@@ -149,6 +149,8 @@
   std::string TakeSnapshot() const override { return mState.TakeSnapshot(); }
   bool Restore(std::string_view aSnapshot) override;
 
+  void NoteZoneRevision();
+
   void OnSubmit(const gen::Request& aRequest, ReplyCallback aDone);
   void OnRead(const gen::Request& aRequest, const ReplyCallback& aDone);
   void OnReport(const gen::Request& aRequest, ReplyCallback aDone);
--- a/packages/fleet/node_test.cc
+++ b/packages/fleet/node_test.cc
@@ -102,6 +102,7 @@
     options.group.folder = "folder";
     options.group.voters = { InstanceId("a") };
     options.group.disk = &mDisk;
+    options.group.snapshotEntries = mSnapshotEntries;
     options.toleratedFailures = 0;
     options.zones = mZones;
     auto node = Node::Open(options, mEnvironment);
@@ -150,6 +151,7 @@
   std::unique_ptr<Node> mNode;
   Millis mNow{ 1'000'000 };
   Millis mWallOffset{};
+  uint64_t mSnapshotEntries = 10000;
   std::set<ZoneId> mZones;
 };
 
@@ -713,10 +715,28 @@
     }
     Advance();
   }
-  // The replica does not know after a restart what it knew before.
+}
+
+// Guards against an order that waited while its replica was restarted: the
+// state that is read from the disk was not known when the order arrived.
+TEST_F(NodeTest, ZoneRevisionsAreNotKnownBeforeARestart)
+{
+  mSnapshotEntries = 5;
+  Open();
+  ASSERT_EQ(OutcomeOf(ReportRequest(mNow)), RequestOutcome::kOk);
+  for (int n = 0; n < 10; ++n) {
+    ASSERT_EQ(OutcomeOf(ZoneRequest(RequestKind::kEvacuateZone, "z1")),
+              RequestOutcome::kOk);
+  }
+  Millis beforeRestart = mNow;
   mNode.reset();
   Open();
-  gen::Request request = ZoneRequest(RequestKind::kEvacuateZone, "z1");
+  ASSERT_GT(mNode->Status().snapshotIndex, 0U);
+  EXPECT_GT(mNode->State().ZoneRevision(), 0U);
+  EXPECT_EQ(mNode->ZoneRevisionAt(beforeRestart), 0U);
+  EXPECT_EQ(mNode->ZoneRevisionAt(mNow + Millis(1)),
+            mNode->State().ZoneRevision());
+  gen::Request request = ZoneRequest(RequestKind::kRestoreZone, "z1");
   request.__set_zoneRevision(0);
   EXPECT_EQ(OutcomeOf(request), RequestOutcome::kMayBeOutdated);
 }
