--- a/packages/http/internal/session.cc
+++ b/packages/http/internal/session.cc
@@ -95,8 +95,8 @@
   // The head must be complete within the read timeout, so that a slow sender
   // cannot occupy a connection.
   mReadTimer.Set(mServer->limits.readTimeout);
-  // Otherwise the bytes may have arrived behind the previous request, or before
-  // the connection was accepted.
+  // An earlier time says nothing about this request: its bytes may have arrived
+  // behind the previous one, or before the connection was accepted.
   if (mServer->progress.InputHandledUntil() > mAwaitedSince) {
     mArrivedAfter = mServer->progress.InputHandledUntil();
   }
--- a/packages/http/internal/session.h
+++ b/packages/http/internal/session.h
@@ -54,7 +54,7 @@
   size_t inFlight = 0;
   // Since when the server waits for the next connection; `Max` if it does not.
   Millis acceptingSince = Millis::Max();
-  // Latest time at which no connection is known to have waited to be accepted.
+  // Latest time at which it is known that no connection waited to be accepted.
   Millis noneWaitedAt{};
   bool draining = false;
   // Connections are closed as soon as they are idle.
@@ -139,7 +139,7 @@
   uint64_t mLingeredBytes = 0;
   Millis mRequestReceivedAt;
   // When the wait for the current request began, and the latest time at which
-  // no byte of it is known to have arrived.
+  // it is known that no byte of it had arrived.
   Millis mAwaitedSince;
   Millis mArrivedAfter;
   Framing mFraming = Framing::kNone;
--- a/packages/http/pooled_client.cc
+++ b/packages/http/pooled_client.cc
@@ -31,8 +31,8 @@
   return out;
 }
 
-// One request and its response, on a new connection after a probe and its
-// response.
+// One request and its response. With a `PeerCheck`, a probe and its response
+// precede them on a connection whose peer is not verified.
 class PooledFetch : public std::enable_shared_from_this<PooledFetch>
 {
 public:
